--- /dev/null
+++ b/hazelbend/__init__.py
@@ -0,0 +1,1 @@
+"""hazelbend: a dispatcher that spreads jobs over real servers on delayed information."""
--- /dev/null
+++ b/hazelbend/program/__init__.py
@@ -0,0 +1,1 @@
+"""The program: configuration, wiring, signals, log, console."""
--- /dev/null
+++ b/hazelbend/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Pure codecs: bytes in, values out. No sockets, no clock."""
--- /dev/null
+++ b/hazelbend/protocol/discovery.py
@@ -0,0 +1,68 @@
+"""Discovery's lists: JSON to service entries. A list that is not what it should be raises ValueError."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from driftyard.interface import WorkerState
+from hazelbend.routing.ports import ServiceEntry, ServiceList
+
+_STATES = {"SERVING": WorkerState.READY, "DRAINING": WorkerState.DRAINING, "DELETED": WorkerState.GONE}
+
+
+class Names:
+    """Numbers for the names of zones or kinds: the settings' places, and further ones as they turn up."""
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self._numbers = {name: number for number, name in enumerate(names)}
+
+    def number(self, name: str) -> int:
+        return self._numbers.setdefault(name, len(self._numbers))
+
+
+class ListReader:
+    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
+        self._zones, self._kinds = Names(zones), Names(kinds)
+
+    def read(self, text: bytes) -> ServiceList:
+        try:
+            return self.from_object(orjson.loads(text))
+        except orjson.JSONDecodeError as error:
+            raise ValueError(f"list: not JSON ({error})") from None
+
+    def from_object(self, value: object) -> ServiceList:
+        if not isinstance(value, Mapping) or not isinstance(hosts := value.get("hosts"), list):
+            raise ValueError("list: no object with 'hosts'")
+        seq = _typed(value, "seq", int)
+        return ServiceList(tuple(self._entry(each) for each in hosts), value.get("whole") is True, seq=seq)
+
+    def _entry(self, value: object) -> ServiceEntry:
+        if not isinstance(value, Mapping):
+            raise ValueError("list: an entry is no object")
+        state = _STATES.get(_typed(value, "health", str))
+        if state is None:
+            raise ValueError(f"list: unknown health {value['health']!r}")
+        host, dial = _typed(value, "host", str), _typed(value, "dial", str)
+        name, _, port = dial.rpartition(":")
+        if not host or not name or not port.isascii() or not port.isdecimal() or not 0 < int(port) < 65_536:
+            raise ValueError(f"list: {host!r} has no usable 'dial': {dial!r}")
+        return ServiceEntry(
+            host=host,
+            dial=dial,
+            zone=self._zones.number(_typed(value, "site", str, "")),
+            kind=self._kinds.number(_typed(value, "class", str, "")),
+            cell=_typed(value, "block", int, 0),
+            state=state,
+            weight=float(_typed(value, "share", (int, float), 1.0)),
+            started_at=_typed(value, "born_ms", int, 0) * 1_000,
+        )
+
+
+def _typed(value: Mapping[str, Any], key: str, kind: Any, default: Any = None) -> Any:
+    each = value.get(key, default)
+    if isinstance(each, bool) or not isinstance(each, kind):
+        raise ValueError(f"list: {key!r} is missing or of a wrong type")
+    return each
--- /dev/null
+++ b/hazelbend/protocol/http_fields.py
@@ -0,0 +1,105 @@
+"""The fields of a client's HTTP request that the decisions need. Bad input raises BadRequest."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+from math import isfinite
+
+from hazelbend.routing.ports import Job
+
+MOST_MS = 3_600_000
+
+
+class BadRequest(Exception):
+    """What a client sent cannot be taken; the text tells the client why."""
+
+
+@dataclass(slots=True, frozen=True)
+class ClassRow:
+    """What a front needs to know of a class."""
+
+    name: str
+    deadline_ms: int
+    keyed: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Catalogue:
+    """The names that requests use, by their places in the settings."""
+
+    classes: tuple[ClassRow, ...]
+    tenants: tuple[str, ...]
+    margin: int = 25_000  # microseconds kept of the client's time for the way there and back
+
+    def class_index(self, name: str) -> int:
+        for index, row in enumerate(self.classes):
+            if row.name == name:
+                return index
+        raise BadRequest(f"unknown class {name[:40]!r}")
+
+    def tenant_index(self, name: str | None) -> int:
+        if not self.tenants:
+            return 0
+        if name not in self.tenants:
+            raise BadRequest(f"unknown tenant {(name or '')[:40]!r}")
+        return self.tenants.index(name)
+
+
+def key_number(text: str) -> int:
+    """A 64-bit number for what a request is about, alike on all dispatchers; 0 for nothing."""
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest()) or 1 if text else 0
+
+
+def patience(text: str | None, default_ms: int, margin: int) -> int:
+    """The microseconds that a client still waits; less a margin, so that the answer is there in time."""
+    if text is None:
+        milliseconds = default_ms
+    elif text.isascii() and text.isdecimal() and len(text) <= 9:
+        milliseconds = min(int(text), MOST_MS)
+    else:
+        raise BadRequest("the time-out is no whole number of milliseconds")
+    whole = milliseconds * 1_000
+    return whole - min(margin, whole // 10)
+
+
+def slots(text: str | None) -> float:
+    """The job's slots from `name=value,name=value`; 1 if it is not said."""
+    for part in (text or "").split(","):
+        name, _, value = part.partition("=")
+        if name.strip() == "slots":
+            try:
+                number = float(value)
+            except ValueError:
+                number = 0.0
+            if not isfinite(number) or not 0 < number <= 1_000:
+                raise BadRequest("slots is no number that a job can have")
+            return number
+    return 1.0
+
+
+def read_job(target: str, headers: Mapping[str, str], body: bytes, catalogue: Catalogue) -> Job:
+    if not target.startswith("/") or not target.isascii() or "#" in target:
+        raise BadRequest("the target is no plain path")
+    parts = target.partition("?")[0].split("/")
+    job_id = headers.get("X-Request-ID", "")
+    if not job_id or not job_id.isascii() or not job_id.isprintable() or len(job_id) > 128:
+        raise BadRequest("X-Request-ID is missing or unusable")
+    index = catalogue.class_index(headers.get("X-Priority-Class") or parts[1])
+    row, key = catalogue.classes[index], headers.get("Idempotency-Key")
+    if row.keyed and not key:
+        raise BadRequest("Idempotency-Key is missing")
+    cost = headers.get("X-Cost", "")
+    return Job(
+        id=job_id,
+        class_index=index,
+        tenant=catalogue.tenant_index(headers.get("X-Tenant-Id")),
+        patience=patience(headers.get("X-Timeout-Ms"), row.deadline_ms, catalogue.margin),
+        key=key_number(parts[-1]) if len(parts) > 2 else 0,
+        slots=slots(headers.get("X-Attrs")),
+        expected_work=int(cost) if cost.isascii() and cost.isdecimal() and len(cost) < 10 else 0,
+        target=target,
+        body=body,
+        idempotency_key=key,
+    )
--- /dev/null
+++ b/hazelbend/routing/ports.py
@@ -0,0 +1,107 @@
+"""The values that cross the core's border, and the Protocols that links, fronts and discovery implement."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from driftyard.interface import LoadReport, Outcome, WorkerState
+
+
+@dataclass(slots=True, frozen=True)
+class Job:
+    """What a client asks for. The core decides by the numbers; the rest goes on as it came."""
+
+    id: str
+    class_index: int
+    tenant: int
+    patience: int  # microseconds until the client gives up
+    key: int = 0
+    slots: float = 1.0
+    expected_work: int = 0
+    target: str = "/"
+    body: bytes = b""
+    idempotency_key: str | None = None
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """The one final answer of a flow."""
+
+    verdict: Verdict
+    result: bytes = b""
+    retry_after: int = 0  # microseconds
+    overdue: bool = False  # failed because time ran out
+
+
+@dataclass(slots=True, frozen=True)
+class Ending:
+    """How a scheduling ended, as its link saw it."""
+
+    outcome: Outcome
+    result: bytes = b""
+    load: LoadReport | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class News:
+    """A job has started (no fraction yet) or got on."""
+
+    fraction: float | None = None
+
+
+class Link(Protocol):
+    """The way to one real server. A cancelled call gives the attempt up, so that the server stops it."""
+
+    async def attempt(self, job: Job, patience: int, tell: Callable[[News], None]) -> Ending: ...
+
+    async def probe(self, patience: int) -> Ending: ...
+
+    def close(self) -> None: ...
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceEntry:
+    """One line of the list of real servers."""
+
+    host: str
+    dial: str
+    zone: int
+    kind: int
+    cell: int
+    state: WorkerState
+    weight: float
+    started_at: int  # Unix time in microseconds; 0: long ago
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceList:
+    """A list, or the entries that changed; no entries and `failed` when a call gave nothing."""
+
+    entries: tuple[ServiceEntry, ...] = ()
+    whole: bool = False
+    failed: bool = False
+    seq: int = 0
+
+
+class Discovery(Protocol):
+    """Where lists come from. Each `subscribe` brings exactly one list, then its changes."""
+
+    def subscribe(self, tell: Callable[[ServiceList], None]) -> None: ...
+
+
+@dataclass(slots=True)
+class Tally:
+    """Counts since the start, for the console and SNMP."""
+
+    taken: int = 0
+    verdicts: dict[Verdict, int] = field(default_factory=lambda: dict.fromkeys(Verdict, 0))
+    outcomes: dict[Outcome, int] = field(default_factory=lambda: dict.fromkeys(Outcome, 0))
--- /dev/null
+++ b/hazelbend/routing/router.py
@@ -0,0 +1,315 @@
+"""The core: it takes jobs from the fronts, asks the decision module, and carries out what it says.
+
+The life of a request is `Router._live`, from top to bottom. The module is told of every event, and what it
+wants done about a flow lands in that flow's inbox, in order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol, TypeAlias
+
+from driftyard import interface as face
+from driftyard.interface import ListKind, Outcome
+from hazelbend.routing.clock import Clock
+from hazelbend.routing.ports import Answer, Discovery, Ending, Job, News, ServiceList, Tally, Verdict
+from hazelbend.routing.table import RealServer, ServerTable
+
+log = logging.getLogger("hazelbend.routing")
+
+GRACE = 0.025  # seconds past a flow's end that the module has to say its last word
+FAULT_PAUSE = 0.5  # seconds until a timer whose handling failed is tried again
+
+
+class Decider(Protocol):
+    """The decision module."""
+
+    def handle(self, event: face.Event, now: int) -> list[face.Action]: ...
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """A scheduling is over."""
+
+    number: int
+    ending: Ending
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    number: int
+    news: News
+
+
+class Left:
+    """The client has gone."""
+
+
+class Overdue:
+    """The flow's time is over."""
+
+
+Step: TypeAlias = face.Send | face.Refuse | face.Fail | face.Cancel | Ended | Told | Left | Overdue
+
+
+@dataclass(slots=True, eq=False)
+class Scheduling:
+    """One attempt."""
+
+    server: RealServer | None
+    worker: int
+    began_at: int
+    task: asyncio.Task[None] | None = None
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    """One request, from its arrival until it is answered and its last scheduling is over."""
+
+    number: int
+    job: Job
+    arrived_at: int
+    inbox: asyncio.Queue[Step] = field(default_factory=asyncio.Queue)
+    schedulings: list[Scheduling] = field(default_factory=list)
+    answered: asyncio.Future[Answer] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+    client_left: bool = False
+    task: asyncio.Task[None] | None = None
+
+    @property
+    def deadline(self) -> int:
+        return self.arrived_at + self.job.patience
+
+    @property
+    def is_closed(self) -> bool:
+        return self.client_left or self.answered.done()
+
+    def leave(self) -> None:
+        """The client has gone: the flow is given up."""
+        self.inbox.put_nowait(Left())
+
+
+class Router:
+    def __init__(self, decider: Decider, clock: Clock, table: ServerTable) -> None:
+        self.decider, self.clock, self.table = decider, clock, table
+        self.discovery: Discovery | None = None
+        self.flows: dict[int, Flow] = {}
+        self.tally = Tally()
+        self.last_known = ServiceList()
+        self._next = 1
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    # --- what fronts and wiring call ---
+
+    def begin(self, known: ServiceList) -> None:
+        """Start from the list as last known; the module asks for more itself."""
+        self.last_known = known
+        self._ask(self.table.apply(known, ListKind.CACHED))
+
+    def take(self, job: Job) -> Flow:
+        """A request has come: from here on it gets exactly one final answer."""
+        flow = Flow(self._next, job, self.clock.now())
+        self._next += 1
+        self.flows[flow.number] = flow
+        self.tally.taken += 1
+        self._idle.clear()
+        flow.task = asyncio.create_task(self._live(flow))
+        return flow
+
+    def membership(self, update: face.MembershipUpdate) -> None:
+        self._ask(update)
+
+    async def drained(self) -> None:
+        """Until no flow is left."""
+        await self._idle.wait()
+
+    # --- the life of a request ---
+
+    async def _live(self, flow: Flow) -> None:
+        loop = asyncio.get_running_loop()
+        job = flow.job
+        end = loop.call_later(job.patience / 1e6 + GRACE, flow.inbox.put_nowait, Overdue())
+        try:
+            self._ask(
+                face.RequestArrived(
+                    flow.number,
+                    job.patience,
+                    job.class_index,
+                    job.tenant,
+                    job.slots,
+                    job.expected_work,
+                    job.key,
+                ),
+                flow,
+            )
+            while not flow.is_closed or not all(each.over for each in flow.schedulings):
+                match await flow.inbox.get():
+                    case face.Send() as send:
+                        self._schedule(flow, send)
+                    case face.Cancel(attempt=number) if number < len(flow.schedulings):
+                        if (task := flow.schedulings[number].task) is not None:
+                            task.cancel()
+                    case face.Refuse(retry_after=retry_after):
+                        self._answer(flow, Answer(Verdict.REFUSED, retry_after=retry_after))
+                    case face.Fail():
+                        overdue = self.clock.now() >= flow.deadline - 50_000
+                        self._answer(flow, Answer(Verdict.FAILED, overdue=overdue))
+                    case Told(number=number, news=news):
+                        self._ask(self._news(flow, number, news), flow)
+                    case Ended(number=number, ending=ending):
+                        self._end(flow, number, ending)
+                    case Left() if not flow.is_closed:
+                        flow.client_left = True
+                        self._ask(face.ClientGone(flow.number), flow)
+                    case Overdue() if not flow.is_closed:
+                        log.error("flow %s: no decision by its deadline; failed", job.id)
+                        self._answer(flow, Answer(Verdict.FAILED, overdue=True))
+                        self._ask(face.ClientGone(flow.number), flow)
+        except Exception:
+            # A fault in one flow ends that flow alone: the others and the program go on.
+            log.exception("flow %s: fault; failed", job.id)
+            self._answer(flow, Answer(Verdict.FAILED))
+            self._forget(flow)
+        finally:
+            end.cancel()
+            for each in flow.schedulings:
+                if each.task is not None:
+                    each.task.cancel()
+            self._answer(flow, Answer(Verdict.FAILED))
+            self.flows.pop(flow.number, None)
+            if not self.flows:
+                self._idle.set()
+
+    def _answer(self, flow: Flow, answer: Answer) -> None:
+        """The one final answer; any later one is dropped."""
+        if flow.answered.done():
+            return
+        flow.answered.set_result(answer)
+        if not flow.client_left:
+            self.tally.verdicts[answer.verdict] += 1
+
+    def _forget(self, flow: Flow) -> None:
+        try:
+            self.decider.handle(face.ClientGone(flow.number), self.clock.now())
+        except Exception:
+            log.exception("flow %s: the module could not let it go", flow.job.id)
+
+    # --- schedulings ---
+
+    def _schedule(self, flow: Flow, send: face.Send) -> None:
+        """The module's Send is an intention: what has changed since is seen before the first byte."""
+        now = self.clock.now()
+        server = self.table.servers.get(send.worker)
+        left = flow.deadline - now
+        wait = min(send.timeout or left, left)
+        scheduling = Scheduling(server, send.worker, now)
+        flow.schedulings.append(scheduling)
+        number = len(flow.schedulings) - 1
+        if server is None or not server.takes_work or flow.is_closed or wait <= 0:
+            flow.inbox.put_nowait(Ended(number, Ending(Outcome.NOT_SENT)))
+            return
+        server.out += 1
+        scheduling.task = asyncio.create_task(self._run(flow, number, server, wait))
+
+    async def _run(self, flow: Flow, number: int, server: RealServer, wait: int) -> None:
+        ending = Ending(Outcome.ERROR)
+        try:
+            async with asyncio.timeout(wait / 1e6):
+                ending = await server.link.attempt(
+                    flow.job, wait, lambda news: flow.inbox.put_nowait(Told(number, news))
+                )
+        except TimeoutError:
+            ending = Ending(Outcome.TIMED_OUT)
+        except asyncio.CancelledError:
+            ending = Ending(Outcome.CANCELLED)
+        except Exception:
+            log.exception("flow %s: scheduling on %s: fault in the link", flow.job.id, server.entry.host)
+        flow.inbox.put_nowait(Ended(number, ending))
+
+    def _news(self, flow: Flow, number: int, news: News) -> face.Event:
+        worker = flow.schedulings[number].worker
+        if news.fraction is None:
+            return face.JobStarted(flow.number, worker, number)
+        return face.JobProgress(flow.number, worker, number, news.fraction)
+
+    def _end(self, flow: Flow, number: int, ending: Ending) -> None:
+        scheduling = flow.schedulings[number]
+        scheduling.over = True
+        if (server := scheduling.server) is not None and scheduling.task is not None:
+            server.out -= 1
+            if ending.outcome is Outcome.SERVED:
+                server.served += 1
+            elif ending.outcome not in (Outcome.CANCELLED, Outcome.FULL):
+                server.failed += 1
+        self.tally.outcomes[ending.outcome] += 1
+        if ending.outcome is Outcome.SERVED:
+            self._answer(flow, Answer(Verdict.SERVED, ending.result))
+        elapsed = self.clock.now() - scheduling.began_at
+        self._ask(
+            face.AttemptEnded(
+                flow.number, scheduling.worker, number, ending.outcome, flow.is_closed, elapsed, ending.load
+            ),
+            flow,
+        )
+
+    # --- asking the module ---
+
+    def _ask(self, event: face.Event, flow: Flow | None = None) -> None:
+        """Tell the module; do what it says. A fault over a flow's event is raised into that flow."""
+        try:
+            actions = self.decider.handle(event, self.clock.now())
+        except Exception:
+            if flow is not None:
+                raise
+            log.exception("the decision module failed on %s", type(event).__name__)
+            # Its own timers carry its upkeep and its asking for lists: they must not die with one fault.
+            if isinstance(event, face.TimerFired):
+                self._later(FAULT_PAUSE, event)
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: face.Action) -> None:
+        match action:
+            case face.StartTimer(delay=delay, token=token):
+                self._later(delay / 1e6, face.TimerFired(token))
+            case face.Probe(worker=worker):
+                self._spawn(self._probe(worker))
+            case face.Subscribe():
+                self._subscribe()
+            case _:
+                if (flow := self.flows.get(action.request)) is not None:
+                    flow.inbox.put_nowait(action)
+
+    def _later(self, seconds: float, event: face.Event) -> None:
+        asyncio.get_running_loop().call_later(seconds, self._ask, event)
+
+    def _spawn(self, work: Callable[..., object] | object) -> None:
+        task = asyncio.create_task(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _probe(self, worker: int) -> None:
+        began_at, ending = self.clock.now(), Ending(Outcome.CONNECT_FAILED)
+        if (server := self.table.servers.get(worker)) is not None:
+            try:
+                ending = await server.link.probe(300_000)
+            except Exception:
+                log.exception("probe of %s: fault in the link", server.entry.host)
+        self._ask(face.ProbeEnded(worker, ending.outcome, self.clock.now() - began_at, ending.load))
+
+    def _subscribe(self) -> None:
+        if self.discovery is not None:
+            self.discovery.subscribe(self._listed)
+        else:  # a site without discovery stays with the list it was given
+            asyncio.get_running_loop().call_soon(self._listed, self.last_known)
+
+    def _listed(self, news: ServiceList) -> None:
+        self._ask(self.table.apply(news))
--- /dev/null
+++ b/hazelbend/routing/table.py
@@ -0,0 +1,104 @@
+"""The table of real servers: what the lists named, whether they may get work, and the link to each."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
+from hashlib import blake2b
+
+from driftyard.interface import ListKind, MembershipUpdate, WorkerEntry, WorkerState
+from hazelbend.routing.ports import Link, ServiceEntry, ServiceList
+
+
+def stable_id(name: str) -> int:
+    """The same number for a name at every dispatcher and after every restart; never 0."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=6).digest()) or 1
+
+
+@dataclass(slots=True, eq=False)
+class RealServer:
+    id: int
+    entry: ServiceEntry
+    link: Link
+    listed: bool = True
+    held_back: bool = False  # drained by hand
+    out: int = 0  # schedulings under way
+    served: int = 0
+    failed: int = 0
+
+    @property
+    def takes_work(self) -> bool:
+        return self.listed and not self.held_back and self.entry.state is WorkerState.READY
+
+    def told(self) -> WorkerEntry:
+        """The entry as the decision module sees it."""
+        each = self.entry
+        state = WorkerState.DRAINING if self.held_back and each.state is WorkerState.READY else each.state
+        return WorkerEntry(self.id, each.zone, each.kind, each.cell, state, each.weight, each.started_at)
+
+
+class ServerTable:
+    """Entries come from two sides, discovery's lists and boxes that connect; a whole list replaces only its own."""
+
+    def __init__(self, connect: Callable[[ServiceEntry], Link]) -> None:
+        self._connect = connect
+        self.servers: dict[int, RealServer] = {}
+        self._guests: set[int] = set()
+
+    def apply(self, news: ServiceList, kind: ListKind = ListKind.FULL) -> MembershipUpdate:
+        """Take a list or its changes in; the update for the decision module."""
+        if news.failed:
+            return MembershipUpdate(ListKind.FAILED)
+        if not news.whole:
+            return MembershipUpdate(ListKind.DELTA, tuple(self._enter(news.entries)))
+        told = list(self._enter(news.entries))
+        named = {entry.worker for entry in told} | self._guests
+        for absent in [each for each in self.servers if each not in named]:
+            self._drop(self.servers[absent])
+        guests = [self.servers[each].told() for each in sorted(self._guests)]
+        return MembershipUpdate(kind, (*told, *guests))
+
+    def add_guest(self, entry: ServiceEntry, link: Link) -> MembershipUpdate:
+        """A box has connected."""
+        server = RealServer(stable_id(entry.host), entry, link)
+        self.servers[server.id] = server
+        self._guests.add(server.id)
+        return MembershipUpdate(ListKind.DELTA, (server.told(),))
+
+    def change_guest(self, host: str, state: WorkerState) -> MembershipUpdate:
+        server = self.servers[stable_id(host)]
+        server.entry = replace(server.entry, state=state)
+        told = server.told()
+        if state is WorkerState.GONE:
+            self._guests.discard(server.id)
+            self._drop(server)
+        return MembershipUpdate(ListKind.DELTA, (told,))
+
+    def hold_back(self, host: str, held: bool) -> MembershipUpdate | None:
+        """Drain or undrain a server by hand; None if no such server is listed."""
+        server = self.servers.get(stable_id(host))
+        if server is None:
+            return None
+        server.held_back = held
+        return MembershipUpdate(ListKind.DELTA, (server.told(),))
+
+    def _enter(self, entries: Iterable[ServiceEntry]) -> Iterable[WorkerEntry]:
+        for entry in entries:
+            server = self.servers.get(number := stable_id(entry.host))
+            if server is None:
+                if entry.state is WorkerState.GONE:
+                    continue
+                server = self.servers[number] = RealServer(number, entry, self._connect(entry))
+            elif server.entry.dial != entry.dial:
+                server.link.close()
+                server.link = self._connect(entry)
+            server.entry = entry
+            yield server.told()
+            if entry.state is WorkerState.GONE:
+                self._drop(server)
+
+    def _drop(self, server: RealServer) -> None:
+        """It gets nothing new; what is out there ends by itself."""
+        server.listed = False
+        self.servers.pop(server.id, None)
+        server.link.close()
--- /dev/null
+++ b/hazelbend/transport/links.py
@@ -0,0 +1,158 @@
+"""HTTP links to real servers, by aiohttp's client."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any
+
+import aiohttp
+from yarl import URL
+
+from driftyard.interface import Outcome
+from hazelbend.protocol.worker_lines import LINE_LIMIT, LoadFields, read_line, read_status
+from hazelbend.routing.ports import Ending, Job, News
+
+log = logging.getLogger("hazelbend.links")
+
+KEEP_MARGIN = 0.5  # seconds before the server's limit at which an idle connection is dropped
+SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class LinkPool:
+    """The one client session of all links. It sends what it is told, once, and follows nothing."""
+
+    def __init__(
+        self, connect_timeout: float, keepalive: float, connections: int, fields: LoadFields
+    ) -> None:
+        self.fields = fields
+        trace = aiohttp.TraceConfig(trace_config_ctx_factory=_Context)
+        trace.on_request_headers_sent.append(_headers_sent)
+        trace.on_request_chunk_sent.append(_chunk_sent)
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=connections,
+                keepalive_timeout=max(keepalive - KEEP_MARGIN, keepalive / 2),
+                use_dns_cache=False,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None, connect=connect_timeout, sock_connect=connect_timeout),
+            auto_decompress=False,
+            trust_env=False,
+            skip_auto_headers=SKIP,
+            read_bufsize=2 * LINE_LIMIT,
+            trace_configs=[trace],
+        )
+        # aiohttp sends an idempotent request again when a kept connection turns out dead; nothing here may.
+        self.session._retry_connection = False
+
+    def link(self, dial: str) -> HttpLink:
+        return HttpLink(self, dial)
+
+    async def close(self) -> None:
+        await self.session.close()
+
+
+class _Context(SimpleNamespace):
+    def __init__(self, trace_request_ctx: Any = None) -> None:
+        super().__init__(trace_request_ctx=trace_request_ctx)
+
+
+class Written:
+    """Whether the last byte of a request was handed to its connection: from then on it may run."""
+
+    __slots__ = ("empty", "whole")
+
+    def __init__(self, empty: bool) -> None:
+        self.empty, self.whole = empty, False
+
+
+async def _headers_sent(session: object, context: SimpleNamespace, params: object) -> None:
+    written = context.trace_request_ctx
+    if written is not None and written.empty:
+        written.whole = True
+
+
+async def _chunk_sent(session: object, context: SimpleNamespace, params: object) -> None:
+    if context.trace_request_ctx is not None:
+        context.trace_request_ctx.whole = True
+
+
+class HttpLink:
+    """The way to one real server."""
+
+    def __init__(self, pool: LinkPool, dial: str) -> None:
+        self._pool, self._base = pool, f"http://{dial}"
+
+    def close(self) -> None:
+        """Idle connections of a server that is gone run out by themselves."""
+
+    async def attempt(self, job: Job, patience: int, tell: Callable[[News], None]) -> Ending:
+        headers = {"X-Request-ID": job.id, "X-Timeout-Ms": str(max(patience // 1_000, 1))}
+        if job.idempotency_key is not None:
+            headers["Idempotency-Key"] = job.idempotency_key
+        url = URL(self._base + job.target, encoded=True)
+        written = Written(not job.body)
+        try:
+            response = await self._pool.session.post(
+                url, data=job.body, headers=headers, allow_redirects=False, trace_request_ctx=written
+            )
+        except aiohttp.ConnectionTimeoutError:
+            return Ending(Outcome.CONNECT_FAILED)
+        except (aiohttp.ClientError, OSError):
+            return Ending(Outcome.RESET if written.whole else Outcome.CONNECT_FAILED)
+        try:
+            return await self._read(response, job, tell)
+        except (aiohttp.ClientError, OSError):
+            return Ending(Outcome.RESET)
+        except ValueError as error:
+            log.warning("%s: %s", self._base, error)
+            return Ending(Outcome.ERROR)
+        finally:
+            response.close()  # unless it was read to its end and so released, the connection goes
+
+    async def _read(self, response: aiohttp.ClientResponse, job: Job, tell: Callable[[News], None]) -> Ending:
+        if response.status != 200:
+            outcome = read_status(response.status, response.headers.get("X-Not-Processed") == "1")
+            load = self._pool.fields.read_text(response.headers.get("X-Server-Load"))
+            await self._finish(response)
+            return Ending(outcome, load=load)
+        while line := await response.content.readline():
+            if not line.endswith(b"\n"):
+                return Ending(Outcome.RESET)
+            if not line.strip():
+                continue
+            said = read_line(line, job.id, self._pool.fields)
+            if isinstance(said, News):
+                tell(said)
+            elif said is not None:
+                await self._finish(response)
+                return said
+        return Ending(Outcome.RESET)
+
+    async def _finish(self, response: aiohttp.ClientResponse) -> None:
+        """Read the rest of an answer that has said all, so that its connection can be used again."""
+        try:
+            async with asyncio.timeout(0.02):
+                for _ in range(64):
+                    if not await response.content.readany():
+                        return
+        except (TimeoutError, aiohttp.ClientError, OSError):
+            return
+
+    async def probe(self, patience: int) -> Ending:
+        url = URL(self._base + "/load", encoded=True)
+        try:
+            async with (
+                asyncio.timeout(patience / 1e6),
+                self._pool.session.get(url, allow_redirects=False) as response,
+            ):
+                text = (await response.content.read(LINE_LIMIT)).decode("utf-8", "replace")
+                outcome = Outcome.SERVED if response.status == 200 else Outcome.ERROR
+                return Ending(outcome, load=self._pool.fields.read_text(text))
+        except TimeoutError:
+            return Ending(Outcome.TIMED_OUT)
+        except (aiohttp.ClientError, OSError):
+            return Ending(Outcome.CONNECT_FAILED)
