--- /dev/null
+++ b/hazelbend/benchlink/__init__.py
@@ -0,0 +1,1 @@
+"""The simulator's side: the same decisions on the bench's wire."""
--- a/driftyard/wire.py
+++ b/hazelbend/benchlink/wire.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeAlias
 
-from driftyard import interface as face
+from hazelbend.decisions import interface as face
 
 BATCH_HEADER = struct.Struct("<IIQ")
 REPLY_HEADER = struct.Struct("<II")
--- a/driftyard/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -10,9 +10,9 @@
 from math import exp, log
 from operator import attrgetter, itemgetter
 
-from driftyard import interface as face
-from driftyard.interface import Effect, Group, Outcome, WorkerState
-from driftyard.records import Attempt, Mean, Request, Worker, find
+from hazelbend.decisions import interface as face
+from hazelbend.decisions.interface import Effect, Group, Outcome, WorkerState
+from hazelbend.decisions.records import Attempt, Mean, Request, Worker, find
 
 K_MAX = 20  # the paper's truncation of a worker's job count
 LAGS = (0, 100_000, 200_000, 400_000, 800_000, 1_600_000, 3_200_000)  # ages a report may have: by doubling
--- a/driftyard/records.py
+++ b/hazelbend/decisions/records.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from math import inf
 
-from driftyard.interface import (
+from hazelbend.decisions.interface import (
     NEVER_RAN,
     AttemptEnded,
     JobClass,
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 
-from driftyard.brain import Dispatcher
+from hazelbend.decisions.brain import Dispatcher
 from hazelbend.program import config
 from hazelbend.routing.clock import Clock
 from hazelbend.routing.router import Router
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -10,8 +10,8 @@
 
 import orjson
 
-from driftyard.interface import Effect, Settings
-from driftyard.wire import MalformedInput, settings_from_json
+from hazelbend.benchlink.wire import MalformedInput, settings_from_json
+from hazelbend.decisions.interface import Effect, Settings
 from hazelbend.protocol.discovery import ListReader
 from hazelbend.protocol.http_fields import Catalogue, ClassRow
 from hazelbend.protocol.worker_lines import LoadFields
--- a/hazelbend/protocol/discovery.py
+++ b/hazelbend/protocol/discovery.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from driftyard.interface import WorkerState
+from hazelbend.decisions.interface import WorkerState
 from hazelbend.routing.ports import ServiceEntry, ServiceList
 
 _STATES = {"SERVING": WorkerState.READY, "DRAINING": WorkerState.DRAINING, "DELETED": WorkerState.GONE}
--- a/hazelbend/protocol/worker_lines.py
+++ b/hazelbend/protocol/worker_lines.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from driftyard.interface import LoadReport, Outcome
+from hazelbend.decisions.interface import LoadReport, Outcome
 from hazelbend.routing.ports import Ending, News
 
 LINE_LIMIT = 128 * 1024  # a result is at most 64 KiB, and JSON may double what it holds
--- a/hazelbend/routing/ports.py
+++ b/hazelbend/routing/ports.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Protocol
 
-from driftyard.interface import LoadReport, Outcome, WorkerState
+from hazelbend.decisions.interface import LoadReport, Outcome, WorkerState
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol, TypeAlias
 
-from driftyard import interface as face
-from driftyard.interface import ListKind, Outcome
+from hazelbend.decisions import interface as face
+from hazelbend.decisions.interface import ListKind, Outcome
 from hazelbend.routing.clock import Clock
 from hazelbend.routing.ports import Answer, Discovery, Ending, Job, News, ServiceList, Tally, Verdict
 from hazelbend.routing.table import RealServer, ServerTable
--- a/hazelbend/routing/table.py
+++ b/hazelbend/routing/table.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 
-from driftyard.interface import ListKind, MembershipUpdate, WorkerEntry, WorkerState
+from hazelbend.decisions.interface import ListKind, MembershipUpdate, WorkerEntry, WorkerState
 from hazelbend.routing.ports import Link, ServiceEntry, ServiceList
 
 
@@ -38,7 +38,7 @@
 
 
 class ServerTable:
-    """Entries come from two sides, discovery's lists and boxes that connect; a whole list replaces only its own."""
+    """Entries come from lists and from boxes that connect; a whole list replaces only its own."""
 
     def __init__(self, connect: Callable[[ServiceEntry], Link]) -> None:
         self._connect = connect
--- a/hazelbend/transport/links.py
+++ b/hazelbend/transport/links.py
@@ -11,7 +11,7 @@
 import aiohttp
 from yarl import URL
 
-from driftyard.interface import Outcome
+from hazelbend.decisions.interface import Outcome
 from hazelbend.protocol.worker_lines import LINE_LIMIT, LoadFields, read_line, read_status
 from hazelbend.routing.ports import Ending, Job, News
 
--- a/tests/model.py
+++ b/tests/model.py
@@ -5,8 +5,8 @@
 import heapq
 from dataclasses import dataclass, field
 
-from driftyard import interface as dy
-from driftyard.brain import Dispatcher
+from hazelbend.decisions import interface as dy
+from hazelbend.decisions.brain import Dispatcher
 
 SLACK = 16_000
 
--- a/tests/test_estimate.py
+++ b/tests/test_estimate.py
@@ -8,9 +8,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from driftyard import interface as dy
-from driftyard.brain import K_MAX, Dispatcher, drained, expected_jobs, own_jobs_at
-from driftyard.records import Attempt, Request, Worker
+from hazelbend.decisions import interface as dy
+from hazelbend.decisions.brain import K_MAX, Dispatcher, drained, expected_jobs, own_jobs_at
+from hazelbend.decisions.records import Attempt, Request, Worker
 
 
 def poisson(d: int, load: float) -> float:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,8 +8,8 @@
 import pytest
 from model import Model
 
-from driftyard import interface as dy
-from driftyard.brain import MOST_PROBES, Dispatcher
+from hazelbend.decisions import interface as dy
+from hazelbend.decisions.brain import MOST_PROBES, Dispatcher
 
 SAFE = dy.JobClass(effect=dy.Effect.SAFE, objective=200_000, late_worth=0.5)
 ASKING = dy.Settings(classes=(SAFE,), probes_allowed=True, reports_by_probe=True, tells_start=True)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -5,7 +5,7 @@
 import pytest
 from model import Model
 
-from driftyard import interface as dy
+from hazelbend.decisions import interface as dy
 
 SAFE = dy.JobClass(effect=dy.Effect.SAFE, objective=200_000, late_worth=0.5)
 EMPTY = dy.LoadReport(0.0, 0.0, 4.0)
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -4,7 +4,7 @@
 
 from model import Model
 
-from driftyard import interface as dy
+from hazelbend.decisions import interface as dy
 
 SAFE = dy.JobClass(effect=dy.Effect.SAFE, objective=200_000)
 
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -4,7 +4,7 @@
 
 from model import Model
 
-from driftyard import interface as dy
+from hazelbend.decisions import interface as dy
 
 
 def serve_all(model: Model, fetch: int) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from model import Model
 
-from driftyard import interface as dy
+from hazelbend.decisions import interface as dy
 
 CLASSES = (
     dy.JobClass(effect=dy.Effect.SAFE, objective=400_000),
