Let refusals say when to come back, by an estimate made in the module

Seen: the module's Refuse never carried retry_after, so real refusals had no Retry-After and clients came back at once or by their own back-off. Lines at fault: brain.py _close.

--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -9,6 +9,7 @@
 from heapq import nsmallest
 from math import exp, log
 from operator import attrgetter, itemgetter
+from typing import Any
 
 from hazelbend.decisions import interface as face
 from hazelbend.decisions.interface import Effect, Group, Outcome, WorkerState
@@ -89,7 +90,7 @@
         asks = settings.probes_allowed and settings.reports_by_probe
         self.probes = min(MOST_PROBES, int(PROBE_POINTS / max(settings.probe_charge, 1e-6))) if asks else 0
         self.out: list[face.Action] = []
-        self.handlers = {
+        self.handlers: dict[type, Any] = {
             face.RequestArrived: self._arrived, face.AttemptEnded: self._ended, face.JobProgress: self._heard,
             face.JobStarted: self._heard, face.StreamStarted: self._heard, face.TimerFired: self._timer,
             face.MembershipUpdate: self._members, face.ClientGone: self._gone, face.ProbeEnded: self._probed,
@@ -311,7 +312,9 @@
         if choice and not self._too_late(request, choice, now):
             self._send(request, choice, now)
         elif not request.is_out and (not allowed or (choice and not request.job.late_worth)):
-            self._close(request)  # where a late answer earns nothing, a client that tries again may
+            self._close(
+                request, now, choice
+            )  # where a late answer earns nothing, a client that tries again may
         elif not request.is_out:
             if request.id not in self.held:
                 left = max(request.deadline - now - 2 * self.settings.tick, 0)
@@ -367,13 +370,25 @@
         if not request.is_out:
             self.requests.pop(request.id, None)
 
-    def _close(self, request: Request) -> None:
+    def _close(self, request: Request, now: int, choice: Row | None = None) -> None:
         """The final answer: a refusal where it is true that trying again does no harm."""
         job, ran = request.job, request.may_have_run
         repeats = job.effect is Effect.SAFE or (job.effect is Effect.KEYED and job.group is Group.ALL)
-        self.out.append(face.Refuse(request.id) if repeats or not ran else face.Fail(request.id))
+        after = self._retry_after(request, choice, now)
+        self.out.append(face.Refuse(request.id, after) if repeats or not ran else face.Fail(request.id))
         self._finish(request)
 
+    def _retry_after(self, request: Request, choice: Row | None, now: int) -> int:
+        """When one more try may be in time: the best wait has drained to what the aim leaves for waiting, or,
+        where no worker could be picked, the first that is shut out gets its trial; else a mean job is over."""
+        mean, job = self.work.value, request.job
+        if choice is None:
+            trials = [worker.shut_until - now for worker in self.ready if worker.shut_until > now]
+            return round(max(min(trials, default=mean), self.settings.tick))
+        _, delay, run, _ = choice
+        room = job.objective + job.stretch * request.work - run * request.work / mean
+        return round(max(delay - run - max(room, 0.0) / LATE_MARGIN, self.settings.tick))
+
     def _gone(self, event: face.ClientGone, now: int) -> None:
         if event.request in self.requests:
             self._finish(self.requests[event.request])
@@ -385,7 +400,7 @@
         elif event.token == SUBSCRIBE_TIMER:
             self.out.append(face.Subscribe())
         elif not for_pick and number in self.held:
-            self._close(self.held[number])
+            self._close(self.held[number], now)
         elif for_pick and number in self.requests and self.requests[number].asking > 0:
             self.requests[number].asking = 0
             self._dispatch(self.requests[number], now)
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -14,6 +14,7 @@
     JobStarted,
     Outcome,
     RequestId,
+    StreamStarted,
     WorkerEntry,
 )
 
@@ -133,7 +134,7 @@
 
 
 def find(
-    requests: dict[RequestId, Request], event: JobStarted | JobProgress | AttemptEnded
+    requests: dict[RequestId, Request], event: JobStarted | JobProgress | StreamStarted | AttemptEnded
 ) -> Attempt | None:
     """The attempt that an event speaks of, if it is still out."""
     attempts = request.attempts if (request := requests.get(event.request)) else []
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -10,8 +10,8 @@
 
 import orjson
 
-from hazelbend.benchlink.wire import MalformedInput, settings_from_json
 from hazelbend.decisions.interface import Effect, Settings
+from hazelbend.decisions.settings import SettingsError, report_fields, settings_from
 from hazelbend.protocol.discovery import ListReader
 from hazelbend.protocol.http_fields import Catalogue, ClassRow
 from hazelbend.protocol.worker_lines import LoadFields
@@ -74,12 +74,12 @@
         raise ConfigError("seed: no hexadecimal number") from None
     raw = _get(conf, "settings", dict)
     try:
-        settings, _ = settings_from_json(orjson.dumps(raw))
-    except MalformedInput as error:
+        settings = settings_from(raw)
+    except SettingsError as error:
         raise ConfigError(str(error)) from None
-    names = {"inflight": "in_flight", "outstanding": "in_flight", "queue": "queued", "backlog": "queued"}
-    if "free slots" in str(_get(raw, "domain", dict, {}, "settings.").get("report_x0", "")):
-        names["x0"] = "free_slots"
+    # The settings name a report's fields in the wire's words, the sockets may use the site's.
+    names = report_fields(raw)
+    names |= {"inflight": names["outstanding"], "queue": names["backlog"]}
     lanes = _get(raw, "lanes", list, [], "settings.")
     classes = tuple(
         ClassRow(
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -8,14 +8,25 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
-from typing import Protocol, TypeAlias
+from typing import Any, Protocol, TypeAlias
 
 from hazelbend.decisions import interface as face
 from hazelbend.decisions.interface import ListKind, Outcome
 from hazelbend.routing.clock import Clock
-from hazelbend.routing.ports import Answer, Discovery, Ending, Job, News, ServiceList, Tally, Verdict
+from hazelbend.routing.ports import (
+    Answer,
+    Discovery,
+    Ending,
+    Job,
+    Link,
+    News,
+    ServiceEntry,
+    ServiceList,
+    Tally,
+    Verdict,
+)
 from hazelbend.routing.table import RealServer, ServerTable
 
 log = logging.getLogger("hazelbend.routing")
@@ -123,8 +134,19 @@
         flow.task = asyncio.create_task(self._live(flow))
         return flow
 
-    def membership(self, update: face.MembershipUpdate) -> None:
-        self._ask(update)
+    def add_guest(self, entry: ServiceEntry, link: Link) -> None:
+        """A server has come by itself, not by a list."""
+        self._ask(self.table.add_guest(entry, link))
+
+    def change_guest(self, host: str, state: face.WorkerState) -> None:
+        self._ask(self.table.change_guest(host, state))
+
+    def hold_back(self, host: str, held: bool) -> bool:
+        """Drain or undrain a server by hand; False if none of that name is listed."""
+        update = self.table.hold_back(host, held)
+        if update is not None:
+            self._ask(update)
+        return update is not None
 
     async def drained(self) -> None:
         """Until no flow is left."""
@@ -291,8 +313,8 @@
     def _later(self, seconds: float, event: face.Event) -> None:
         asyncio.get_running_loop().call_later(seconds, self._ask, event)
 
-    def _spawn(self, work: Callable[..., object] | object) -> None:
-        task = asyncio.create_task(work)  # type: ignore[arg-type]
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
