--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -380,7 +380,7 @@
 
     def _retry_after(self, request: Request, choice: Row | None, now: int) -> int:
         """When one more try may be in time: the best wait has drained to what the aim leaves for waiting, or,
-        where no worker could be picked, the first that is shut out gets its trial; else a mean job is over."""
+        where no worker could be picked, the first that is shut out gets its trial; else a mean job ends."""
         mean, job = self.work.value, request.job
         if choice is None:
             trials = [worker.shut_until - now for worker in self.ready if worker.shut_until > now]
--- a/hazelbend/decisions/settings.py
+++ b/hazelbend/decisions/settings.py
@@ -1,4 +1,4 @@
-"""The settings an instance is told at start: a decoded JSON object to `Settings`. Unknown keys are skipped."""
+"""The settings an instance is told at start: decoded JSON to `Settings`. Unknown keys are skipped."""
 
 from __future__ import annotations
 
