Add the STOMP front: clients, partner boxes, and the test that mixes protocols

Clients SEND jobs and get MESSAGEs with the one final answer; boxes subscribe for work and become freshly started servers. Both go through the same router.

Seen on the way: a reserve whose only box was lost stayed held for the whole 7.5 s though it could earn nothing after its aim. Line at fault: brain.py _dispatch, whose timer for held requests rang at the deadline only.

--- /dev/null
+++ b/example/toy_server.py
@@ -0,0 +1,103 @@
+"""A toy real server: it takes jobs as the platform's do, and does with each what its body says.
+
+    python example/toy_server.py 127.0.0.1:7101
+
+The body is a line of words. A number is how many milliseconds the job runs (50 if there is none); `fail`,
+`lose`, `return`, `reset` and `hang` say how it ends, if not with a result.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+
+import orjson
+from aiohttp import web
+
+NAME = "toy"
+SLOTS = 4
+
+
+class ToyServer:
+    def __init__(self, name: str = NAME) -> None:
+        self.name = name
+        self.ran: list[str] = []  # the ids of the jobs that started
+        self.targets: list[str] = []
+        self.holds = 0
+        self._free = asyncio.Semaphore(SLOTS)
+        self._listener: asyncio.Server | None = None
+        self._server = web.Server(self._serve, handler_cancellation=True, access_log=None)
+
+    async def listen(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Start; the address that it listens on."""
+        self._listener = await asyncio.get_running_loop().create_server(self._server, host, port)
+        return "{}:{}".format(*self._listener.sockets[0].getsockname()[:2])
+
+    async def close(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        await self._server.shutdown(0.1)
+
+    def load(self) -> dict[str, int]:
+        waiting = max(self.holds - SLOTS, 0)
+        free = max(SLOTS - self.holds, 0)
+        return {"inflight": self.holds, "queue": waiting, "x0": free, "x1": free}
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.method == "GET" and request.path in ("/healthz", "/load"):
+            return web.Response(body=orjson.dumps(self.load()))
+        job_id = request.headers.get("X-Request-ID")
+        if request.method != "POST" or not job_id:
+            return web.Response(status=404)
+        words = (await request.content.read()).decode("utf-8", "replace").split()
+        self.targets.append(request.raw_path)
+        if "return" in words:
+            headers = {"X-Not-Processed": "1", "X-Server-Load": orjson.dumps(self.load()).decode()}
+            return web.Response(status=503, headers=headers)
+        response = web.StreamResponse(status=200)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        self.holds += 1
+        try:
+            await self._run(job_id, words, response)
+        finally:
+            self.holds -= 1
+        await response.write_eof()
+        return response
+
+    async def _run(self, job_id: str, words: list[str], response: web.StreamResponse) -> None:
+        async def say(**fields: object) -> None:
+            line = {"id": job_id, "from": self.name, **fields}
+            await response.write(orjson.dumps(line, option=orjson.OPT_APPEND_NEWLINE))
+
+        async with self._free:
+            self.ran.append(job_id)
+            await say(state="started")
+            await asyncio.sleep(next((int(word) for word in words if word.isdecimal()), 50) / 1e3)
+            if "hang" in words:
+                await asyncio.Event().wait()
+            if "reset" in words:
+                raise ConnectionResetError("as the job's body asks")
+            await say(state="running", share=1.0)
+        if "fail" in words:
+            await say(state="failed", load=self.load())
+        elif "lose" in words:
+            await say(state="lost")
+        else:
+            await say(state="done", result=f"{self.name} did {job_id}", load=self.load())
+
+
+async def _main(address: str, name: str) -> None:
+    host, _, port = address.rpartition(":")
+    print(f"{name}: listening on {await ToyServer(name).listen(host, int(port))}", flush=True)
+    await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description="A toy real server.")
+    parser.add_argument("address", help="address:port to listen on")
+    parser.add_argument("--name", default=NAME)
+    options = parser.parse_args()
+    with contextlib.suppress(KeyboardInterrupt):
+        asyncio.run(_main(options.address, options.name))
--- /dev/null
+++ b/hazelbend/console/__init__.py
@@ -0,0 +1,1 @@
+"""The terminal console: `python -m hazelbend.console`."""
--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -317,8 +317,10 @@
             )  # where a late answer earns nothing, a client that tries again may
         elif not request.is_out:
             if request.id not in self.held:
-                left = max(request.deadline - now - 2 * self.settings.tick, 0)
-                self.out.append(face.StartTimer(left, REQUEST_TIMERS + 2 * request.id))
+                # Where a late answer earns nothing, what is late is given up, and told so at once.
+                until = request.deadline - 2 * self.settings.tick
+                until = until if request.job.late_worth else min(until, round(request.aim))
+                self.out.append(face.StartTimer(max(until - now, 0), REQUEST_TIMERS + 2 * request.id))
             self.held[request.id] = request
 
     def _send(self, request: Request, choice: Row, now: int) -> None:
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -1,10 +1,15 @@
-"""The one place where configuration is read, checked and given defaults. Errors name the faulty key."""
+"""The one place where configuration is read, checked and given defaults. Errors name the faulty key.
+
+Two sources: the platform's JSON, which RELAY_CONFIG names, and our own files under deploy/, each of which
+turns one thing on: stomp.toml, snmp.toml, console.toml. What no file enables is neither opened nor imported.
+"""
 
 from __future__ import annotations
 
 import os
-from collections.abc import Mapping
-from dataclasses import dataclass
+import tomllib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -16,12 +21,25 @@
 from hazelbend.protocol.http_fields import Catalogue, ClassRow
 from hazelbend.protocol.worker_lines import LoadFields
 from hazelbend.routing.ports import ServiceList
+from hazelbend.transport.stomp_boxes import BoxAccount
+from hazelbend.transport.stomp_clients import Bounds
+from hazelbend.transport.stomp_listener import ClientAccount, StompSettings
+
+DEPLOY_VARIABLE = "HAZELBEND_DEPLOY"  # another folder in place of deploy/
 
 
 class ConfigError(Exception):
     """The configuration cannot be used; the text names the key."""
 
 
+@dataclass(slots=True, frozen=True)
+class SnmpSettings:
+    host: str
+    port: int
+    community: str
+    notify: tuple[tuple[str, int], ...] = ()
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     name: str
@@ -36,98 +54,237 @@
     load_fields: LoadFields
     connect_timeout: float  # seconds
     keepalive: float  # seconds
+    stomp: StompSettings | None = None
+    snmp: SnmpSettings | None = None
+    console: Path | None = None
+
+
+class Keys:
+    """One table of a configuration, and where it stands, for messages."""
+
+    def __init__(self, table: object, where: str) -> None:
+        if not isinstance(table, dict):
+            raise ConfigError(f"{where.rstrip('.')}: no table")
+        self._table, self._where, self._read = table, where, set[str]()
+
+    def fault(self, key: str, text: str) -> ConfigError:
+        return ConfigError(f"{self._where}{key}: {text}")
+
+    def get(self, key: str, kind: type, default: Any = None) -> Any:
+        """A value of that type; without a default it must be there."""
+        self._read.add(key)
+        value = self._table.get(key, default)
+        if value is None:
+            raise self.fault(key, "missing")
+        if kind is float and isinstance(value, int) and not isinstance(value, bool):
+            value = float(value)
+        if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
+            raise self.fault(key, f"not of type {kind.__name__}")
+        return value
+
+    def number(self, key: str, default: int, low: int, high: int) -> int:
+        value = self.get(key, int, default)
+        if not low <= value <= high:
+            raise self.fault(key, f"{value} is not from {low} to {high}")
+        return int(value)
+
+    def address(self, key: str, default: str | None = None) -> tuple[str, int]:
+        return self.parse_address(key, self.get(key, str, default))
+
+    def parse_address(self, key: str, text: object) -> tuple[str, int]:
+        host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+        if not host or not port.isascii() or not port.isdecimal() or int(port) > 65_535:
+            raise self.fault(key, f"{text!r} is no address:port")
+        return host.strip("[]"), int(port)
+
+    def place(self, key: str, names: tuple[str, ...]) -> int:
+        """The place of a name among those that the settings have."""
+        name = self.get(key, str)
+        if name not in names:
+            raise self.fault(key, f"{name!r} is none of {', '.join(names) or 'the settings'}")
+        return names.index(name)
+
+    def texts(self, key: str) -> tuple[str, ...]:
+        values = self.get(key, list, [])
+        if not all(isinstance(value, str) for value in values):
+            raise self.fault(key, "not a list of texts")
+        return tuple(values)
+
+    def sub(self, key: str) -> Keys:
+        return Keys(self.get(key, dict, {}), f"{self._where}{key}.")
+
+    def rows(self, key: str) -> Iterator[Keys]:
+        for index, row in enumerate(self.get(key, list, [])):
+            yield Keys(row, f"{self._where}{key}[{index}].")
+
+    def done(self) -> None:
+        """Of our own files every key must be known: one misspelt would be passed over in silence."""
+        for key in self._table:
+            if key not in self._read:
+                raise self.fault(key, "unknown key")
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
-    """From the file that RELAY_CONFIG names; the other variables stand in for what it leaves out."""
+    """The platform's file, what its variables stand in for, and our files under deploy/."""
     path = environment.get("RELAY_CONFIG")
     if not path:
         raise ConfigError("RELAY_CONFIG: not set; it names the configuration file")
     try:
-        text = Path(path).read_bytes()
+        conf = orjson.loads(Path(path).read_bytes())
     except OSError as error:
         raise ConfigError(f"RELAY_CONFIG: {path}: {error.strerror}") from None
-    try:
-        conf = orjson.loads(text)
     except orjson.JSONDecodeError as error:
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(conf, dict):
         raise ConfigError(f"{path}: no JSON object")
-    for key, variable in (
-        ("name", "RELAY_NAME"),
-        ("listen", "RELAY_LISTEN"),
-        ("discovery", "RELAY_DISCOVERY"),
-    ):
-        if key not in conf and variable in environment:
-            conf[key] = environment[variable]
-    return from_object(conf)
+    for key in ("name", "listen", "discovery"):
+        if key not in conf and (value := environment.get(f"RELAY_{key.upper()}")):
+            conf[key] = value
+    return with_deploy(from_object(conf), Path(environment.get(DEPLOY_VARIABLE, "deploy")), conf)
 
 
 def from_object(conf: dict[str, Any]) -> Config:
-    listen = _address(_get(conf, "listen", str))
-    discovery = _get(conf, "discovery", str, "")
-    if discovery:
-        _address(discovery, "discovery")
+    """The platform's object. Keys that are not known are skipped: new ones may appear."""
+    keys = Keys(conf, "")
+    if discovery := keys.get("discovery", str, ""):
+        keys.parse_address("discovery", discovery)
     try:
-        seed = int(_get(conf, "seed", str, "0"), 16)
+        seed = int(keys.get("seed", str, "0"), 16)
     except ValueError:
-        raise ConfigError("seed: no hexadecimal number") from None
-    raw = _get(conf, "settings", dict)
+        raise keys.fault("seed", "no hexadecimal number") from None
+    raw = keys.sub("settings")
+    table = keys.get("settings", dict)
     try:
-        settings = settings_from(raw)
+        settings = settings_from(table)
+        # The settings name a report's fields in the wire's words, the sockets may use the site's.
+        names = report_fields(table)
     except SettingsError as error:
         raise ConfigError(str(error)) from None
-    # The settings name a report's fields in the wire's words, the sockets may use the site's.
-    names = report_fields(raw)
     names |= {"inflight": names["outstanding"], "queue": names["backlog"]}
-    lanes = _get(raw, "lanes", list, [], "settings.")
     classes = tuple(
         ClassRow(
-            str(lane.get("name")),
-            int(lane.get("deadline_us", 5_000_000)) // 1_000,
+            lane.get("name", str),
+            lane.number("deadline_us", 5_000_000, 1, 3_600_000_000) // 1_000,
             job.effect is Effect.KEYED,
         )
-        for lane, job in zip(lanes, settings.classes, strict=False)
+        for lane, job in zip(raw.rows("lanes"), settings.classes, strict=False)
     )
     if not classes:
-        raise ConfigError("settings.lanes: names no class")
-    tenants = tuple(str(org.get("name")) for org in _get(raw, "orgs", list, [], "settings."))
-    zones = tuple(map(str, _get(raw, "azs", list, [], "settings.")))
-    kinds = tuple(map(str, _get(raw, "machine_types", list, [], "settings.")))
-    reader = ListReader(zones, kinds)
+        raise raw.fault("lanes", "names no class")
+    tenants = tuple(org.get("name", str) for org in raw.rows("orgs"))
+    reader = ListReader(raw.texts("azs"), raw.texts("machine_types"))
     try:
         known = reader.from_object(conf.get("known", {"seq": 0, "whole": True, "hosts": []}))
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
-    limits = _get(conf, "limits", dict, {})
-    site = _get(raw, "limits", dict, {}, "settings.")
+    limits = raw.sub("limits")
     return Config(
-        name=_get(conf, "name", str, "hazelbend"),
-        listen=listen,
+        name=keys.get("name", str, "hazelbend"),
+        listen=keys.address("listen"),
         discovery=discovery or None,
         seed=seed,
-        sockets=_get(limits, "sockets", int, 1_024, "limits."),
+        sockets=keys.sub("limits").number("sockets", 1_024, 128, 1_000_000),
         known=known,
         settings=settings,
         catalogue=Catalogue(classes, tenants),
         reader=reader,
         load_fields=LoadFields(names),
-        connect_timeout=_get(site, "connect_timeout_us", int, 250_000, "settings.limits.") / 1e6,
-        keepalive=_get(site, "keepalive_us", int, 60_000_000, "settings.limits.") / 1e6,
+        connect_timeout=limits.number("connect_timeout_us", 250_000, 1_000, 60_000_000) / 1e6,
+        keepalive=limits.number("keepalive_us", 60_000_000, 100_000, 3_600_000_000) / 1e6,
     )
 
 
-def _get(table: Mapping[str, Any], key: str, kind: type, default: Any = None, prefix: str = "") -> Any:
-    value = table.get(key, default)
-    if value is None:
-        raise ConfigError(f"{prefix}{key}: missing")
-    if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
-        raise ConfigError(f"{prefix}{key}: not of type {kind.__name__}")
-    return value
+def with_deploy(config: Config, folder: Path, conf: dict[str, Any]) -> Config:
+    """What our files in this folder enable."""
+    names = Keys(conf, "").sub("settings")
+    zones, kinds = names.texts("azs"), names.texts("machine_types")
+    if (keys := _enabled(folder / "stomp.toml")) is not None:
+        config = replace(config, stomp=_stomp(keys, zones, kinds, config.catalogue))
+    if (keys := _enabled(folder / "snmp.toml")) is not None:
+        host, port = keys.address("listen")
+        snmp = SnmpSettings(
+            host,
+            port,
+            keys.get("community", str),  # no default: a well-known one is an open door
+            tuple(keys.parse_address("notify", each) for each in keys.texts("notify")),
+        )
+        if not snmp.community:
+            raise keys.fault("community", "empty")
+        keys.done()
+        config = replace(config, snmp=snmp)
+    if (keys := _enabled(folder / "console.toml")) is not None:
+        config = replace(config, console=Path(keys.get("socket", str)))
+        keys.done()
+    return config
+
+
+def console_socket(environment: Mapping[str, str] = os.environ) -> Path:
+    """Where the console finds the program, by the same file."""
+    keys = _enabled(Path(environment.get(DEPLOY_VARIABLE, "deploy")) / "console.toml")
+    if keys is None:
+        raise ConfigError("deploy/console.toml: does not enable the console; name a socket with --socket")
+    return Path(keys.get("socket", str))
 
 
-def _address(text: str, key: str = "listen") -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or int(port) > 65_535:
-        raise ConfigError(f"{key}: {text!r} is no address:port")
-    return host, int(port)
+def _enabled(path: Path) -> Keys | None:
+    """The keys of one of our files; None if it is not there or does not say `enabled = true`."""
+    try:
+        keys = Keys(tomllib.loads(path.read_text()), f"{path}: ")
+    except FileNotFoundError:
+        return None
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise ConfigError(f"{path}: {error}") from None
+    return keys if keys.get("enabled", bool) else None
+
+
+def _stomp(keys: Keys, zones: tuple[str, ...], kinds: tuple[str, ...], catalogue: Catalogue) -> StompSettings:
+    host, port = keys.address("listen")
+    bounds = Bounds()
+    clients, boxes, logins = [], [], set[str]()
+
+    def login(row: Keys) -> tuple[str, str]:
+        name, digest = row.get("login", str), row.get("passcode_sha256", str).lower()
+        if not name or name in logins:
+            raise row.fault("login", f"{name!r} is empty or stands there twice")
+        if len(digest) != 64 or any(each not in "0123456789abcdef" for each in digest):
+            raise row.fault("passcode_sha256", "not 64 hexadecimal digits")
+        logins.add(name)
+        return name, digest
+
+    for row in keys.rows("client"):
+        name, digest = login(row)
+        tenants = row.texts("tenants")
+        for tenant in tenants:
+            if tenant not in catalogue.tenants:
+                raise row.fault("tenants", f"unknown tenant {tenant!r}")
+        clients.append(ClientAccount(name, digest, tenants))
+        row.done()
+    for row in keys.rows("box"):
+        name, digest = login(row)
+        cell, weight = row.number("cell", 0, 0, 65_535), row.get("weight", float, 1.0)
+        if not 0 < weight < 1e6:
+            raise row.fault("weight", "not a positive number")
+        boxes.append(
+            BoxAccount(name, digest, row.place("zone", zones), row.place("kind", kinds), cell, weight)
+        )
+        row.done()
+    settings = StompSettings(
+        host=host,
+        port=port,
+        clients=tuple(clients),
+        boxes=tuple(boxes),
+        heart_beat_ms=(
+            keys.number("heart_beat_out_ms", 10_000, 0, 600_000),
+            keys.number("heart_beat_in_ms", 10_000, 0, 600_000),
+        ),
+        connections=keys.number("connections", 64, 1, 100_000),
+        write_limit=keys.number("write_limit", 1_048_576, 65_536, 1 << 30),
+        bounds=Bounds(
+            waiting=keys.number("waiting", bounds.waiting, 1, 1_000_000),
+            waiting_bytes=keys.number("waiting_bytes", bounds.waiting_bytes, 65_536, 1 << 30),
+            remembered=keys.number("remembered", bounds.remembered, 0, 10_000_000),
+            keep_s=float(keys.number("keep_s", int(bounds.keep_s), 1, 86_400)),
+        ),
+    )
+    keys.done()
+    return settings
--- /dev/null
+++ b/hazelbend/program/console_server.py
@@ -0,0 +1,179 @@
+"""The console's side in the program: commands over a Unix socket that only its owner can open.
+
+One line in, one line out, both JSON: {"command": "show servers"} and {"ok": true, "text": "..."}.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import orjson
+
+from hazelbend.routing.overview import Overview
+
+if TYPE_CHECKING:
+    from hazelbend.program.app import App
+
+LINE_LIMIT = 4_096
+IDLE = 3_600.0  # seconds after which a silent console is closed
+
+HELP = """\
+show status            what the program is doing, counts since its start
+show servers           the table of real servers
+show flows             the requests that are open
+show fronts            connections by front
+show log [LINES]       the last lines of the log
+drain SERVER           send nothing new to a server
+undrain SERVER         take a drain by hand back
+shutdown               finish all that was taken, then end
+help                   this list"""
+
+
+class CommandError(Exception):
+    """The command cannot be carried out; the text says why."""
+
+
+class Commands:
+    """What each command does, on the running program."""
+
+    def __init__(self, app: App) -> None:
+        self._app = app
+        self._shows: dict[str, Callable[[Overview], str]] = {
+            "status": self._status,
+            "servers": self._servers,
+            "flows": self._flows,
+            "fronts": self._fronts,
+        }
+
+    def run(self, line: str) -> str:
+        match line.split():
+            case ["help"]:
+                return HELP
+            case ["show", "log", *rest] if len(rest) < 2:
+                return self._log(*rest)
+            case ["show", what] if what in self._shows:
+                return self._shows[what](self._app.overview())
+            case ["drain" | "undrain" as verb, host]:
+                if not self._app.router.hold_back(host, verb == "drain"):
+                    raise CommandError(f"no server {host!r} is listed; see: show servers")
+                return f"{host}: {'gets nothing new' if verb == 'drain' else 'gets work again'}"
+            case ["shutdown"]:
+                self._app.stopping.set()
+                return f"leaving; {len(self._app.router.flows)} flows to finish"
+        raise CommandError(f"unknown command {line[:60]!r}; see: help")
+
+    def _status(self, view: Overview) -> str:
+        rows = [
+            ("name", view.name),
+            ("state", "leaving" if view.leaving else "serving"),
+            ("up for", f"{view.uptime / 1e6:.0f} s"),
+            ("flows open", len(view.flows)),
+            ("flows taken", view.taken),
+            *((f"  {verdict.value}", count) for verdict, count in view.verdicts.items()),
+            ("  client left", view.abandoned),
+            ("schedulings", sum(view.outcomes.values())),
+            *((f"  {outcome.name.lower().replace('_', ' ')}", n) for outcome, n in view.outcomes.items()),
+        ]
+        return table(rows)
+
+    def _servers(self, view: Overview) -> str:
+        head = ("SERVER", "ADDRESS", "STATE", "OUT", "SERVED", "FAILED")
+        rows = [
+            (row.host, row.dial or "-", row.state, row.out, row.served, row.failed) for row in view.servers
+        ]
+        return table([head, *rows])
+
+    def _flows(self, view: Overview) -> str:
+        classes = self._app.conf.catalogue.classes
+        head = ("FLOW", "CLASS", "AGE", "LEFT", "ON")
+        rows = [
+            (
+                row.id,
+                classes[row.class_index].name,
+                f"{row.age / 1e6:.2f} s",
+                f"{row.left / 1e6:.2f} s",
+                ", ".join(row.servers) or "held",
+            )
+            for row in view.flows
+        ]
+        return table([head, *rows])
+
+    def _fronts(self, view: Overview) -> str:
+        return table([("FRONT", "CONNECTIONS"), *view.fronts.items()])
+
+    def _log(self, count: str = "20") -> str:
+        if not count.isascii() or not count.isdecimal() or int(count) < 1:
+            raise CommandError(f"{count!r} is no number of lines")
+        return "\n".join(list(self._app.recent.lines)[-int(count) :])
+
+
+def table(rows: Sequence[tuple[object, ...]]) -> str:
+    """Columns as wide as their widest entry."""
+    cells = [[str(cell) for cell in row] for row in rows]
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    )
+
+
+class ConsoleServer:
+    def __init__(self, path: Path, app: App) -> None:
+        self.path, self._commands = path, Commands(app)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self) -> None:
+        """The socket is made with mode 0600: at no moment could another user open it."""
+        with contextlib.suppress(OSError):
+            if self.path.is_socket():
+                self.path.unlink()  # left by a program that was killed
+        listener = socket.socket(socket.AF_UNIX)
+        before = os.umask(0o177)
+        try:
+            listener.bind(str(self.path))
+        finally:
+            os.umask(before)
+        self._server = await asyncio.start_unix_server(self._serve, sock=listener, limit=LINE_LIMIT)
+
+    async def close(self) -> None:
+        if self._server is not None:
+            self._server.close()
+            for writer in self._writers:
+                writer.close()
+            with contextlib.suppress(OSError):
+                self.path.unlink()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            while True:
+                async with asyncio.timeout(IDLE):
+                    line = await reader.readline()
+                if not line:
+                    break
+                writer.write(orjson.dumps(self._answer(line), option=orjson.OPT_APPEND_NEWLINE))
+                await writer.drain()
+        except (OSError, ValueError, TimeoutError):
+            pass  # it went, or its line was over the limit
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    def _answer(self, line: bytes) -> dict[str, object]:
+        try:
+            asked = orjson.loads(line)
+            command = asked.get("command") if isinstance(asked, dict) else None
+            if not isinstance(command, str):
+                raise CommandError("no command")
+            return {"ok": True, "text": self._commands.run(command)}
+        except orjson.JSONDecodeError:
+            return {"ok": False, "text": "not JSON"}
+        except CommandError as error:
+            return {"ok": False, "text": str(error)}
--- a/hazelbend/routing/ports.py
+++ b/hazelbend/routing/ports.py
@@ -103,5 +103,6 @@
     """Counts since the start, for the console and SNMP."""
 
     taken: int = 0
+    abandoned: int = 0  # the client left before the answer
     verdicts: dict[Verdict, int] = field(default_factory=lambda: dict.fromkeys(Verdict, 0))
     outcomes: dict[Outcome, int] = field(default_factory=lambda: dict.fromkeys(Outcome, 0))
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -112,7 +112,9 @@
         self.flows: dict[int, Flow] = {}
         self.tally = Tally()
         self.last_known = ServiceList()
+        self.started_at = clock.now()
         self._next = 1
+        self._closed = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -148,6 +150,12 @@
             self._ask(update)
         return update is not None
 
+    def close(self) -> None:
+        """The end: timers that still ring find nothing to do."""
+        self._closed = True
+        for task in [*self._tasks, *(flow.task for flow in self.flows.values() if flow.task)]:
+            task.cancel()
+
     async def drained(self) -> None:
         """Until no flow is left."""
         await self._idle.wait()
@@ -189,6 +197,7 @@
                         self._end(flow, number, ending)
                     case Left() if not flow.is_closed:
                         flow.client_left = True
+                        self.tally.abandoned += 1
                         self._ask(face.ClientGone(flow.number), flow)
                     case Overdue() if not flow.is_closed:
                         log.error("flow %s: no decision by its deadline; failed", job.id)
@@ -285,6 +294,8 @@
 
     def _ask(self, event: face.Event, flow: Flow | None = None) -> None:
         """Tell the module; do what it says. A fault over a flow's event is raised into that flow."""
+        if self._closed:
+            return
         try:
             actions = self.decider.handle(event, self.clock.now())
         except Exception:
--- a/hazelbend/routing/table.py
+++ b/hazelbend/routing/table.py
@@ -18,6 +18,7 @@
 @dataclass(slots=True, eq=False)
 class RealServer:
     id: int
+    index: int  # from 1, in order of first appearance; the same again after an absence
     entry: ServiceEntry
     link: Link
     listed: bool = True
@@ -43,7 +44,9 @@
     def __init__(self, connect: Callable[[ServiceEntry], Link]) -> None:
         self._connect = connect
         self.servers: dict[int, RealServer] = {}
+        self.watcher: Callable[[RealServer, bool], None] | None = None  # told when one starts or stops
         self._guests: set[int] = set()
+        self._indexes: dict[int, int] = {}
 
     def apply(self, news: ServiceList, kind: ListKind = ListKind.FULL) -> MembershipUpdate:
         """Take a list or its changes in; the update for the decision module."""
@@ -60,14 +63,13 @@
 
     def add_guest(self, entry: ServiceEntry, link: Link) -> MembershipUpdate:
         """A box has connected."""
-        server = RealServer(stable_id(entry.host), entry, link)
-        self.servers[server.id] = server
+        server = self._add(entry, link)
         self._guests.add(server.id)
         return MembershipUpdate(ListKind.DELTA, (server.told(),))
 
     def change_guest(self, host: str, state: WorkerState) -> MembershipUpdate:
         server = self.servers[stable_id(host)]
-        server.entry = replace(server.entry, state=state)
+        self._change(server, replace(server.entry, state=state))
         told = server.told()
         if state is WorkerState.GONE:
             self._guests.discard(server.id)
@@ -79,26 +81,43 @@
         server = self.servers.get(stable_id(host))
         if server is None:
             return None
-        server.held_back = held
+        before, server.held_back = server.takes_work, held
+        self._notice(server, before)
         return MembershipUpdate(ListKind.DELTA, (server.told(),))
 
     def _enter(self, entries: Iterable[ServiceEntry]) -> Iterable[WorkerEntry]:
         for entry in entries:
-            server = self.servers.get(number := stable_id(entry.host))
+            server = self.servers.get(stable_id(entry.host))
             if server is None:
                 if entry.state is WorkerState.GONE:
                     continue
-                server = self.servers[number] = RealServer(number, entry, self._connect(entry))
+                server = self._add(entry, self._connect(entry))
             elif server.entry.dial != entry.dial:
                 server.link.close()
                 server.link = self._connect(entry)
-            server.entry = entry
+            self._change(server, entry)
             yield server.told()
             if entry.state is WorkerState.GONE:
                 self._drop(server)
 
+    def _add(self, entry: ServiceEntry, link: Link) -> RealServer:
+        number = stable_id(entry.host)
+        index = self._indexes.setdefault(number, len(self._indexes) + 1)
+        server = self.servers[number] = RealServer(number, index, entry, link)
+        self._notice(server, False)
+        return server
+
+    def _change(self, server: RealServer, entry: ServiceEntry) -> None:
+        before, server.entry = server.takes_work, entry
+        self._notice(server, before)
+
     def _drop(self, server: RealServer) -> None:
         """It gets nothing new; what is out there ends by itself."""
-        server.listed = False
+        before, server.listed = server.takes_work, False
         self.servers.pop(server.id, None)
+        self._notice(server, before)
         server.link.close()
+
+    def _notice(self, server: RealServer, before: bool) -> None:
+        if self.watcher is not None and server.takes_work is not before:
+            self.watcher(server, server.takes_work)
--- a/hazelbend/transport/edge.py
+++ b/hazelbend/transport/edge.py
@@ -73,7 +73,7 @@
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(self._server, host, port, backlog=512, reuse_address=True)
 
-    async def stop_accepting(self) -> None:
+    def stop_accepting(self) -> None:
         """No new connections; idle ones close, the others after their answer."""
         if self._listener is not None:
             self._listener.close()
--- /dev/null
+++ b/tests/test_stomp_front.py
@@ -0,0 +1,322 @@
+"""The STOMP front on loopback: one final answer for each request, whoever leaves and comes back."""
+
+import asyncio
+import socket
+from hashlib import blake2b
+
+import stomp
+from site_kit import SECRET, STOMP, StandIn, StandInBox, site, until, write_frame
+
+ANSWERS = {"id": "a", "destination": "/hazelbend/answers"}
+WORK = {"id": "w", "destination": "/hazelbend/work"}
+
+
+async def client(port: int, login: str = "dashboard", ack: str = "auto", **headers: str) -> StandIn:
+    peer = await StandIn.connect(port, login, **headers)
+    assert peer.frames[0].command == "CONNECTED", peer.frames
+    peer.send("SUBSCRIBE", ack=ack, **ANSWERS)
+    return peer
+
+
+async def post(
+    port: int, request_id: str, body: bytes, job_class: str = "nearby", timeout: int = 4_000
+) -> int:
+    """A job over HTTP/1.1, by hand; the status."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(
+        f"POST /{job_class}/17 HTTP/1.1\r\nHost: x\r\nX-Request-ID: {request_id}\r\nX-Tenant-Id: ege-volt\r\n"
+        f"X-Timeout-Ms: {timeout}\r\nIdempotency-Key: k{request_id}\r\nConnection: close\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
+    answer = await reader.read()
+    writer.close()
+    return int(answer.split()[1])
+
+
+def job_id_of(request_id: str) -> str:
+    """The id that servers know a STOMP job by; a stable one, alike after a restart."""
+    return blake2b(f"dashboard\0{request_id}".encode(), digest_size=16).hexdigest()
+
+
+def test_both_protocols_mixed_every_request_has_one_final_answer(tmp_path):
+    """Clients and servers on each; final answers are counted against requests taken."""
+
+    async def run():
+        async with site(tmp_path, toys=1) as (app, [toy]):
+            port = app.stomp.port
+            box = await StandInBox.connect(port, "box-1")
+            box.send("SUBSCRIBE", **WORK)
+            await until(lambda: app.boxes.connected == 1)
+            peer = await client(port)
+            leaving = await client(port, "partner")
+            leaving.job("gone", b"500", "reserve", tenant="toros-sarj")
+            await until(lambda: box.ran or toy.ran)
+            await leaving.drop()  # its reserve runs on
+            bodies = [b"20", b"20 fail", b"20 lose", b"return", b"5 reset", b"hang"]
+            plan = [(b, c) for b in bodies for c in ("nearby", "reserve") * 2]
+            posts = []
+            for number, (body, job_class) in enumerate(plan):
+                if number == plan.index((b"hang", "nearby")):  # what waited behind one would time out as well
+                    await until(lambda: not app.router.flows)
+                # Receipts are asked for, and must not count.
+                more = {"deadline": "1500", "receipt": f"r{number}", "key": f"k{number}"}
+                peer.job(f"s{number}", body, job_class, **more)
+                posts.append(asyncio.create_task(post(app.edge.port, f"h{number}", body, job_class, 1_500)))
+                await until(lambda: app.router.tally.taken == 2 * len(posts) + 1)
+            statuses = await asyncio.gather(*posts)
+            await until(lambda: len(peer.answers()) == len(plan))
+            await until(lambda: not app.router.flows)
+            back = await client(port, "partner")
+            await until(lambda: back.answers())
+            peer.send("DISCONNECT", receipt="last")
+            await until(lambda: peer.closed)
+
+            answers = {**peer.answers(), **back.answers()}
+            assert all(len(each) == 1 for each in answers.values()), answers
+            assert len(answers) + len(statuses) == app.router.tally.taken
+            assert sum(app.router.tally.verdicts.values()) == app.router.tally.taken
+            assert len(peer.of("RECEIPT")) == len(plan) + 1
+            assert answers["gone"] == ["served"] and leaving.answers() == {}
+            served = statuses.count(200) + sum(each == ["served"] for each in answers.values())
+            assert app.router.tally.verdicts[next(iter(app.router.tally.verdicts))] == served
+            assert box.ran and toy.ran, "both kinds of server must have had work"
+            ran = {*box.ran, *toy.ran}
+            for number, (body, job_class) in enumerate(plan):
+                [status], code = answers[f"s{number}"], statuses[number]
+                refused = {"s": status == "refused", "h": code == 503}
+                if body in (b"20", b"return"):  # by chance of load it may not get in, but it never fails
+                    assert status != "failed" and code in (200, 503)
+                else:
+                    assert status != "served" and code != 200
+                for protocol, job_id in (("s", job_id_of(f"s{number}")), ("h", f"h{number}")):
+                    # Its repeats are dropped in one zone only: once it may have run, no refusal is true.
+                    assert not (job_class == "reserve" and job_id in ran and refused[protocol])
+            assert 200 in statuses and ["served"] in answers.values()
+
+    asyncio.run(run())
+
+
+def test_an_answer_waits_for_its_client_and_keeps_its_message_id_until_acked(tmp_path):
+    async def run():
+        async with site(tmp_path) as (app, [toy]):
+            first = await client(app.stomp.port, ack="client-individual")
+            first.job("one", b"1")
+            await until(lambda: first.answers())
+            sent = first.of("MESSAGE")[0]
+            await first.drop()
+            second = await client(app.stomp.port, ack="client-individual")
+            await until(lambda: second.answers())
+            again = second.of("MESSAGE")[0]
+            assert again.headers["message-id"] == sent.headers["message-id"]
+            assert again.body == sent.body
+            second.send("ACK", id=again.headers["ack"], receipt="acked")
+            await until(lambda: second.of("RECEIPT"))
+            await second.drop()
+            third = await client(app.stomp.port, ack="client-individual")
+            third.job("one", b"1", receipt="sent")  # known: it attaches, nothing runs anew
+            await until(lambda: third.answers())
+            assert third.of("MESSAGE")[0].body == sent.body
+            assert len(toy.ran) == app.router.tally.taken == 1
+
+    asyncio.run(run())
+
+
+def test_a_repeated_send_attaches_to_the_flow_under_way(tmp_path):
+    async def run():
+        async with site(tmp_path) as (app, [toy]):
+            peer = await client(app.stomp.port)
+            for _ in range(3):
+                peer.job("one", b"100", "reserve", key="k")
+            await until(lambda: peer.answers())
+            peer.send("DISCONNECT", receipt="end")
+            await until(lambda: peer.closed)
+            assert peer.answers() == {"one": ["served"]}
+            assert len(toy.ran) == 1
+
+    asyncio.run(run())
+
+
+def test_a_deadline_is_answered_before_the_client_gives_up(tmp_path):
+    async def run():
+        async with site(tmp_path) as (app, _):
+            peer = await client(app.stomp.port)
+            began = asyncio.get_running_loop().time()
+            peer.job("late", b"hang", "reserve", deadline="300")
+            await until(lambda: peer.answers())
+            assert peer.answers() == {"late": ["failed"]}
+            assert peer.of("MESSAGE")[0].headers["reason"] == "deadline"
+            assert asyncio.get_running_loop().time() - began < 0.3 + 0.066  # the rules' slack on sockets
+
+    asyncio.run(run())
+
+
+def test_a_box_that_is_lost_resets_its_jobs_and_leaves_the_table(tmp_path):
+    async def run():
+        async with site(tmp_path, toys=0) as (app, _):
+            box = await StandInBox.connect(app.stomp.port, "box-1")
+            box.send("SUBSCRIBE", **WORK)
+            peer = await client(app.stomp.port)
+            await until(lambda: app.boxes.connected == 1)
+            [server] = app.router.table.servers.values()
+            assert server.entry.started_at > app.router.started_at, "a box that connects is cold"
+            peer.job("one", b"hang", "reserve")
+            await until(lambda: box.ran)
+            await box.drop()
+            await until(lambda: peer.answers())
+            assert peer.answers() == {"one": ["failed"]}, "it may have run: no refusal"
+            assert not app.router.table.servers
+
+    asyncio.run(run())
+
+
+def test_a_box_that_unsubscribes_finishes_what_it_has_and_gets_nothing_new(tmp_path):
+    async def run():
+        async with site(tmp_path, toys=0) as (app, _):
+            box = await StandInBox.connect(app.stomp.port, "box-1")
+            box.send("SUBSCRIBE", **WORK)
+            peer = await client(app.stomp.port)
+            peer.job("first", b"20")
+            await until(lambda: box.ran)
+            box.send("UNSUBSCRIBE", id="w")
+            await until(lambda: not next(iter(app.router.table.servers.values())).takes_work)
+            peer.job("second", b"20", deadline="300")
+            await until(lambda: len(peer.answers()) == 2)
+            assert peer.answers() == {"first": ["served"], "second": ["refused"]}
+            assert len(box.ran) == 1
+
+    asyncio.run(run())
+
+
+def test_a_deadline_cancels_the_job_at_its_box(tmp_path):
+    async def run():
+        async with site(tmp_path, toys=0) as (app, _):
+            box = await StandInBox.connect(app.stomp.port, "box-1")
+            box.send("SUBSCRIBE", **WORK)
+            peer = await client(app.stomp.port)
+            peer.job("one", b"hang", deadline="300")
+            await until(lambda: box.cancelled)
+            assert box.cancelled == box.ran
+
+    asyncio.run(run())
+
+
+def refusals() -> dict[str, tuple[str, dict[str, str]]]:
+    jobs = {"destination": "/hazelbend/jobs", "class": "nearby", "tenant": "ege-volt", "request-id": "1"}
+    return {
+        "transactions are not supported": ("BEGIN", {"transaction": "t"}),
+        "unknown class": ("SEND", jobs | {"class": "nowhere"}),
+        "unknown tenant": ("SEND", jobs | {"tenant": "nobody"}),
+        "whole number of milliseconds": ("SEND", jobs | {"deadline": "soon"}),
+        "request-id is missing": ("SEND", jobs | {"request-id": ""}),
+        "no such destination": ("SEND", {"destination": "/queue/x"}),
+        "ack is unknown": ("SUBSCRIBE", ANSWERS | {"ack": "sometimes"}),
+        "no subscription": ("UNSUBSCRIBE", {"id": "z"}),
+        "names no message": ("ACK", {}),
+        "unknown command": ("CONNECTED", {}),
+        "not expected here": ("CONNECT", {}),
+    }
+
+
+def test_what_cannot_be_done_is_told_by_an_error_and_a_close(tmp_path):
+    async def run():
+        async with site(tmp_path) as (app, _):
+            for words, (command, headers) in refusals().items():
+                peer = await client(app.stomp.port)
+                peer.send(command, receipt="r", **headers)
+                await until(lambda peer=peer: peer.closed)
+                [error] = peer.of("ERROR")
+                assert words in error.headers["message"]
+                assert not peer.of("RECEIPT")
+            stranger = await StandIn.connect(app.stomp.port, "dashboard", passcode="guess")
+            await until(lambda: stranger.closed)
+            assert [frame.command for frame in stranger.frames] == ["ERROR"]
+            other = await client(app.stomp.port, "partner")
+            other.job("1", tenant="ege-volt")
+            await until(lambda: other.closed)
+            assert "may not send for that tenant" in other.of("ERROR")[0].headers["message"]
+            assert app.router.tally.taken == 0
+
+    asyncio.run(run())
+
+
+def test_a_full_mailbox_refuses_and_a_silent_peer_is_closed(tmp_path):
+    async def run():
+        text = "waiting = 1\nheart_beat_in_ms = 50\n"
+        async with site(tmp_path, stomp=STOMP.replace("[[client]]", text + "[[client]]", 1)) as (app, _):
+            peer = await client(app.stomp.port)
+            peer.job("one", b"100")
+            peer.job("two", b"100")
+            await until(lambda: len(peer.answers()) == 2)
+            assert peer.answers() == {"one": ["served"], "two": ["refused"]}
+            assert float(peer.of("MESSAGE")[0].headers["retry-after"]) > 0
+            silent = await client(app.stomp.port, heart_beat="50,50")
+            await until(lambda: silent.closed)
+            assert "nothing came in time" in silent.of("ERROR")[0].headers["message"]
+
+    asyncio.run(run())
+
+
+def test_a_consumer_that_does_not_read_is_cut_off_and_its_answers_wait(tmp_path):
+    async def run():
+        text = STOMP.replace("[[client]]", "write_limit = 65536\n[[client]]", 1)
+        async with site(tmp_path, stomp=text) as (app, _):
+            reader, writer = await asyncio.open_connection("127.0.0.1", app.stomp.port, limit=1_024)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            writer.transport.pause_reading()
+            hello = {"accept-version": "1.2", "login": "dashboard", "passcode": SECRET}
+            writer.write(
+                write_frame("CONNECT", hello) + write_frame("SUBSCRIBE", ANSWERS | {"ack": "client"})
+            )
+            receipts = write_frame("ACK", {"id": "none", "receipt": "r" * 8_000}) * 600
+            writer.write(receipts)
+            await until(lambda: app.stomp.connections == 0)
+            writer.close()
+
+    asyncio.run(run())
+
+
+class Heard(stomp.ConnectionListener):
+    def __init__(self):
+        self.messages, self.receipts = [], []
+
+    def on_message(self, frame):
+        self.messages.append(frame)
+
+    def on_receipt(self, frame):
+        self.receipts.append(frame)
+
+
+def test_stomp_py_can_use_the_front_in_both_versions(tmp_path):
+    """A client library of others' making, as a check on our reading of the specification."""
+
+    def talk(port, kind, number):
+        heard, connection = Heard(), kind([("127.0.0.1", port)], heartbeats=(1_000, 1_000))
+        connection.set_listener("", heard)
+        connection.connect("dashboard", SECRET, wait=True, headers={"client-id": str(number)})
+        connection.subscribe("/hazelbend/answers", id="1", ack="client-individual")
+        headers = {"class": "reserve", "tenant": "ege-volt", "request-id": "a:b\\c", "key": "üsküdar"}
+        connection.send("/hazelbend/jobs", "1", headers=headers, receipt="taken")
+        return heard, connection
+
+    async def run():
+        async with site(tmp_path) as (app, [toy]):
+            for number, kind in enumerate((stomp.Connection11, stomp.Connection12)):
+                heard, connection = await asyncio.to_thread(talk, app.stomp.port, kind, number)
+                await until(lambda heard=heard: heard.messages)
+                [message] = heard.messages
+                assert message.headers["status"] == "served"
+                assert message.headers["request-id"] == "a:b\\c"
+                assert "did" in message.body
+                assert [frame.headers["receipt-id"] for frame in heard.receipts] == ["taken"]
+                await asyncio.to_thread(connection.disconnect)
+            assert toy.targets == ["/reserve/%C3%BCsk%C3%BCdar"] * 2
+
+    asyncio.run(run())
+
+
+def test_the_stand_ins_write_frames_as_stomp_py_reads_them():
+    frame = stomp.utils.parse_frame(write_frame("SEND", {"destination": "/a:b"}, b"x\x00y")[:-1])
+    assert frame.cmd == "SEND"
+    assert frame.headers["destination"] == "/a:b"
