--- a/hazelbend/transport/links.py
+++ b/hazelbend/transport/links.py
@@ -107,7 +107,8 @@
             return await self._read(response, job, tell)
         except (aiohttp.ClientError, OSError):
             return Ending(Outcome.RESET)
-        except ValueError as error:
+        except (ValueError, aiohttp.http_exceptions.HttpProcessingError) as error:
+            # What a server says wrongly is its outcome, and no fault of ours: a line without end among it.
             log.warning("%s: %s", self._base, error)
             return Ending(Outcome.ERROR)
         finally:
--- a/hazelbend/transport/snmp_agent.py
+++ b/hazelbend/transport/snmp_agent.py
@@ -112,11 +112,11 @@
 
     def read_variables(self, *varBinds: Any, **context: Any) -> list[Any]:  # noqa: N803 (pysnmp's name)
         self._refresh()
-        return [self._get(name, value, context) for name, value in varBinds]
+        return [self._get(name, value, context | {"idx": at}) for at, (name, value) in enumerate(varBinds)]
 
     def read_next_variables(self, *varBinds: Any, **context: Any) -> list[Any]:  # noqa: N803
         self._refresh()
-        return [self._next(name, value, context) for name, value in varBinds]
+        return [self._next(name, value, context | {"idx": at}) for at, (name, value) in enumerate(varBinds)]
 
     def _get(self, name: Any, value: Any, context: dict[str, Any]) -> Any:
         oid = tuple(name)
@@ -172,6 +172,7 @@
         await self._transport._lport  # the socket is bound by a task; a taken address must show now
         config.add_transport(snmp, udp.DOMAIN_NAME, self._transport)
         config.add_v1_system(snmp, "reader", self._community)
+        config.add_context(snmp, "")
         # SNMPv2c alone (security model 2), to read and notify, of these two subtrees.
         config.add_vacm_group(snmp, "readers", 2, "reader")
         config.add_vacm_access(snmp, "readers", "", 2, "noAuthNoPriv", "exact", "ours", "none", "ours")
@@ -214,7 +215,8 @@
             ((*SERVER_ENTRY, STATE_COLUMN, server.index), rfc1902.Integer32(state)),
         ]
         try:
-            self._originator.send_varbinds(self._engine, "notices", None, "", objects)
+            # The default context as octets: pysnmp's access control does not know it as a str, and drops.
+            self._originator.send_varbinds(self._engine, "notices", None, rfc1902.OctetString(b""), objects)
         except Exception:
             # A notice that cannot be sent is no reason to stop serving.
             log.exception("snmp: a notification could not be sent")
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,127 @@
+"""Configuration: what is wrong is told by its key; what is not enabled is off."""
+
+import re
+from copy import deepcopy
+
+import orjson
+import pytest
+from site_kit import DIGEST, ROOT, SETTINGS, STOMP, host_entry
+
+from hazelbend.program import config
+
+CONF = {
+    "listen": "127.0.0.1:7070",
+    "settings": SETTINGS,
+    "known": {"seq": 1, "whole": True, "hosts": [host_entry("a", "h:1")]},
+}
+
+
+def changed(path: str, value: object) -> dict:
+    """The configuration with one key, at a dotted path, of another value; None takes it out."""
+    conf = deepcopy(CONF)
+    *folders, last = path.split(".")
+    table = conf
+    for each in folders:
+        table = table.setdefault(each, {}) if isinstance(table, dict) else table[int(each)]
+    if value is None:
+        del table[last]
+    else:
+        table[last] = value
+    return conf
+
+
+FAULTS = [
+    ("listen", None, "listen: missing"),
+    ("listen", "here", "listen: 'here'"),
+    ("discovery", "x", "discovery: 'x'"),
+    ("seed", "xyz", "seed: "),
+    ("settings", None, "settings: missing"),
+    ("settings", [], "settings: not of type dict"),
+    ("settings.lanes", [], "settings.lanes: "),
+    ("settings.lanes.0.deadline_us", "soon", "settings.lanes[0].deadline_us: not of type int"),
+    ("settings.fleet_size", "two", "settings: 'fleet_size'"),
+    ("settings.limits.keepalive_us", -1, "settings.limits.keepalive_us: -1"),
+    ("settings.azs", [1], "settings.azs: "),
+    ("limits.sockets", 5, "limits.sockets: 5"),
+    ("known", {"seq": 1}, "known: "),
+    ("name", 5, "name: not of type str"),
+]
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "words"), FAULTS, ids=[f"{path}-{n}" for n, (path, *_) in enumerate(FAULTS)]
+)
+def test_a_fault_names_its_key(path, value, words):
+    with pytest.raises(config.ConfigError, match=re.escape(words)):
+        config.from_object(changed(path, value))
+
+
+def test_the_platforms_file_and_the_variables_that_stand_in(tmp_path):
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(changed("listen", None) | {"unheard_of": 1}))
+    variables = {"RELAY_CONFIG": str(path), "RELAY_LISTEN": "127.0.0.1:99", "HAZELBEND_DEPLOY": str(tmp_path)}
+    conf = config.load(variables)
+    assert (conf.listen, conf.sockets, conf.stomp, conf.snmp, conf.console) == (
+        ("127.0.0.1", 99),
+        1_024,
+        None,
+        None,
+        None,
+    )
+    for text, words in ((b"{", "not JSON"), (b"[]", "no JSON object")):
+        path.write_bytes(text)
+        with pytest.raises(config.ConfigError, match=words):
+            config.load(variables)
+    with pytest.raises(config.ConfigError, match="RELAY_CONFIG"):
+        config.load({})
+    with pytest.raises(config.ConfigError, match="RELAY_CONFIG"):
+        config.load({"RELAY_CONFIG": str(tmp_path / "none")})
+
+
+OWN_FAULTS = [
+    ("stomp.toml", STOMP.replace("listen", "lisen"), "listen: missing"),
+    ("stomp.toml", STOMP.replace('"ankara-1"', '"izmir-1"'), "box[0].zone: 'izmir-1'"),
+    ("stomp.toml", STOMP.replace('"toros-sarj"', '"x"'), "client[1].tenants: unknown tenant 'x'"),
+    ("stomp.toml", STOMP.replace('"partner"', '"dashboard"'), "client[1].login: "),
+    ("stomp.toml", STOMP.replace(DIGEST, "secret"), "client[0].passcode_sha256: "),
+    ("stomp.toml", STOMP.replace("[[client]]", "keeps = 5\n[[client]]", 1), "keeps: unknown key"),
+    ("stomp.toml", STOMP.replace("[[client]]", "keep_s = 0\n[[client]]", 1), "keep_s: 0 is not from 1"),
+    ("stomp.toml", "enabled = 1", "enabled: not of type bool"),
+    ("stomp.toml", "enabled", "stomp.toml: "),
+    ("snmp.toml", 'enabled = true\nlisten = "h:1"', "community: missing"),
+    ("snmp.toml", 'enabled = true\nlisten = "h:1"\ncommunity = ""', "community: empty"),
+    ("snmp.toml", 'enabled = true\nlisten = "h:1"\ncommunity = "x"\nnotify = ["h"]', "notify: 'h'"),
+    ("console.toml", "enabled = true", "socket: missing"),
+]
+
+
+@pytest.mark.parametrize(("name", "text", "words"), OWN_FAULTS, ids=range(len(OWN_FAULTS)))
+def test_a_fault_in_our_own_files_names_file_and_key(tmp_path, name, text, words):
+    (tmp_path / name).write_text(text)
+    with pytest.raises(config.ConfigError, match=re.escape(words)) as caught:
+        config.with_deploy(config.from_object(CONF), tmp_path, CONF)
+    assert name in str(caught.value)
+
+
+def test_what_the_repository_deploys_is_off():
+    """The platform has neither our UDP nor our sockets."""
+    conf = config.with_deploy(config.from_object(CONF), ROOT / "deploy", CONF)
+    assert (conf.stomp, conf.snmp, conf.console) == (None, None, None)
+    assert {path.name for path in (ROOT / "deploy").iterdir()} == {
+        "balancer.toml", "stomp.toml", "snmp.toml", "console.toml"
+    }  # fmt: skip
+
+
+@pytest.mark.parametrize("name", ["stomp.toml", "snmp.toml", "console.toml"])
+def test_the_comments_of_a_deploy_file_are_its_keys(tmp_path, name):
+    """Every key that a file offers in a comment is one that the program reads."""
+    text = (
+        (ROOT / "deploy" / name)
+        .read_text()
+        .replace("enabled = false", "enabled = true")
+        .replace("…", "0" * 64)
+    )
+    lines = [re.sub(r"^# (?=\[\[|\w+ = )", "", line) for line in text.splitlines()]
+    (tmp_path / name).write_text("\n".join(lines))
+    conf = config.with_deploy(config.from_object(CONF), tmp_path, CONF)
+    assert [conf.stomp, conf.snmp, conf.console].count(None) == 2
--- /dev/null
+++ b/tests/test_discovery_watch.py
@@ -0,0 +1,87 @@
+"""The watch on discovery, against a scripted service."""
+
+import asyncio
+
+import orjson
+from site_kit import host_entry, until
+
+from hazelbend.protocol.discovery import ListReader
+from hazelbend.transport import discovery_watch
+
+
+def answer(seq: int, whole: bool, *names: str) -> bytes:
+    body = orjson.dumps({"seq": seq, "whole": whole, "hosts": [host_entry(name, "h:1") for name in names]})
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def watch(*answers: bytes | None, subscriptions: int = 1):
+    """What the watch told, the paths that it asked for, and the times between an answer and the next call."""
+
+    async def run():
+        told, asked, gaps, left, answered_at = [], [], [], list(answers), [0.0]
+        loop = asyncio.get_running_loop()
+
+        async def serve(reader, writer):
+            try:
+                while True:
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    asked.append(head.split()[1].decode())
+                    gaps.append(loop.time() - answered_at[0])
+                    if not left or (data := left.pop(0)) is None:
+                        await reader.read()  # it hangs
+                        break
+                    writer.write(data)
+                    answered_at[0] = loop.time()
+            except (asyncio.IncompleteReadError, OSError):
+                pass
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        each = discovery_watch.DiscoveryWatch(address, ListReader(("ankara-1",), ("big-box",)))
+        for _ in range(subscriptions):
+            each.subscribe(told.append)
+        await until(lambda: len(asked) > len(answers) or (told and told[-1].failed))
+        await each.close()
+        server.close()
+        return told, asked, gaps
+
+    return asyncio.run(run())
+
+
+def test_one_whole_list_then_its_changes():
+    told, asked, gaps = watch(answer(41, True, "a", "b"), answer(43, False, "b"), answer(43, False))
+    assert [(news.seq, news.whole, len(news.entries)) for news in told] == [
+        (41, True, 2),
+        (43, False, 1),
+        (43, False, 0),
+    ]
+    hold = f"hold_ms={discovery_watch.HOLD_MS}"
+    assert asked == ["/v1/servers", *(f"/v1/servers?from={seq}&{hold}" for seq in (41, 43, 43))]
+    assert max(gaps[1:]) < 0.2, "a later call starts a new watch, and what changed in between is lost"
+
+
+def test_a_call_that_fails_is_told_once_and_ends_the_watch():
+    """Guards against a FAILED that the module never hears of: it would not subscribe again."""
+    bad = [
+        b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        b"garbage\r\n\r\n",
+        answer(41, True, "a").replace(b'"h:1"', b'"h:x"'),
+    ]
+    for data in bad:
+        told, asked, _ = watch(answer(40, True, "a"), data + b"\r\n")
+        assert [news.failed for news in told] == [False, True]
+        assert len(asked) == 2, "no call is repeated by itself"
+
+
+def test_a_call_that_hangs_is_bounded(monkeypatch):
+    monkeypatch.setattr(discovery_watch, "CALL_LIMIT", 0.05)
+    told, _, _ = watch(None)
+    assert [news.failed for news in told] == [True]
+
+
+def test_a_new_subscription_takes_the_place_of_the_old():
+    told, asked, _ = watch(answer(41, True, "a"), subscriptions=3)
+    assert len(told) == 1 and asked[0] == "/v1/servers"
--- /dev/null
+++ b/tests/test_edge.py
@@ -0,0 +1,138 @@
+"""The edge connections: what clients may do wrong, and what they get; the program goes on."""
+
+import asyncio
+import random
+
+import pytest
+from parser_kit import garbage, pieces
+from site_kit import site, until
+
+HEAD = (
+    "POST /nearby/17 HTTP/1.1\r\nHost: x\r\nX-Request-ID: {}\r\nX-Tenant-Id: ege-volt\r\nX-Timeout-Ms: {}\r\n"
+)
+
+
+def request(job_id: str = "9b", body: bytes = b"1", timeout: int = 4_000, more: str = "") -> bytes:
+    return (HEAD.format(job_id, timeout) + f"{more}Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+async def talk(port: int, *data: bytes, end: bool = False) -> bytes:
+    """Send it all, in these pieces, and perhaps an end; what comes back until the connection closes."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    for piece in data:
+        writer.write(piece)
+        await writer.drain()
+    if end:
+        writer.write_eof()
+    answer = await asyncio.wait_for(reader.read(), 10)
+    writer.close()
+    return answer
+
+
+BAD = {
+    "no HTTP": (b"\x16\x03\x01\x02\x00\r\n\r\n", 400),
+    "a line that is too long": (b"POST /" + b"x" * 10_000 + b" HTTP/1.1\r\n\r\n", 431),
+    "a field that is too long": (request(more=f"X-Long: {'x' * 10_000}\r\n"), 431),
+    "too large a body, as said": (request(more="Connection: close\r\n", body=b"x" * 65_537), 413),
+    "a bad length": (b"POST /nearby/1 HTTP/1.1\r\nHost: x\r\nContent-Length: many\r\n\r\n", 400),
+    "no id": (request(job_id="", more="Connection: close\r\n"), 400),
+    "a time-out of words": (request(more="Connection: close\r\n").replace(b"4000", b"soon"), 400),
+    "a fragment": (request(more="Connection: close\r\n").replace(b"/17", b"/17#x"), 400),
+    "another method": (b"DELETE /nearby/1 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", 405),
+}
+
+
+def test_bad_input_gets_its_status_and_the_program_goes_on(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            for name, (data, status) in BAD.items():
+                answer = await talk(app.edge.port, data)
+                assert answer[:13] in (b"HTTP/1.1 %d " % status, b"HTTP/1.0 %d " % status), (name, answer)
+            chunked = request(more="Transfer-Encoding: chunked\r\n").replace(b"Content-Length: 1\r\n", b"")
+            too_much = b"%x\r\n" % 70_000 + b"x" * 70_000 + b"\r\n0\r\n\r\n"
+            assert b"HTTP/1.1 413 " in await talk(
+                app.edge.port, chunked.partition(b"\r\n\r\n")[0] + b"\r\n\r\n", too_much
+            )
+            assert app.router.tally.taken == 0
+            assert b" 200 " in await talk(app.edge.port, request(more="Connection: close\r\n"))
+
+    asyncio.run(run())
+
+
+def test_a_connection_is_usable_after_a_bad_request(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            bad = request().replace(b"ege-volt", b"nobody")
+            answer = await talk(app.edge.port, bad + request(more="Connection: close\r\n"))
+            assert answer.startswith(b"HTTP/1.1 400 ") and answer.count(b"HTTP/1.1 200 ") == 1
+
+    asyncio.run(run())
+
+
+def test_random_cuts_and_garbage_on_the_socket(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            good = request(more="Connection: close\r\n")
+            for seed in range(25):
+                cut = [piece for piece in pieces(good, seed) if piece]
+                assert b" 200 " in await talk(app.edge.port, *cut)
+                wrong = garbage(good, seed)
+                if random.Random(seed).random() < 0.5:
+                    wrong = b"\0" + wrong
+                answer = await talk(app.edge.port, wrong, end=True)
+                assert not answer or answer.startswith(b"HTTP/1.")
+            await until(lambda: not app.router.flows)
+
+    asyncio.run(run())
+
+
+def test_a_client_that_goes_away_cancels_its_job(tmp_path):
+    """Guards against servers' work for nobody: waste is charged."""
+
+    async def run():
+        async with site(tmp_path, stomp="") as (app, [toy]):
+            _, writer = await asyncio.open_connection("127.0.0.1", app.edge.port)
+            writer.write(request(body=b"hang"))
+            await until(lambda: toy.ran)
+            writer.close()
+            await until(lambda: toy.holds == 0 and not app.router.flows)
+            assert app.router.tally.abandoned == 1
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [(b"1", 200), (b"return", 503), (b"1 fail", 503), (b"hang", 503)],
+    ids=["done", "full", "fail", "late"],
+)
+def test_each_answer_has_its_status(tmp_path, body, status):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            data = request(body=body, timeout=400, more="Connection: close\r\n")
+            began = asyncio.get_running_loop().time()
+            answer = await talk(app.edge.port, data)
+            assert answer.startswith(b"HTTP/1.1 %d " % status)
+            assert asyncio.get_running_loop().time() - began < 0.45, (
+                "an answer comes before the client gives up"
+            )
+            if status == 503 and body != b"hang":
+                retry_after = answer.partition(b"Retry-After: ")[2].split(b"\r\n")[0]
+                assert float(retry_after) > 0
+            if status == 200:
+                assert answer.endswith(b"\r\n\r\ntoy-0 did 9b")
+
+    asyncio.run(run())
+
+
+def test_a_job_that_may_have_run_is_failed_where_a_repeat_may_do_harm(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            data = request(body=b"hang", timeout=400, more="Connection: close\r\nIdempotency-Key: k\r\n")
+            assert (await talk(app.edge.port, data.replace(b"/nearby", b"/reserve"))).startswith(
+                b"HTTP/1.1 504 "
+            )
+            lost = data.replace(b"/nearby", b"/reserve").replace(b"hang", b"fail")
+            assert (await talk(app.edge.port, lost)).startswith(b"HTTP/1.1 50")
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,58 @@
+"""The layers import one way: each only what stands below it. The core knows no wire."""
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+PACKAGE = Path(__file__).parent.parent / "hazelbend"
+ALLOWED = {
+    "decisions": set(),
+    "routing": {"decisions"},
+    "protocol": {"decisions", "routing"},
+    "transport": {"decisions", "routing", "protocol"},
+    "program": {"decisions", "routing", "protocol", "transport"},
+    "console": {"program"},
+    "benchlink": {"decisions"},
+}
+WIRES = {"aiohttp", "yarl", "orjson", "socket", "pysnmp", "prompt_toolkit", "json", "struct"}
+
+
+def imports(path: Path) -> set[str]:
+    """The modules that a file names in its imports."""
+    found = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            assert node.level == 0, "imports are absolute"
+            found.add(node.module or "")
+    return found
+
+
+@pytest.mark.parametrize("layer", ALLOWED)
+def test_a_layer_imports_only_what_is_below(layer):
+    files = list((PACKAGE / layer).glob("*.py"))
+    assert files
+    for path in files:
+        own = {name.split(".")[1] for name in imports(path) if name.startswith("hazelbend.")}
+        assert own <= ALLOWED[layer] | {layer}, path
+
+
+@pytest.mark.parametrize("layer", ["decisions", "routing"])
+def test_the_core_imports_no_wire(layer):
+    for path in (PACKAGE / layer).glob("*.py"):
+        assert not {name.split(".")[0] for name in imports(path)} & WIRES, path
+
+
+def test_every_part_of_the_package_is_a_known_layer():
+    assert {path.parent.name for path in PACKAGE.glob("*/*.py")} == set(ALLOWED)
+
+
+def test_what_is_not_enabled_is_not_imported():
+    """The platform pays neither memory nor start-up time for the agent and the prompt."""
+    code = "import sys, hazelbend.program.app; print({'pysnmp', 'prompt_toolkit'} & set(sys.modules))"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, cwd=PACKAGE.parent)
+    assert done.stdout == b"set()\n"
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,177 @@
+"""Links to real servers: every way that an attempt can end, and what went over the socket."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+
+from hazelbend.decisions.interface import LoadReport, Outcome
+from hazelbend.protocol.worker_lines import LoadFields
+from hazelbend.routing.ports import Job, News
+from hazelbend.transport.links import LinkPool
+
+JOB = Job("9b", 0, 0, 1_000_000, target="/nearby/%31?q=%20+&x=", body=b"a\0b", idempotency_key="k")
+OK = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+DONE = b'{"id":"9b","state":"done","result":"r"}\n'
+STARTED = b'{"id":"9b","state":"started"}\n'
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class Script:
+    """A server that answers each request with given bytes, then closes if told so; it keeps what came."""
+
+    def __init__(self, *answers: bytes, close: bool = False) -> None:
+        self.answers, self.close, self.heard, self.connections = list(answers), close, [], 0
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        try:
+            while self.answers:
+                head = await reader.readuntil(b"\r\n\r\n")
+                size = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0] or 0)
+                self.heard.append(head + await reader.readexactly(size))
+                writer.write(self.answers.pop(0))
+                await writer.drain()
+                if self.close:
+                    break
+            else:
+                await reader.read()
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        writer.close()
+
+
+@asynccontextmanager
+async def linked(script: Script, keepalive: float = 60.0):
+    server = await asyncio.start_server(script.serve, "127.0.0.1", 0)
+    pool = LinkPool(0.25, keepalive, 4, LoadFields({"inflight": "in_flight"}))
+    try:
+        yield pool.link(f"127.0.0.1:{server.sockets[0].getsockname()[1]}"), server
+    finally:
+        server.close()
+        await pool.close()
+
+
+def attempt(script: Script, times: int = 1):
+    """The endings of so many attempts, one after the other, and the news."""
+
+    async def run():
+        news = []
+        async with linked(script) as (link, _):
+            return [await link.attempt(JOB, 500_000, news.append) for _ in range(times)], news
+
+    return asyncio.run(run())
+
+
+REFUSED = (
+    b'HTTP/1.1 503 X\r\nX-Not-Processed: 1\r\nX-Server-Load: {"inflight":7}\r\nContent-Length: 0\r\n\r\n'
+)
+CASES = {
+    "done": (OK + chunk(STARTED) + chunk(DONE) + b"0\r\n\r\n", Outcome.SERVED),
+    "two lines in one chunk": (OK + chunk(STARTED + DONE) + b"0\r\n\r\n", Outcome.SERVED),
+    "a line over two chunks": (OK + chunk(DONE[:9]) + chunk(DONE[9:]) + b"0\r\n\r\n", Outcome.SERVED),
+    "failed": (OK + chunk(b'{"id":"9b","state":"failed"}\n') + b"0\r\n\r\n", Outcome.ERROR),
+    "returned": (OK + chunk(b'{"id":"9b","state":"returned"}\n') + b"0\r\n\r\n", Outcome.FULL),
+    "lost": (OK + chunk(b'{"id":"9b","state":"lost"}\n') + b"0\r\n\r\n", Outcome.RESET),
+    "500": (b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+    "503, not processed": (REFUSED, Outcome.FULL),
+    "503 that may have run": (b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+    "a redirect is not followed": (
+        b"HTTP/1.1 307 X\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n",
+        Outcome.ERROR,
+    ),
+    "closed at once": (b"", Outcome.RESET),
+    "closed after the start": (OK + chunk(STARTED), Outcome.RESET),
+    "closed within a line": (OK + chunk(DONE[:-1]), Outcome.RESET),
+    "ended before the last line": (OK + chunk(STARTED) + b"0\r\n\r\n", Outcome.RESET),
+    "not HTTP": (b"SSH-2.0\r\n\r\n", Outcome.RESET),
+    "not JSON": (OK + chunk(b"hello\n"), Outcome.ERROR),
+    "another's job": (OK + chunk(DONE.replace(b"9b", b"9c")), Outcome.ERROR),
+    "an endless line": (OK + chunk(b"x" * 600_000), Outcome.ERROR),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_each_way_that_an_attempt_ends(name):
+    answer, outcome = CASES[name]
+    script = Script(answer, close=True)
+    [ending], _ = attempt(script)
+    assert ending.outcome is outcome
+    assert len(script.heard) == 1, "no attempt is sent again by itself"
+
+
+def test_the_result_news_and_load_come_through():
+    [ending], news = attempt(Script(CASES["done"][0]))
+    assert ending.result == b"r" and news == [News()]
+    [ending], _ = attempt(Script(REFUSED))
+    assert ending.load == LoadReport(in_flight=7.0)
+
+
+def test_method_target_body_and_ids_pass_on_as_they_came():
+    script = Script(CASES["done"][0])
+    attempt(script)
+    head, _, body = script.heard[0].partition(b"\r\n\r\n")
+    first, *rows = head.split(b"\r\n")
+    assert first == b"POST /nearby/%31?q=%20+&x= HTTP/1.1" and body == JOB.body
+    assert {b"X-Request-ID: 9b", b"Idempotency-Key: k", b"X-Timeout-Ms: 500"} <= set(rows)
+    assert not [row for row in rows if row.lower().startswith((b"accept", b"user-agent", b"cookie"))]
+
+
+def test_a_connection_is_used_again_after_a_whole_answer():
+    script = Script(*[CASES["done"][0]] * 3)
+    endings, _ = attempt(script, 3)
+    assert [each.outcome for each in endings] == [Outcome.SERVED] * 3
+    assert script.connections == 1
+
+
+def test_an_idle_connection_is_dropped_before_the_servers_limit():
+    """Guards against a request written to a connection that the server closes at that moment: a reset."""
+
+    async def run():
+        script = Script(*[CASES["done"][0]] * 2)
+        async with linked(script, keepalive=0.2) as (link, _):
+            await link.attempt(JOB, 500_000, lambda news: None)
+            await asyncio.sleep(0.15)  # over what is kept of the limit of 0.2 s, and under the limit
+            await link.attempt(JOB, 500_000, lambda news: None)
+        assert script.connections == 2
+
+    asyncio.run(run())
+
+
+def test_a_refused_connection_never_ran():
+    async def run():
+        async with linked(Script()) as (link, server):
+            server.close()
+            await server.wait_closed()
+            assert (await link.attempt(JOB, 500_000, lambda news: None)).outcome is Outcome.CONNECT_FAILED
+            assert (await link.probe(100_000)).outcome is Outcome.CONNECT_FAILED
+
+    asyncio.run(run())
+
+
+def test_a_cancelled_attempt_closes_its_connection():
+    """Guards against work that goes on at a server though nobody waits for it."""
+
+    async def run():
+        closed = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"a\0b")
+            writer.write(OK + chunk(STARTED))
+            await reader.read()
+            closed.set()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        pool = LinkPool(0.25, 60.0, 4, LoadFields({}))
+        link, started = pool.link(f"127.0.0.1:{server.sockets[0].getsockname()[1]}"), asyncio.Event()
+        task = asyncio.create_task(link.attempt(JOB, 500_000, lambda news: started.set()))
+        await asyncio.wait_for(started.wait(), 10)
+        task.cancel()
+        await asyncio.wait_for(closed.wait(), 10)
+        server.close()
+        await pool.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,144 @@
+"""The program as a process: starting, a planned end, and the example folder as printed."""
+
+import http.client
+import os
+import re
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import orjson
+import pytest
+from site_kit import ROOT, SETTINGS, host_entry
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        return int(server.getsockname()[1])
+
+
+def wait_for(truth, seconds=20.0):
+    """Poll until it is true; the limit only ends a test that has failed."""
+    end = time.monotonic() + seconds
+    while not truth():
+        assert time.monotonic() < end, "it did not happen"
+        time.sleep(0.01)
+
+
+def answers(port: int) -> bool:
+    try:
+        return ask(port, "GET", "/healthz")[0] == 200
+    except OSError:
+        return False
+
+
+def ask(port: int, method: str = "POST", path: str = "/nearby/1", body: str = "1"):
+    """One request on a connection of its own: status, whether it closes, body."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    headers = {"X-Request-ID": f"r{time.monotonic_ns()}", "X-Tenant-Id": "ege-volt", "X-Timeout-Ms": "5000"}
+    connection.request(method, path, body, headers)
+    response = connection.getresponse()
+    try:
+        return response.status, response.headers.get("Connection"), response.read().decode()
+    finally:
+        connection.close()
+
+
+@pytest.fixture
+def start(tmp_path):
+    """Start processes; each is ended, by its own id, when the test is over."""
+    running = []
+
+    def begin(*command, **variables):
+        environment = os.environ | {"PYTHONPATH": str(ROOT)} | variables
+        with (tmp_path / "log").open("ab") as log:
+            process = subprocess.Popen([sys.executable, *command], env=environment, stderr=log, cwd=tmp_path)
+        running.append(process)
+        return process
+
+    yield begin
+    for process in running:
+        process.kill()
+        process.wait()
+
+
+def test_sigterm_serves_on_then_finishes_what_was_taken(start, tmp_path):
+    """Guards a planned restart: clients still come for up to 0.4 s, and nothing taken may be lost."""
+    toy, port = free_port(), free_port()
+    conf = {
+        "listen": f"127.0.0.1:{port}",
+        "settings": SETTINGS,
+        "known": {"seq": 1, "whole": True, "hosts": [host_entry("toy", f"127.0.0.1:{toy}")]},
+    }
+    (tmp_path / "config.json").write_bytes(orjson.dumps(conf))
+    start(str(ROOT / "example/toy_server.py"), f"127.0.0.1:{toy}")
+    program = start("-m", "hazelbend", RELAY_CONFIG=str(tmp_path / "config.json"))
+    wait_for(lambda: answers(port) and answers(toy))
+    running = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    idle = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    idle.connect()
+    headers = {"X-Request-ID": "long", "X-Tenant-Id": "ege-volt", "X-Timeout-Ms": "5000"}
+    running.request("POST", "/nearby/1", "900", headers)
+    wait_for(lambda: orjson.loads(ask(toy, "GET", "/load")[2])["inflight"] == 1)
+    program.send_signal(signal.SIGTERM)
+    time.sleep(0.1)  # within the time for which new connections still come
+    assert ask(port)[:2] == (200, "close")
+    idle.request("POST", "/nearby/1", "1", headers | {"X-Request-ID": "idle"})
+    assert idle.getresponse().status == 200
+    response = running.getresponse()
+    assert (response.status, response.read()) == (200, b"toy did long")
+    assert program.wait(10) == 0
+    assert b"left" in (tmp_path / "log").read_bytes()
+
+
+def test_a_faulty_configuration_ends_the_start_with_its_key(start, tmp_path):
+    (tmp_path / "config.json").write_text('{"listen": "127.0.0.1:0"}')
+    program = start("-m", "hazelbend", RELAY_CONFIG=str(tmp_path / "config.json"))
+    assert program.wait(20) == 2
+    assert b"settings: missing" in (tmp_path / "log").read_bytes()
+
+
+def test_a_taken_address_ends_the_start(start, tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        conf = {"listen": f"127.0.0.1:{taken.getsockname()[1]}", "settings": SETTINGS}
+        (tmp_path / "config.json").write_bytes(orjson.dumps(conf))
+        program = start("-m", "hazelbend", RELAY_CONFIG=str(tmp_path / "config.json"))
+        assert program.wait(20) == 1
+    assert b"cannot start" in (tmp_path / "log").read_bytes()
+
+
+def test_the_example_runs_as_printed(start, tmp_path):
+    """The commands of example/README.md, with free ports in place of the printed ones."""
+    shutil.copytree(ROOT / "example", tmp_path / "example", ignore=shutil.ignore_patterns("__pycache__"))
+    ports = {str(number): str(free_port()) for number in (7070, 7101, 7102, 61613)}
+    for path in (tmp_path / "example").rglob("*.*"):
+        text = path.read_text()
+        for printed, free in ports.items():
+            text = text.replace(f":{printed}", f":{free}")
+        path.write_text(text)
+    printed = (tmp_path / "example/README.md").read_text()
+    commands = re.findall(r"^    (.*\.venv/bin/python .*)$", printed, re.MULTILINE)
+    assert len(commands) == 6
+    shown = []
+    for command in commands:
+        words, background = command.removesuffix(" &"), command.endswith(" &")
+        settings, _, rest = words.partition(".venv/bin/python ")
+        variables = dict(pair.split("=") for pair in settings.split())
+        arguments = re.findall(r'"[^"]*"|\S+', rest)
+        arguments = [each.strip('"') for each in arguments]
+        if background:
+            start(*arguments, **variables)
+            address = re.search(r"127\.0\.0\.1:(\d+)", words)
+            wait_for(lambda port=int(address[1] if address else ports["7070"]): answers(port))
+        else:
+            environment = os.environ | {"PYTHONPATH": str(ROOT)} | variables
+            done = subprocess.run(
+                [sys.executable, *arguments], env=environment, cwd=tmp_path, capture_output=True, check=True
+            )
+            shown.append(done.stdout.decode())
+    assert shown[0].startswith("200 toy-")
+    assert "toy-1" in shown[1] and "toy-2" in shown[1] and "ready" in shown[1]
+    assert "leaving" in shown[2]
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,216 @@
+"""The core alone: a scripted module and links without wires."""
+
+import asyncio
+import logging
+
+from hazelbend.decisions import interface as face
+from hazelbend.decisions.interface import Outcome, WorkerState
+from hazelbend.routing.clock import Clock
+from hazelbend.routing.ports import Ending, Job, News, ServiceEntry, ServiceList, Verdict
+from hazelbend.routing.router import Router
+from hazelbend.routing.table import ServerTable, stable_id
+
+ENTRY = ServiceEntry("s-1", "h:1", 0, 0, 0, WorkerState.READY, 1.0, 0)
+ID = stable_id("s-1")
+JOB = Job("9b", 0, 0, 500_000)
+
+
+class Module:
+    """Does what a test says on each kind of event; keeps the events."""
+
+    def __init__(self, **script):
+        self.script, self.events = script, []
+
+    def handle(self, event, now):
+        self.events.append(event)
+        answer = self.script.get(type(event).__name__, [])
+        return answer(event) if callable(answer) else answer
+
+    def of(self, kind):
+        return [event for event in self.events if isinstance(event, kind)]
+
+
+class FakeLink:
+    def __init__(self, ending=None, news=()):
+        self.ending, self.news, self.calls = ending, news, 0
+
+    async def attempt(self, job, patience, tell):
+        self.calls += 1
+        for each in self.news:
+            tell(each)
+        if self.ending is None:
+            await asyncio.Event().wait()
+        if isinstance(self.ending, Exception):
+            raise self.ending
+        return self.ending
+
+    def close(self):
+        pass
+
+
+def play(module, link, *jobs, before=None):
+    """The answers to these jobs, and the router."""
+
+    async def run():
+        router = Router(module, Clock(), ServerTable(lambda entry: link))
+        router.begin(ServiceList((ENTRY,), whole=True))
+        flows = [router.take(job) for job in jobs]
+        if before:
+            before(router)
+        answers = [await asyncio.wait_for(flow.answered, 10) for flow in flows]
+        await asyncio.wait_for(router.drained(), 10)
+        return answers, router
+
+    return asyncio.run(run())
+
+
+def send(event):
+    return [face.Send(event.request, ID)]
+
+
+def test_a_flow_from_its_arrival_to_its_one_answer():
+    module = Module(RequestArrived=send)
+    link = FakeLink(Ending(Outcome.SERVED, b"r"), [News(), News(0.5)])
+    [answer], router = play(module, link, JOB)
+    assert (answer.verdict, answer.result) == (Verdict.SERVED, b"r")
+    assert [type(event).__name__ for event in module.events] == [
+        "MembershipUpdate", "RequestArrived", "JobStarted", "JobProgress", "AttemptEnded"
+    ]  # fmt: skip
+    [ended] = module.of(face.AttemptEnded)
+    assert ended.closed and ended.outcome is Outcome.SERVED and router.flows == {}
+
+
+def test_a_server_that_drains_between_decision_and_first_byte_gets_nothing():
+    """Guards the drain rule: the module's Send is an intention."""
+    for state, held in ((WorkerState.DRAINING, False), (WorkerState.GONE, False), (WorkerState.READY, True)):
+        module = Module(RequestArrived=send, AttemptEnded=lambda event: [face.Refuse(event.request)])
+        link = FakeLink(Ending(Outcome.SERVED))
+
+        def change(router, state=state, held=held):
+            entry = ServiceEntry("s-1", "h:1", 0, 0, 0, state, 1.0, 0)
+            router.table.apply(ServiceList((entry,)))
+            router.hold_back("s-1", held)
+
+        [answer], _ = play(module, link, JOB, before=change)
+        assert answer.verdict is Verdict.REFUSED and link.calls == 0
+        assert module.of(face.AttemptEnded)[0].outcome is Outcome.NOT_SENT
+
+
+def test_nothing_is_sent_once_the_client_has_left_and_what_is_out_is_called_back():
+    module = Module(
+        RequestArrived=send, ClientGone=lambda event: [face.Cancel(event.request, 0), *send(event)]
+    )
+    link = FakeLink()
+
+    async def run():
+        router = Router(module, Clock(), ServerTable(lambda entry: link))
+        router.begin(ServiceList((ENTRY,), whole=True))
+        flow = router.take(JOB)
+        await asyncio.sleep(0)
+        flow.leave()
+        await asyncio.wait_for(router.drained(), 10)
+        return router
+
+    router = asyncio.run(run())
+    assert sorted(event.outcome for event in module.of(face.AttemptEnded)) == [
+        Outcome.CANCELLED,
+        Outcome.NOT_SENT,
+    ]
+    assert all(event.closed for event in module.of(face.AttemptEnded))
+    assert router.tally.abandoned == 1 and sum(router.tally.verdicts.values()) == 0
+
+
+def test_a_second_answer_is_dropped_and_a_late_attempt_still_reported():
+    module = Module(
+        RequestArrived=lambda event: [*send(event), face.Refuse(event.request), face.Fail(event.request)]
+    )
+    [answer], router = play(module, FakeLink(Ending(Outcome.SERVED)), JOB)
+    assert answer.verdict is Verdict.REFUSED and router.tally.verdicts[Verdict.REFUSED] == 1
+    assert [event.outcome for event in module.of(face.AttemptEnded)] == [Outcome.SERVED]
+
+
+def test_an_attempt_ends_at_the_deadline_and_a_silent_module_is_overruled():
+    module = Module(RequestArrived=send)
+    [answer], _ = play(module, FakeLink(), Job("9b", 0, 0, 50_000))
+    assert answer.verdict is Verdict.FAILED and answer.overdue
+    assert module.of(face.AttemptEnded)[0].outcome is Outcome.TIMED_OUT
+    assert module.of(face.ClientGone), "the module is told, so that it lets go of the flow"
+
+
+def test_an_attempts_own_time_out_comes_first():
+    module = Module(
+        RequestArrived=lambda event: [face.Send(event.request, ID, timeout=20_000)],
+        AttemptEnded=lambda event: [face.Fail(event.request)],
+    )
+    [answer], _ = play(module, FakeLink(), JOB)
+    assert answer.verdict is Verdict.FAILED and not answer.overdue
+
+
+def test_a_fault_in_one_flow_ends_that_flow_alone(caplog):
+    def arrived(event):
+        if event.request == 1:
+            raise RuntimeError("the module's fault")
+        return send(event)
+
+    with caplog.at_level(logging.CRITICAL):
+        answers, _ = play(Module(RequestArrived=arrived), FakeLink(Ending(Outcome.SERVED)), JOB, JOB)
+    assert [answer.verdict for answer in answers] == [Verdict.FAILED, Verdict.SERVED]
+
+
+def test_a_fault_in_a_link_is_an_error_of_that_attempt(caplog):
+    module = Module(RequestArrived=send, AttemptEnded=lambda event: [face.Fail(event.request)])
+    with caplog.at_level(logging.CRITICAL):
+        [answer], _ = play(module, FakeLink(RuntimeError("fault")), JOB)
+    assert answer.verdict is Verdict.FAILED and module.of(face.AttemptEnded)[0].outcome is Outcome.ERROR
+
+
+def test_a_timer_whose_handling_failed_rings_again(caplog, monkeypatch):
+    """Guards the module's upkeep and its asking for lists, which live on timers that it sets itself."""
+    monkeypatch.setattr("hazelbend.routing.router.FAULT_PAUSE", 0.01)
+    rings = []
+
+    def ring(event):
+        rings.append(event.token)
+        if len(rings) == 1:
+            raise RuntimeError("once")
+        return [face.Refuse(1)]
+
+    script = {"RequestArrived": [face.StartTimer(1_000, 7)], "TimerFired": ring}
+    with caplog.at_level(logging.CRITICAL):
+        [answer], _ = play(Module(**script), FakeLink(), JOB)
+    assert rings == [7, 7] and answer.verdict is Verdict.REFUSED
+
+
+def test_without_discovery_a_subscription_is_answered_from_what_is_known():
+    module = Module(RequestArrived=lambda event: [face.Subscribe(), face.Refuse(event.request)])
+    play(module, FakeLink(), JOB)
+    kinds = [event.kind for event in module.of(face.MembershipUpdate)]
+    assert kinds == [face.ListKind.CACHED, face.ListKind.FULL]
+
+
+def test_a_whole_list_keeps_boxes_that_connected_by_themselves():
+    table = ServerTable(lambda entry: FakeLink())
+    changes = []
+    table.watcher = lambda server, up: changes.append((server.entry.host, up))
+    table.add_guest(ServiceEntry("box", "", 0, 0, 0, WorkerState.READY, 1.0, 9), FakeLink())
+    update = table.apply(ServiceList((ENTRY,), whole=True))
+    assert {entry.worker for entry in update.entries} == {ID, stable_id("box")}
+    update = table.apply(ServiceList((), whole=True))
+    assert [entry.worker for entry in update.entries] == [stable_id("box")]
+    assert table.change_guest("box", WorkerState.GONE).entries[0].state is WorkerState.GONE
+    assert changes == [("box", True), ("s-1", True), ("s-1", False), ("box", False)]
+    assert not table.servers
+
+
+def test_ids_are_the_same_at_every_dispatcher():
+    assert stable_id("s-5be2a07c") == 54_393_183_237_098
+
+
+def test_the_clock_is_unix_time_and_never_steps_back(monkeypatch):
+    import time
+
+    clock = Clock()
+    assert abs(clock.now() - time.time_ns() // 1_000) < 1_000_000
+    before = clock.now()
+    monkeypatch.setattr(time, "time_ns", lambda: 0)
+    assert clock.now() >= before
