--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -46,12 +46,13 @@
         self.stopping = asyncio.Event()
         # Half of the descriptors for the servers' side, half for the clients'; STOMP's come off first.
         sockets = conf.sockets - RESERVED - (conf.stomp.connections if conf.stomp else 0)
-        self.pool = LinkPool(conf.connect_timeout, conf.keepalive, max(sockets // 2, 8), conf.load_fields)
+        half = max(sockets // 2, 8)
+        self.pool = LinkPool(conf.connect_timeout, conf.keepalive, half, conf.load_fields)
         table = ServerTable(lambda entry: self.pool.link(entry.dial))
         self.router = Router(Dispatcher(conf.settings, conf.seed), Clock(), table)
         self.watch = DiscoveryWatch(conf.discovery, conf.reader) if conf.discovery else None
         self.router.discovery = self.watch
-        self.edge = Edge(self.router, conf.catalogue)
+        self.edge = Edge(self.router, conf.catalogue, half)
         self.boxes = Boxes(self.router, conf.catalogue, conf.load_fields)
         self.stomp: StompListener | None = None
         if conf.stomp is not None:
--- a/hazelbend/transport/edge.py
+++ b/hazelbend/transport/edge.py
@@ -48,8 +48,8 @@
 
 
 class Edge:
-    def __init__(self, router: Router, catalogue: Catalogue) -> None:
-        self._router, self._catalogue = router, catalogue
+    def __init__(self, router: Router, catalogue: Catalogue, limit: int) -> None:
+        self._router, self._catalogue, self._limit = router, catalogue, limit
         self.leaving = False
         self._server = _Server(
             self._serve,
@@ -84,7 +84,8 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         response = await self._respond(request)
-        if self.leaving:
+        if self.leaving or self.connections > self._limit:
+            # Over its share of the descriptors, connections are not kept: new ones and servers need room.
             response.force_close()
         return response
 
@@ -95,6 +96,9 @@
             return web.Response(status=405, headers={"Allow": "POST"}, text="jobs come by POST\n")
         if (request.content_length or 0) > BODY_LIMIT:
             return _too_large()
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            request.writer.output_size = 0  # an interim answer: the final one is still to be written
         body = bytearray()
         while part := await request.content.readany():
             body += part
--- a/hazelbend/transport/links.py
+++ b/hazelbend/transport/links.py
@@ -80,6 +80,16 @@
         context.trace_request_ctx.whole = True
 
 
+def _raw_url(base: str, target: str) -> URL:
+    """The URL whose target goes out as it came."""
+    url = URL(base + target, encoded=True)
+    if url.raw_path_qs != target:
+        # yarl drops the mark of an empty query ("/a?"), and aiohttp writes what yarl has: what it keeps of
+        # the URL's target is set right. Of all printable targets without a fragment this is the only case.
+        url._cache["raw_path_qs"] = target
+    return url
+
+
 class HttpLink:
     """The way to one real server."""
 
@@ -93,7 +103,7 @@
         headers = {"X-Request-ID": job.id, "X-Timeout-Ms": str(max(patience // 1_000, 1))}
         if job.idempotency_key is not None:
             headers["Idempotency-Key"] = job.idempotency_key
-        url = URL(self._base + job.target, encoded=True)
+        url = _raw_url(self._base, job.target)
         written = Written(not job.body)
         try:
             response = await self._pool.session.post(
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -69,6 +69,29 @@
     asyncio.run(run())
 
 
+def test_a_client_that_waits_to_be_told_to_go_on_is_told(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            answer = await talk(app.edge.port, request(more="Expect: 100-continue\r\nConnection: close\r\n"))
+            assert answer.startswith(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 ")
+
+    asyncio.run(run())
+
+
+def test_over_the_share_of_descriptors_connections_are_not_kept(tmp_path):
+    """Guards the limit on sockets: kept connections of clients must not take what the servers' side needs."""
+
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            app.edge._limit = 1
+            _, idle = await asyncio.open_connection("127.0.0.1", app.edge.port)
+            await until(lambda: app.edge.connections == 1)
+            assert b"\r\nConnection: close\r\n" in await talk(app.edge.port, request())
+            idle.close()
+
+    asyncio.run(run())
+
+
 def test_random_cuts_and_garbage_on_the_socket(tmp_path):
     async def run():
         async with site(tmp_path, stomp="") as (app, _):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import pytest
 
@@ -120,6 +121,18 @@
     assert not [row for row in rows if row.lower().startswith((b"accept", b"user-agent", b"cookie"))]
 
 
+def test_an_empty_query_is_not_lost():
+    """Guards against yarl, which drops the mark of a query that is empty."""
+
+    async def run():
+        script = Script(CASES["done"][0])
+        async with linked(script) as (link, _):
+            await link.attempt(replace(JOB, target="/nearby/1?"), 500_000, lambda news: None)
+        assert script.heard[0].startswith(b"POST /nearby/1? HTTP/1.1\r\n")
+
+    asyncio.run(run())
+
+
 def test_a_connection_is_used_again_after_a_whole_answer():
     script = Script(*[CASES["done"][0]] * 3)
     endings, _ = attempt(script, 3)
