Let a box's new connection cut its old one, and a drain by hand outlast an absence

Found by reading the STOMP front against its hard cases: a box that came back while its old connection was not yet known to be dead left the old one open and idle (stomp_boxes.py join); a server that left the list and came back lost its drain by hand (table.py _add); a client could name itself into any number of mailboxes (stomp_listener.py mailbox). Each has a test or a bound.

--- a/hazelbend/routing/table.py
+++ b/hazelbend/routing/table.py
@@ -47,6 +47,7 @@
         self.watcher: Callable[[RealServer, bool], None] | None = None  # told when one starts or stops
         self._guests: set[int] = set()
         self._indexes: dict[int, int] = {}
+        self._held_back: set[int] = set()  # by hand; it outlasts an absence from the list
 
     def apply(self, news: ServiceList, kind: ListKind = ListKind.FULL) -> MembershipUpdate:
         """Take a list or its changes in; the update for the decision module."""
@@ -82,6 +83,7 @@
         if server is None:
             return None
         before, server.held_back = server.takes_work, held
+        (self._held_back.add if held else self._held_back.discard)(server.id)
         self._notice(server, before)
         return MembershipUpdate(ListKind.DELTA, (server.told(),))
 
@@ -103,7 +105,8 @@
     def _add(self, entry: ServiceEntry, link: Link) -> RealServer:
         number = stable_id(entry.host)
         index = self._indexes.setdefault(number, len(self._indexes) + 1)
-        server = self.servers[number] = RealServer(number, index, entry, link)
+        server = RealServer(number, index, entry, link, held_back=number in self._held_back)
+        self.servers[number] = server
         self._notice(server, False)
         return server
 
--- a/hazelbend/transport/stomp_boxes.py
+++ b/hazelbend/transport/stomp_boxes.py
@@ -141,6 +141,7 @@
             return link
         if link is not None:
             self.leave(account, link)
+            link.outlet.cut("another connection of this box has taken its place")
         link = self._links[account.login] = BoxLink(outlet, subscription, self._catalogue, self._fields)
         entry = ServiceEntry(
             host=_host(account),
--- a/hazelbend/transport/stomp_clients.py
+++ b/hazelbend/transport/stomp_clients.py
@@ -23,6 +23,8 @@
 
     def send(self, frame: Frame) -> bool: ...
 
+    def cut(self, text: str) -> None: ...
+
 
 @dataclass(slots=True)
 class Bounds:
--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -33,6 +33,7 @@
 LAST_WORDS = 1.0  # seconds that an ERROR or RECEIPT has to get out before the connection closes
 BEAT_TOLERANCE = 2.0  # of the agreed interval: what the network may add
 MOST_SUBSCRIPTIONS = 16
+MOST_MAILBOXES = 1_024  # a client may name itself as it likes, and each name keeps a mailbox
 ACK_MODES = ("auto", "client", "client-individual")
 
 
@@ -96,6 +97,8 @@
         if identity not in self._mailboxes:
             for empty in [name for name, box in self._mailboxes.items() if box.is_empty]:
                 del self._mailboxes[empty]
+            if len(self._mailboxes) >= MOST_MAILBOXES:
+                raise StompError("too many clients have answers waiting")
             self._mailboxes[identity] = Mailbox(identity, self.settings.bounds, self._take, self.catalogue)
         return self._mailboxes[identity]
 
@@ -171,6 +174,11 @@
             self.send(Frame("ERROR", headers))
             self._open = False
 
+    def cut(self, text: str) -> None:
+        """End the connection from outside its own reading: an ERROR, then the close."""
+        self.error(text)
+        self._writer.close()
+
     def _write(self, data: bytes) -> None:
         self._writer.write(data)
         self._sent_at = asyncio.get_running_loop().time()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -202,6 +202,15 @@
     assert not table.servers
 
 
+def test_a_drain_by_hand_outlasts_an_absence_from_the_list():
+    table = ServerTable(lambda entry: FakeLink())
+    table.apply(ServiceList((ENTRY,), whole=True))
+    table.hold_back("s-1", True)
+    table.apply(ServiceList((), whole=True))
+    [entry] = table.apply(ServiceList((ENTRY,), whole=True)).entries
+    assert entry.state is WorkerState.DRAINING
+
+
 def test_ids_are_the_same_at_every_dispatcher():
     assert stable_id("s-5be2a07c") == 54_393_183_237_098
 
--- a/tests/test_stomp_front.py
+++ b/tests/test_stomp_front.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import socket
+from contextlib import asynccontextmanager
 from hashlib import blake2b
 
 import stomp
+from parser_kit import garbage, pieces
 from site_kit import SECRET, STOMP, StandIn, StandInBox, site, until, write_frame
 
 ANSWERS = {"id": "a", "destination": "/hazelbend/answers"}
@@ -34,6 +36,16 @@
     return int(answer.split()[1])
 
 
+@asynccontextmanager
+async def box_and_client(folder):
+    """A site whose only server is a box."""
+    async with site(folder, toys=0) as (app, _):
+        box = await StandInBox.connect(app.stomp.port, "box-1")
+        box.send("SUBSCRIBE", **WORK)
+        await until(lambda: app.boxes.connected == 1)
+        yield app, box, await client(app.stomp.port)
+
+
 def job_id_of(request_id: str) -> str:
     """The id that servers know a STOMP job by; a stable one, alike after a restart."""
     return blake2b(f"dashboard\0{request_id}".encode(), digest_size=16).hexdigest()
@@ -153,11 +165,7 @@
 
 def test_a_box_that_is_lost_resets_its_jobs_and_leaves_the_table(tmp_path):
     async def run():
-        async with site(tmp_path, toys=0) as (app, _):
-            box = await StandInBox.connect(app.stomp.port, "box-1")
-            box.send("SUBSCRIBE", **WORK)
-            peer = await client(app.stomp.port)
-            await until(lambda: app.boxes.connected == 1)
+        async with box_and_client(tmp_path) as (app, box, peer):
             [server] = app.router.table.servers.values()
             assert server.entry.started_at > app.router.started_at, "a box that connects is cold"
             peer.job("one", b"hang", "reserve")
@@ -172,10 +180,7 @@
 
 def test_a_box_that_unsubscribes_finishes_what_it_has_and_gets_nothing_new(tmp_path):
     async def run():
-        async with site(tmp_path, toys=0) as (app, _):
-            box = await StandInBox.connect(app.stomp.port, "box-1")
-            box.send("SUBSCRIBE", **WORK)
-            peer = await client(app.stomp.port)
+        async with box_and_client(tmp_path) as (app, box, peer):
             peer.job("first", b"20")
             await until(lambda: box.ran)
             box.send("UNSUBSCRIBE", id="w")
@@ -188,12 +193,48 @@
     asyncio.run(run())
 
 
+def test_a_second_connection_of_a_box_takes_the_place_of_the_first(tmp_path):
+    """Guards against a box that came back while its old connection was not yet known to be dead."""
+
+    async def run():
+        async with box_and_client(tmp_path) as (app, box, peer):
+            peer.job("one", b"hang", "reserve")
+            await until(lambda: box.ran)
+            again = await StandInBox.connect(app.stomp.port, "box-1")
+            again.send("SUBSCRIBE", **WORK)
+            await until(lambda: box.closed)
+            assert "taken its place" in box.of("ERROR")[0].headers["message"]
+            peer.job("two", b"1")
+            await until(lambda: len(peer.answers()) == 2)
+            assert peer.answers()["two"] == ["served"] and len(again.ran) == 1
+            assert app.boxes.connected == 1
+
+    asyncio.run(run())
+
+
+def test_garbage_on_the_socket_does_no_harm(tmp_path):
+    async def run():
+        async with site(tmp_path) as (app, _):
+            hello = write_frame(
+                "CONNECT", {"accept-version": "1.2", "login": "dashboard", "passcode": SECRET}
+            )
+            subscribe = write_frame("SUBSCRIBE", ANSWERS)
+            for seed in range(40):
+                reader, writer = await asyncio.open_connection("127.0.0.1", app.stomp.port)
+                for piece in pieces(hello + garbage(subscribe * 2, seed), seed):
+                    writer.write(piece)
+                writer.write_eof()
+                answer = await asyncio.wait_for(reader.read(), 10)
+                assert answer.startswith(b"CONNECTED\n")
+                writer.close()
+            await until(lambda: app.stomp.connections == 0)
+
+    asyncio.run(run())
+
+
 def test_a_deadline_cancels_the_job_at_its_box(tmp_path):
     async def run():
-        async with site(tmp_path, toys=0) as (app, _):
-            box = await StandInBox.connect(app.stomp.port, "box-1")
-            box.send("SUBSCRIBE", **WORK)
-            peer = await client(app.stomp.port)
+        async with box_and_client(tmp_path) as (app, box, peer):
             peer.job("one", b"hang", deadline="300")
             await until(lambda: box.cancelled)
             assert box.cancelled == box.ran
