Ask discovery on a fresh connection after a failed call, and bound a client's wait

Found by reading: after a failed call the next one could take a pooled connection that was as dead (discovery_watch.py _watch); a client could ask for an hour, which a planned end would have waited for (http_fields.py patience). Each has a test.

--- a/hazelbend/protocol/http_fields.py
+++ b/hazelbend/protocol/http_fields.py
@@ -9,8 +9,6 @@
 
 from hazelbend.routing.ports import Job
 
-MOST_MS = 3_600_000
-
 
 class BadRequest(Exception):
     """What a client sent cannot be taken; the text tells the client why."""
@@ -52,12 +50,13 @@
     return int.from_bytes(blake2b(text.encode(), digest_size=8).digest()) or 1 if text else 0
 
 
-def patience(text: str | None, default_ms: int, margin: int) -> int:
-    """The microseconds that a client still waits; less a margin, so that the answer is there in time."""
+def patience(text: str | None, class_ms: int, margin: int) -> int:
+    """The microseconds that a client still waits, no more than its class allows, so that a planned end is
+    never kept waiting for one flow; less a margin, so that the answer is there in time."""
     if text is None:
-        milliseconds = default_ms
+        milliseconds = class_ms
     elif text.isascii() and text.isdecimal() and len(text) <= 9:
-        milliseconds = min(int(text), MOST_MS)
+        milliseconds = min(int(text), class_ms)
     else:
         raise BadRequest("the time-out is no whole number of milliseconds")
     whole = milliseconds * 1_000
--- a/hazelbend/transport/discovery_watch.py
+++ b/hazelbend/transport/discovery_watch.py
@@ -53,7 +53,10 @@
                 async with asyncio.timeout(limit):
                     news = await self._call(self._session, query)
             except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-                log.warning("discovery: call failed: %s", error or type(error).__name__)
+                log.warning("discovery: call failed: %s", str(error) or type(error).__name__)
+                # Its connections may be dead without a sign: the next call must not be lost to one of them.
+                session, self._session = self._session, None
+                await session.close()
                 tell(ServiceList(failed=True))
                 return
             tell(news)
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -82,6 +82,31 @@
     assert [news.failed for news in told] == [True]
 
 
+def test_after_a_failed_call_the_next_one_has_a_connection_of_its_own(monkeypatch):
+    """Guards against a pooled connection that is dead without a sign: it would fail call after call."""
+
+    async def run():
+        told, ports = [], []
+
+        async def serve(reader, writer):
+            ports.append(writer.get_extra_info("peername")[1])
+            while await reader.readline():
+                pass
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        each = discovery_watch.DiscoveryWatch(address, ListReader((), ()))
+        for number in (1, 2):
+            each.subscribe(told.append)
+            await until(lambda number=number: len(told) == number)
+        assert all(news.failed for news in told) and len(set(ports)) == 2
+        await each.close()
+        server.close()
+
+    monkeypatch.setattr(discovery_watch, "CALL_LIMIT", 0.05)
+    asyncio.run(run())
+
+
 def test_a_new_subscription_takes_the_place_of_the_old():
     told, asked, _ = watch(answer(41, True, "a"), subscriptions=3)
     assert len(told) == 1 and asked[0] == "/v1/servers"
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -227,6 +227,12 @@
     assert len(astuple(job)) == 10
 
 
+def test_a_client_waits_no_longer_than_its_class_allows():
+    """Guards a planned end, which waits for every flow: none may ask for an hour."""
+    assert read_http(HEAD.replace(b":480", b":999999999")).patience <= 5_000_000
+    assert read_http(HEAD.replace(b"X-Timeout-Ms:480\n", b"")).patience <= 5_000_000
+
+
 @pytest.mark.parametrize(
     "change",
     [
