--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -168,7 +168,7 @@
     def error(self, text: str, cause: Frame | None = None) -> None:
         """The last frame on this connection."""
         if self._open:
-            headers = {"message": text[:200]}
+            headers = {"version": "1.1,1.2", "message": text[:200]}
             if cause is not None and cause.get("receipt"):
                 headers["receipt-id"] = cause.get("receipt")
             self.send(Frame("ERROR", headers))
