Bound what all STOMP mailboxes hold, and keep a silent client's mailbox

Found by reading: nothing bounded the bytes of all mailboxes together (stomp_clients.py _is_full); a mailbox that was still empty was cleared away under its connected client (stomp_listener.py mailbox), whose first answer a reconnect would then not have found. Each has a test.

--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -283,6 +283,7 @@
             waiting=keys.number("waiting", bounds.waiting, 1, 1_000_000),
             waiting_bytes=keys.number("waiting_bytes", bounds.waiting_bytes, 65_536, 1 << 30),
             remembered=keys.number("remembered", bounds.remembered, 0, 10_000_000),
+            total_bytes=keys.number("total_bytes", bounds.total_bytes, 65_536, 1 << 40),
             keep_s=float(keys.number("keep_s", int(bounds.keep_s), 1, 86_400)),
         ),
     )
--- a/hazelbend/transport/stomp_clients.py
+++ b/hazelbend/transport/stomp_clients.py
@@ -34,6 +34,14 @@
     waiting_bytes: int = 4 * 1024 * 1024
     remembered: int = 2_048  # acknowledged requests whose ids are still known
     keep_s: float = 300.0  # how long an answer waits, and an id stays known after it
+    total_bytes: int = 32 * 1024 * 1024  # jobs and answers of all clients together
+
+
+@dataclass(slots=True)
+class Usage:
+    """The bytes that all mailboxes hold together."""
+
+    held: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -45,6 +53,7 @@
     answer: Answer | None = None
     settled: bool = False  # acknowledged, or sent where the subscription asks for no acknowledgement
     ack: str = ""  # the header that the client's ACK must name
+    size: int = 0  # bytes held: of the job, then of its answer
 
 
 @dataclass(slots=True, eq=False)
@@ -55,20 +64,32 @@
     sent: list[Entry] = field(default_factory=list)  # awaiting acknowledgement, in order
 
 
+# How soon a client makes room is its own doing, so no estimate of the module's fits.
+FULL_PAUSE = 1_000_000  # microseconds
+
+
 class Mailbox:
     """All that belongs to one client identity."""
 
     def __init__(
-        self, identity: str, bounds: Bounds, take: Callable[[Job], Flow], catalogue: Catalogue
+        self,
+        identity: str,
+        bounds: Bounds,
+        take: Callable[[Job], Flow],
+        catalogue: Catalogue,
+        usage: Usage,
+        make_room: Callable[[], None],
     ) -> None:
         self.identity = identity
+        self._usage, self._make_room = usage, make_room
         self._bounds, self._take, self._catalogue = bounds, take, catalogue
         self._entries: dict[str, Entry] = {}
         self._subscriptions: list[Subscription] = []
+        self.connections = 0  # whose client this is; one that has sent nothing yet may still do so
 
     @property
     def is_empty(self) -> bool:
-        return not self._entries and not self._subscriptions
+        return not self._entries and not self.connections
 
     def unsettled(self) -> list[Entry]:
         return [entry for entry in self._entries.values() if not entry.settled]
@@ -85,14 +106,15 @@
             raise BadRequest("this client may not send for that tenant")
         job = stomp_jobs.read_job(frame, self.identity, self._catalogue)
         entry = Entry(request_id, secrets.token_hex(8))
-        if self._is_full():
+        if self._is_full(len(frame.body)):
             # Nothing has run: a refusal is true. It is not kept, as there is no room to keep it.
-            entry.answer = Answer(Verdict.REFUSED, retry_after=1_000_000)
+            entry.answer = Answer(Verdict.REFUSED, retry_after=FULL_PAUSE)
             entry.settled = True
             if self._subscriptions:
                 self._write(self._subscriptions[-1], entry, remember=False)
             return
         self._entries[request_id] = entry
+        self._hold(entry, len(frame.body))
         flow = self._take(job)
         flow.answered.add_done_callback(lambda done: self._answered(entry, done.result()))
 
@@ -124,21 +146,42 @@
 
     # --- answers ---
 
-    def _is_full(self) -> bool:
+    def _hold(self, entry: Entry, size: int) -> None:
+        self._usage.held += size - entry.size
+        entry.size = size
+
+    def drop_settled(self) -> None:
+        """Forget the answers that their client has."""
+        for entry in [each for each in self._entries.values() if each.settled]:
+            self._drop(entry)
+
+    def _drop(self, entry: Entry) -> None:
+        del self._entries[entry.request_id]
+        self._hold(entry, 0)
+
+    def _is_full(self, size: int) -> bool:
+        if self._usage.held + size > self._bounds.total_bytes:
+            self._make_room()
+            if self._usage.held + size > self._bounds.total_bytes:
+                return True
         waiting = self.unsettled()
-        size = sum(len(entry.answer.result) for entry in waiting if entry.answer is not None)
-        return len(waiting) >= self._bounds.waiting or size >= self._bounds.waiting_bytes
+        held = sum(entry.size for entry in waiting)
+        return len(waiting) >= self._bounds.waiting or held >= self._bounds.waiting_bytes
 
     def _answered(self, entry: Entry, answer: Answer) -> None:
         entry.answer = answer
+        self._hold(entry, len(answer.result))
         asyncio.get_running_loop().call_later(self._bounds.keep_s, self._forget, entry)
         self._deliver(entry)
         settled = [each for each in self._entries.values() if each.settled]
         for oldest in settled[: max(len(settled) - self._bounds.remembered, 0)]:
-            del self._entries[oldest.request_id]
+            self._drop(oldest)
 
     def _forget(self, entry: Entry) -> None:
-        if self._entries.pop(entry.request_id, None) is not None and not entry.settled:
+        if self._entries.get(entry.request_id) is not entry:
+            return
+        self._drop(entry)
+        if not entry.settled:
             log.warning(
                 "%s: the answer to %s was not fetched in time; dropped", self.identity, entry.request_id
             )
--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -24,7 +24,7 @@
 from hazelbend.routing.ports import Job
 from hazelbend.routing.router import Flow
 from hazelbend.transport.stomp_boxes import BoxAccount, Boxes, BoxLink
-from hazelbend.transport.stomp_clients import Bounds, Mailbox, Subscription
+from hazelbend.transport.stomp_clients import Bounds, Mailbox, Subscription, Usage
 
 log = logging.getLogger("hazelbend.stomp")
 
@@ -69,6 +69,7 @@
         self.settings, self.boxes, self.catalogue = settings, boxes, catalogue
         self._take = take
         self._mailboxes: dict[str, Mailbox] = {}
+        self._usage = Usage()
         self._sessions: set[Session] = set()
         self._listener: asyncio.Server | None = None
 
@@ -99,9 +100,15 @@
                 del self._mailboxes[empty]
             if len(self._mailboxes) >= MOST_MAILBOXES:
                 raise StompError("too many clients have answers waiting")
-            self._mailboxes[identity] = Mailbox(identity, self.settings.bounds, self._take, self.catalogue)
+            self._mailboxes[identity] = Mailbox(
+                identity, self.settings.bounds, self._take, self.catalogue, self._usage, self._make_room
+            )
         return self._mailboxes[identity]
 
+    def _make_room(self) -> None:
+        for mailbox in self._mailboxes.values():
+            mailbox.drop_settled()
+
     def account(self, frame: Frame) -> ClientAccount | BoxAccount:
         """Who it is, by our file; all comparisons take the same time."""
         digest = sha256(frame.get("passcode").encode()).hexdigest()
@@ -221,6 +228,7 @@
         if self._beats is not None:
             self._beats.cancel()
         if self._mailbox is not None:
+            self._mailbox.connections -= 1
             for subscription in self._subscriptions.values():
                 self._mailbox.unsubscribe(subscription)
         if self._link is not None and isinstance(self._account, BoxAccount):
@@ -250,9 +258,9 @@
         out_ms, in_ms = beat_intervals(frame.get("heart-beat"), self._front.settings.heart_beat_ms)
         if isinstance(account, ClientAccount):
             client_id = frame.get("client-id")
-            self._mailbox = self._front.mailbox(
-                f"{account.login}/{client_id}" if client_id else account.login
-            )
+            name = f"{account.login}/{client_id}" if client_id else account.login
+            self._mailbox = self._front.mailbox(name)
+            self._mailbox.connections += 1
         own_out, own_in = self._front.settings.heart_beat_ms
         self.send(
             Frame(
--- a/tests/test_stomp_front.py
+++ b/tests/test_stomp_front.py
@@ -134,6 +134,23 @@
     asyncio.run(run())
 
 
+def test_a_client_that_is_silent_at_first_keeps_its_mailbox(tmp_path):
+    """Guards against a mailbox cleared away as empty under a client that then sends its first job."""
+
+    async def run():
+        async with site(tmp_path) as (app, _):
+            quiet = await StandIn.connect(app.stomp.port)
+            await client(app.stomp.port, client_id="another")
+            quiet.job("one", b"1", receipt="taken")
+            await until(lambda: quiet.of("RECEIPT"))
+            await quiet.drop()
+            back = await client(app.stomp.port)
+            await until(lambda: back.answers())
+            assert back.answers() == {"one": ["served"]}
+
+    asyncio.run(run())
+
+
 def test_a_repeated_send_attaches_to_the_flow_under_way(tmp_path):
     async def run():
         async with site(tmp_path) as (app, [toy]):
@@ -304,6 +321,27 @@
     asyncio.run(run())
 
 
+def test_all_mailboxes_together_are_bounded_and_settled_answers_go_first(tmp_path):
+    """Guards the program's memory: a client may have many names, and each name a mailbox."""
+
+    async def run():
+        text = STOMP.replace("[[client]]", "total_bytes = 65536\n[[client]]", 1)
+        async with site(tmp_path, stomp=text) as (app, _):
+            first, second = await client(app.stomp.port), await client(app.stomp.port, client_id="b")
+            first.job("one", b"1 ".ljust(60_000))
+            await until(lambda: first.answers())  # settled: the room of its job is free again
+            second.job("two", b"hang ".ljust(65_500), deadline="1000")
+            await until(lambda: app.router.flows)
+            first.job("three", b"1 ".ljust(100))
+            await until(lambda: len(first.answers()) == 2 and second.answers())
+            assert first.answers() == {"one": ["served"], "three": ["refused"]}
+            first.job("four", b"1 ".ljust(60_000))
+            await until(lambda: len(first.answers()) == 3)
+            assert first.answers()["four"] == ["served"]
+
+    asyncio.run(run())
+
+
 def test_a_consumer_that_does_not_read_is_cut_off_and_its_answers_wait(tmp_path):
     async def run():
         text = STOMP.replace("[[client]]", "write_limit = 65536\n[[client]]", 1)
