Tell the module the end of attempts that a fault in their flow left out

Found by reading router.py _live: after a fault the module heard ClientGone only, and would have counted the attempts still out as load on their servers for ever. Now each is told as cancelled; the test raises inside the module.

--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -163,6 +163,7 @@
     # --- the life of a request ---
 
     async def _live(self, flow: Flow) -> None:
+        """Arrive, ask, schedule, hear the outcome, answer once; over when the last scheduling is."""
         loop = asyncio.get_running_loop()
         job = flow.job
         end = loop.call_later(job.patience / 1e6 + GRACE, flow.inbox.put_nowait, Overdue())
@@ -211,7 +212,7 @@
         finally:
             end.cancel()
             for each in flow.schedulings:
-                if each.task is not None:
+                if each.task is not None and not each.over:
                     each.task.cancel()
             self._answer(flow, Answer(Verdict.FAILED))
             self.flows.pop(flow.number, None)
@@ -227,10 +228,19 @@
             self.tally.verdicts[answer.verdict] += 1
 
     def _forget(self, flow: Flow) -> None:
-        try:
-            self.decider.handle(face.ClientGone(flow.number), self.clock.now())
-        except Exception:
-            log.exception("flow %s: the module could not let it go", flow.job.id)
+        """After a fault: the module counts an attempt as load on its server until it hears of its end."""
+        events: list[face.Event] = [face.ClientGone(flow.number)]
+        for number, each in enumerate(flow.schedulings):
+            if not each.over:
+                outcome = Outcome.CANCELLED
+                events.append(face.AttemptEnded(flow.number, each.worker, number, outcome, closed=True))
+                if each.server is not None and each.task is not None:
+                    each.server.out -= 1
+        for event in events:
+            try:
+                self.decider.handle(event, self.clock.now())
+            except Exception:
+                log.exception("flow %s: the module could not let it go", flow.job.id)
 
     # --- schedulings ---
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -157,6 +157,20 @@
     assert [answer.verdict for answer in answers] == [Verdict.FAILED, Verdict.SERVED]
 
 
+def test_after_a_fault_the_module_hears_the_end_of_what_was_out(caplog):
+    """Guards against load that the module would count on a server for ever."""
+
+    def started(event):
+        raise RuntimeError("the module's fault")
+
+    module = Module(RequestArrived=send, JobStarted=started)
+    with caplog.at_level(logging.CRITICAL):
+        [answer], router = play(module, FakeLink(news=[News()]), JOB)
+    [ended] = module.of(face.AttemptEnded)
+    assert (answer.verdict, ended.outcome, ended.closed) == (Verdict.FAILED, Outcome.CANCELLED, True)
+    assert [server.out for server in router.table.servers.values()] == [0]
+
+
 def test_a_fault_in_a_link_is_an_error_of_that_attempt(caplog):
     module = Module(RequestArrived=send, AttemptEnded=lambda event: [face.Fail(event.request)])
     with caplog.at_level(logging.CRITICAL):
