Reload on SIGHUP: move the watch, apply what can change, lose nothing

Checked: nothing in program/app.py handled SIGHUP (only SIGTERM and SIGINT in App.run), so its default action ended the process; DiscoveryWatch took its address once, in __init__. Ruled out: decisions and links, as the log ends mid-traffic without a fault.

Now App.reload reads the file again, App.apply alone takes over what differs, and config.fixed says what waits for a restart: places of zones, kinds, classes and tenants, which open flows know by number. A bad file changes nothing. A watch has a session of its own, so the old address is let go of at once.

--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -73,13 +73,14 @@
 
 class Dispatcher:
     def __init__(self, settings: face.Settings, seed: int) -> None:
-        self.settings, self.random, self.born = settings, random.Random(seed), -1
+        self.random, self.born = random.Random(seed), -1
         self.lots_at, self.part = 0, 0.0  # own part of the cold budget, in jobs for a rate of one
         self.workers: dict[int, Worker] = {}
         self.ready: dict[Worker, None] = {}
         self.requests: dict[int, Request] = {}
         self.held: dict[int, Request] = {}
-        self.runs = [Mean(CLASS_PRIOR, CLASS_PRIOR * max(job.objective, 1)) for job in settings.classes]
+        self.runs: list[Mean] = []
+        self._settle(settings)
         self.work, self.width = Mean(1.0, self.runs[0].value), Mean(1.0, 1.0)  # of what arrives
         self.runs_with, self.runs_without = Mean(MEMORY, MEMORY), Mean(MEMORY, 2 * MEMORY)
         self.share = Mean(MEMORY, MEMORY / settings.fleet_size)  # of all jobs out, the own
@@ -87,15 +88,29 @@
         self.sizes: dict[int, float] = {}  # by machine kind: the highest weight listed
         self.misses = [0.0] * len(LAGS)
         self.rates, self.weights = Mean(1.0, 1.0), Mean(1.0, 1.0)  # of workers that served, in mean jobs
-        asks = settings.probes_allowed and settings.reports_by_probe
-        self.probes = min(MOST_PROBES, int(PROBE_POINTS / max(settings.probe_charge, 1e-6))) if asks else 0
         self.out: list[face.Action] = []
         self.handlers: dict[type, Any] = {
             face.RequestArrived: self._arrived, face.AttemptEnded: self._ended, face.JobProgress: self._heard,
             face.JobStarted: self._heard, face.StreamStarted: self._heard, face.TimerFired: self._timer,
             face.MembershipUpdate: self._members, face.ClientGone: self._gone, face.ProbeEnded: self._probed,
+            face.SettingsChanged: self._changed,
         }  # fmt: skip
 
+    def _settle(self, settings: face.Settings) -> None:
+        """Go by these settings; what was learnt of a class stays with its place."""
+        self.settings = settings
+        for job in settings.classes[len(self.runs) :]:
+            self.runs.append(Mean(CLASS_PRIOR, CLASS_PRIOR * max(job.objective, 1)))
+        asks = settings.probes_allowed and settings.reports_by_probe
+        self.probes = min(MOST_PROBES, int(PROBE_POINTS / max(settings.probe_charge, 1e-6))) if asks else 0
+
+    def _changed(self, event: face.SettingsChanged, now: int) -> None:
+        asked = self.settings.list_must_be_asked
+        self._settle(event.settings)
+        if self.settings.list_must_be_asked and not asked:
+            self.out.append(face.Subscribe())
+        self._try_held(now)
+
     def handle(self, event: face.Event, now: int) -> list[face.Action]:
         self.out = []
         if self.born < 0:
--- a/hazelbend/decisions/interface.py
+++ b/hazelbend/decisions/interface.py
@@ -180,6 +180,13 @@
     token: int
 
 
+@dataclass(slots=True, frozen=True)
+class SettingsChanged:
+    """New settings for what comes from now on. Classes, zones and kinds keep their places."""
+
+    settings: Settings
+
+
 @dataclass(slots=True, frozen=True)
 class ProbeEnded:
     worker: WorkerId
@@ -197,6 +204,7 @@
     | AttemptEnded
     | ClientGone
     | TimerFired
+    | SettingsChanged
     | ProbeEnded
 )
 
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import signal
+from dataclasses import fields, replace
 from typing import Protocol
 
 from hazelbend.decisions.brain import Dispatcher
@@ -17,7 +18,7 @@
 from hazelbend.routing.table import RealServer, ServerTable
 from hazelbend.transport.discovery_watch import DiscoveryWatch
 from hazelbend.transport.edge import Edge
-from hazelbend.transport.links import LinkPool
+from hazelbend.transport.links import LinkPool, LinkSettings
 from hazelbend.transport.stomp_boxes import Boxes
 from hazelbend.transport.stomp_listener import StompListener
 
@@ -44,15 +45,13 @@
         self.conf = conf
         self.recent = recent or RecentLines()
         self.stopping = asyncio.Event()
-        # Half of the descriptors for the servers' side, half for the clients'; STOMP's come off first.
-        sockets = conf.sockets - RESERVED - (conf.stomp.connections if conf.stomp else 0)
-        half = max(sockets // 2, 8)
-        self.pool = LinkPool(conf.connect_timeout, conf.keepalive, half, conf.load_fields)
+        self._closed = False
+        self.pool = LinkPool(_link_settings(conf))
         table = ServerTable(lambda entry: self.pool.link(entry.dial))
         self.router = Router(Dispatcher(conf.settings, conf.seed), Clock(), table)
-        self.watch = DiscoveryWatch(conf.discovery, conf.reader) if conf.discovery else None
+        self.watch = DiscoveryWatch(conf.discovery, conf.reader)
         self.router.discovery = self.watch
-        self.edge = Edge(self.router, conf.catalogue, half)
+        self.edge = Edge(self.router, conf.catalogue, _half(conf))
         self.boxes = Boxes(self.router, conf.catalogue, conf.load_fields)
         self.stomp: StompListener | None = None
         if conf.stomp is not None:
@@ -94,6 +93,39 @@
         await self.edge.listen(*self.conf.listen)
         log.info("%s: listening on %s:%d", self.conf.name, self.conf.listen[0], self.edge.port)
 
+    def reload(self) -> None:
+        """SIGHUP: read the configuration again. One that is bad changes nothing."""
+        if self._closed:
+            return
+        try:
+            conf = config.load()
+        except config.ConfigError as error:
+            log.error("reload: %s; the settings stay as they were", error)
+        except Exception:
+            log.exception("reload: fault; the settings stay as they were")
+        else:
+            self.apply(conf)
+
+    def apply(self, conf: config.Config) -> None:
+        """Take over all that differs and can change in a running program: here and nowhere else."""
+        old, kept = self.conf, config.fixed(self.conf, conf)
+        self.conf = conf = replace(conf, **{name: getattr(old, name) for name in kept})
+        changed = [each.name for each in fields(conf) if getattr(conf, each.name) != getattr(old, each.name)]
+        if _link_settings(conf) != _link_settings(old):
+            self.pool.change(_link_settings(conf))
+        self.edge.catalogue, self.edge.limit = conf.catalogue, _half(conf)
+        if (conf.catalogue, conf.load_fields) != (old.catalogue, old.load_fields):
+            self.boxes.change(conf.catalogue, conf.load_fields)
+            if self.stomp is not None:
+                self.stomp.change(conf.catalogue)
+        if conf.settings != old.settings:
+            self.router.change_settings(conf.settings)
+        if (conf.discovery, conf.reader) != (old.discovery, old.reader):
+            self.watch.move(conf.discovery, conf.reader)
+        log.info("reloaded: %s", ", ".join(changed) or "nothing has changed")
+        if kept:
+            log.warning("reload: these wait for a restart: %s", ", ".join(kept))
+
     async def leave(self, after: float = LEAVE_AFTER) -> None:
         """A planned end: serve on while clients still come, then finish all that was taken."""
         log.info("leaving: %d flows open", len(self.router.flows))
@@ -107,11 +139,11 @@
         log.info("left")
 
     async def close(self) -> None:
+        self._closed = True
         await self.edge.close()
         if self.stomp is not None:
             await self.stomp.close()
-        if self.watch is not None:
-            await self.watch.close()
+        await self.watch.close()
         if self.console is not None:
             await self.console.close()
         if self.agent is not None:
@@ -123,11 +155,21 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
         await self.stopping.wait()
         await self.leave()
 
 
+def _half(conf: config.Config) -> int:
+    """Half of the descriptors for the servers' side, half for the clients'; STOMP's come off first."""
+    return max((conf.sockets - RESERVED - (conf.stomp.connections if conf.stomp else 0)) // 2, 8)
+
+
+def _link_settings(conf: config.Config) -> LinkSettings:
+    return LinkSettings(conf.connect_timeout, conf.keepalive, _half(conf), conf.load_fields)
+
+
 def main() -> int:
     recent = set_up()
     try:
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -194,6 +194,18 @@
     )
 
 
+def fixed(old: Config, new: Config) -> list[str]:
+    """What differs but can only be taken over at a start."""
+    # Servers and open flows know zones, kinds, classes and tenants by their places: new ones may only follow.
+    extends = new.catalogue.extends(old.catalogue) and new.reader.take_over(old.reader)
+    names = () if extends else ("settings", "catalogue", "reader")
+    return [
+        name
+        for name in ("listen", "seed", "known", "stomp", "snmp", "console", *names)
+        if getattr(old, name) != getattr(new, name)
+    ]
+
+
 def with_deploy(config: Config, folder: Path, conf: dict[str, Any]) -> Config:
     """What our files in this folder enable."""
     names = Keys(conf, "").sub("settings")
--- a/hazelbend/protocol/discovery.py
+++ b/hazelbend/protocol/discovery.py
@@ -17,16 +17,43 @@
     """Numbers for the names of zones or kinds: the settings' places, and further ones as they turn up."""
 
     def __init__(self, names: tuple[str, ...]) -> None:
+        self.listed = names
         self._numbers = {name: number for number, name in enumerate(names)}
 
     def number(self, name: str) -> int:
         return self._numbers.setdefault(name, len(self._numbers))
 
+    def joined(self, old: Names) -> Names | None:
+        """These names beside the numbers that are in use; None where a number would change its meaning."""
+        numbers = old._numbers | self._numbers
+        if not old._numbers.items() <= numbers.items() or len(set(numbers.values())) < len(numbers):
+            return None
+        names = Names(self.listed)
+        names._numbers = numbers
+        return names
+
 
 class ListReader:
     def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
         self._zones, self._kinds = Names(zones), Names(kinds)
 
+    def __eq__(self, other: object) -> bool:
+        """Whether the settings named the same."""
+        return isinstance(other, ListReader) and (self._zones.listed, self._kinds.listed) == (
+            other._zones.listed,
+            other._kinds.listed,
+        )
+
+    __hash__ = None  # type: ignore[assignment]
+
+    def take_over(self, old: ListReader) -> bool:
+        """Go on for another reader, with the numbers that it gave; False where that cannot be."""
+        zones, kinds = self._zones.joined(old._zones), self._kinds.joined(old._kinds)
+        if zones is None or kinds is None:
+            return False
+        self._zones, self._kinds = zones, kinds
+        return True
+
     def read(self, text: bytes) -> ServiceList:
         try:
             return self.from_object(orjson.loads(text))
--- a/hazelbend/protocol/http_fields.py
+++ b/hazelbend/protocol/http_fields.py
@@ -31,6 +31,11 @@
     tenants: tuple[str, ...]
     margin: int = 25_000  # microseconds kept of the client's time for the way there and back
 
+    def extends(self, old: Catalogue) -> bool:
+        """Whether every name that the old one had keeps its place."""
+        names, held = tuple(row.name for row in self.classes), tuple(row.name for row in old.classes)
+        return names[: len(held)] == held and self.tenants[: len(old.tenants)] == old.tenants
+
     def class_index(self, name: str) -> int:
         for index, row in enumerate(self.classes):
             if row.name == name:
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -150,6 +150,10 @@
             self._ask(update)
         return update is not None
 
+    def change_settings(self, settings: face.Settings) -> None:
+        """For what comes from now on; flows that are open keep the rules that they came under."""
+        self._ask(face.SettingsChanged(settings))
+
     def close(self) -> None:
         """The end: timers that still ring find nothing to do."""
         self._closed = True
--- a/hazelbend/transport/discovery_watch.py
+++ b/hazelbend/transport/discovery_watch.py
@@ -21,50 +21,58 @@
 
 
 class DiscoveryWatch:
-    def __init__(self, address: str, reader: ListReader) -> None:
-        self._base, self._reader = f"http://{address}/v1/servers", reader
-        self._session: aiohttp.ClientSession | None = None
+    """Where discovery is may change: the list stays in force until the new address has answered."""
+
+    def __init__(self, address: str | None, reader: ListReader) -> None:
+        self.address, self._reader = address, reader
+        self._tell: Callable[[ServiceList], None] | None = None
         self._task: asyncio.Task[None] | None = None
 
     def subscribe(self, tell: Callable[[ServiceList], None]) -> None:
         """Exactly one result for each call; a watch that still runs is given up for the new one."""
+        self._tell = tell
         if self._task is not None:
             self._task.cancel()
         self._task = asyncio.create_task(self._watch(tell))
 
+    def move(self, address: str | None, reader: ListReader) -> None:
+        """Watch there from now on. It may be another service, so its whole list is asked for."""
+        self.address, self._reader = address, reader
+        if self._tell is not None:
+            self.subscribe(self._tell)
+
     async def close(self) -> None:
         if self._task is not None:
             self._task.cancel()
-        if self._session is not None:
-            await self._session.close()
+            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _watch(self, tell: Callable[[ServiceList], None]) -> None:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                cookie_jar=aiohttp.DummyCookieJar(),
-                timeout=aiohttp.ClientTimeout(total=None),
-                trust_env=False,
-                connector=aiohttp.TCPConnector(limit=4, use_dns_cache=False),
-            )
-            self._session._retry_connection = False
-        query, limit = "", CALL_LIMIT
-        while True:
-            try:
-                async with asyncio.timeout(limit):
-                    news = await self._call(self._session, query)
-            except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
-                log.warning("discovery: call failed: %s", str(error) or type(error).__name__)
-                # Its connections may be dead without a sign: the next call must not be lost to one of them.
-                session, self._session = self._session, None
-                await session.close()
-                tell(ServiceList(failed=True))
-                return
-            tell(news)
-            # The next call must come within 200 ms, or what changes in between is lost to this watch.
-            query, limit = f"?from={news.seq}&hold_ms={HOLD_MS}", HOLD_MS / 1e3 + HOLD_GRACE
+        if self.address is None:
+            tell(ServiceList())  # a site without discovery stays with the list it has
+            return
+        base, query, limit = f"http://{self.address}/v1/servers", "", CALL_LIMIT
+        # Each watch has a connection of its own: one that is dead without a sign ends with its watch.
+        async with aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None),
+            trust_env=False,
+            connector=aiohttp.TCPConnector(limit=1, use_dns_cache=False),
+        ) as session:
+            session._retry_connection = False
+            while True:
+                try:
+                    async with asyncio.timeout(limit):
+                        news = await self._call(session, base + query)
+                except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
+                    log.warning("discovery: call failed: %s", str(error) or type(error).__name__)
+                    break
+                tell(news)
+                # The next call must come within 200 ms, or what changes in between is lost to this watch.
+                query, limit = f"?from={news.seq}&hold_ms={HOLD_MS}", HOLD_MS / 1e3 + HOLD_GRACE
+        tell(ServiceList(failed=True))
 
-    async def _call(self, session: aiohttp.ClientSession, query: str) -> ServiceList:
-        async with session.get(URL(self._base + query, encoded=True), allow_redirects=False) as response:
+    async def _call(self, session: aiohttp.ClientSession, url: str) -> ServiceList:
+        async with session.get(URL(url, encoded=True), allow_redirects=False) as response:
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
             text = bytearray()
--- a/hazelbend/transport/edge.py
+++ b/hazelbend/transport/edge.py
@@ -49,7 +49,7 @@
 
 class Edge:
     def __init__(self, router: Router, catalogue: Catalogue, limit: int) -> None:
-        self._router, self._catalogue, self._limit = router, catalogue, limit
+        self._router, self.catalogue, self.limit = router, catalogue, limit
         self.leaving = False
         self._server = _Server(
             self._serve,
@@ -84,7 +84,7 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         response = await self._respond(request)
-        if self.leaving or self.connections > self._limit:
+        if self.leaving or self.connections > self.limit:
             # Over its share of the descriptors, connections are not kept: new ones and servers need room.
             response.force_close()
         return response
@@ -105,7 +105,7 @@
             if len(body) > BODY_LIMIT:
                 return _too_large()
         try:
-            job = read_job(request.raw_path, request.headers, bytes(body), self._catalogue)
+            job = read_job(request.raw_path, request.headers, bytes(body), self.catalogue)
         except BadRequest as error:
             return web.Response(status=400, text=f"{error}\n")
         flow = self._router.take(job)
--- a/hazelbend/transport/links.py
+++ b/hazelbend/transport/links.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Any
 
@@ -17,28 +18,48 @@
 
 log = logging.getLogger("hazelbend.links")
 
+IDLE_CHECK = 0.5  # seconds between looks at whether a session that was replaced is still in use
 KEEP_MARGIN = 0.5  # seconds before the server's limit at which an idle connection is dropped
 SKIP = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
+@dataclass(slots=True, frozen=True)
+class LinkSettings:
+    connect_timeout: float  # seconds
+    keepalive: float  # seconds
+    connections: int  # at most so many at once
+    fields: LoadFields
+
+
 class LinkPool:
     """The one client session of all links. It sends what it is told, once, and follows nothing."""
 
-    def __init__(
-        self, connect_timeout: float, keepalive: float, connections: int, fields: LoadFields
-    ) -> None:
-        self.fields = fields
+    def __init__(self, settings: LinkSettings) -> None:
+        self.settings, self.session = settings, self._open(settings)
+        self._ending: set[asyncio.Task[None]] = set()
+
+    def change(self, settings: LinkSettings) -> None:
+        """What is out goes on as it began; what comes next goes by the new settings."""
+        before, self.settings = self.session, settings
+        self.session = self._open(settings)
+        ending = asyncio.create_task(_close_when_idle(before))
+        self._ending.add(ending)
+        ending.add_done_callback(self._ending.discard)
+
+    @staticmethod
+    def _open(settings: LinkSettings) -> aiohttp.ClientSession:
+        timeout, keepalive = settings.connect_timeout, settings.keepalive
         trace = aiohttp.TraceConfig(trace_config_ctx_factory=_Context)
         trace.on_request_headers_sent.append(_headers_sent)
         trace.on_request_chunk_sent.append(_chunk_sent)
-        self.session = aiohttp.ClientSession(
+        session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=connections,
+                limit=settings.connections,
                 keepalive_timeout=max(keepalive - KEEP_MARGIN, keepalive / 2),
                 use_dns_cache=False,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, connect=connect_timeout, sock_connect=connect_timeout),
+            timeout=aiohttp.ClientTimeout(total=None, connect=timeout, sock_connect=timeout),
             auto_decompress=False,
             trust_env=False,
             skip_auto_headers=SKIP,
@@ -46,15 +67,29 @@
             trace_configs=[trace],
         )
         # aiohttp sends an idempotent request again when a kept connection turns out dead; nothing here may.
-        self.session._retry_connection = False
+        session._retry_connection = False
+        return session
 
     def link(self, dial: str) -> HttpLink:
         return HttpLink(self, dial)
 
     async def close(self) -> None:
+        for ending in self._ending:
+            ending.cancel()
         await self.session.close()
 
 
+async def _close_when_idle(session: aiohttp.ClientSession) -> None:
+    """A session that is no longer used: its connections go when the last attempt on them is over."""
+    connector = session.connector
+    assert connector is not None
+    try:
+        while connector._acquired:  # pinned, and held by a test: aiohttp does not tell what is in use
+            await asyncio.sleep(IDLE_CHECK)
+    finally:
+        await session.close()
+
+
 class _Context(SimpleNamespace):
     def __init__(self, trace_request_ctx: Any = None) -> None:
         super().__init__(trace_request_ctx=trace_request_ctx)
@@ -127,7 +162,7 @@
     async def _read(self, response: aiohttp.ClientResponse, job: Job, tell: Callable[[News], None]) -> Ending:
         if response.status != 200:
             outcome = read_status(response.status, response.headers.get("X-Not-Processed") == "1")
-            load = self._pool.fields.read_text(response.headers.get("X-Server-Load"))
+            load = self._pool.settings.fields.read_text(response.headers.get("X-Server-Load"))
             await self._finish(response)
             return Ending(outcome, load=load)
         while line := await response.content.readline():
@@ -135,7 +170,7 @@
                 return Ending(Outcome.RESET)
             if not line.strip():
                 continue
-            said = read_line(line, job.id, self._pool.fields)
+            said = read_line(line, job.id, self._pool.settings.fields)
             if isinstance(said, News):
                 tell(said)
             elif said is not None:
@@ -162,7 +197,7 @@
             ):
                 text = (await response.content.read(LINE_LIMIT)).decode("utf-8", "replace")
                 outcome = Outcome.SERVED if response.status == 200 else Outcome.ERROR
-                return Ending(outcome, load=self._pool.fields.read_text(text))
+                return Ending(outcome, load=self._pool.settings.fields.read_text(text))
         except TimeoutError:
             return Ending(Outcome.TIMED_OUT)
         except (aiohttp.ClientError, OSError):
--- a/hazelbend/transport/stomp_boxes.py
+++ b/hazelbend/transport/stomp_boxes.py
@@ -49,6 +49,9 @@
         self._work: dict[str, _Work] = {}
         self._lost = False
 
+    def change(self, catalogue: Catalogue, fields: LoadFields) -> None:
+        self._catalogue, self._fields = catalogue, fields
+
     @property
     def jobs(self) -> int:
         return len(self._work)
@@ -128,6 +131,11 @@
         self._router, self._catalogue, self._fields = router, catalogue, fields
         self._links: dict[str, BoxLink] = {}
 
+    def change(self, catalogue: Catalogue, fields: LoadFields) -> None:
+        self._catalogue, self._fields = catalogue, fields
+        for link in self._links.values():
+            link.change(catalogue, fields)
+
     @property
     def connected(self) -> int:
         return len(self._links)
--- a/hazelbend/transport/stomp_clients.py
+++ b/hazelbend/transport/stomp_clients.py
@@ -82,7 +82,7 @@
     ) -> None:
         self.identity = identity
         self._usage, self._make_room = usage, make_room
-        self._bounds, self._take, self._catalogue = bounds, take, catalogue
+        self._bounds, self._take, self.catalogue = bounds, take, catalogue
         self._entries: dict[str, Entry] = {}
         self._subscriptions: list[Subscription] = []
         self.connections = 0  # whose client this is; one that has sent nothing yet may still do so
@@ -104,7 +104,7 @@
             return
         if allowed_tenants and frame.get("tenant") not in allowed_tenants:
             raise BadRequest("this client may not send for that tenant")
-        job = stomp_jobs.read_job(frame, self.identity, self._catalogue)
+        job = stomp_jobs.read_job(frame, self.identity, self.catalogue)
         entry = Entry(request_id, secrets.token_hex(8))
         if self._is_full(len(frame.body)):
             # Nothing has run: a refusal is true. It is not kept, as there is no room to keep it.
--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -85,6 +85,12 @@
     async def listen(self) -> None:
         self._listener = await asyncio.start_server(self._connected, self.settings.host, self.settings.port)
 
+    def change(self, catalogue: Catalogue) -> None:
+        """New names for what comes from now on; connections, mailboxes and subscriptions stay."""
+        self.catalogue = catalogue
+        for mailbox in self._mailboxes.values():
+            mailbox.catalogue = catalogue
+
     def stop_accepting(self) -> None:
         if self._listener is not None:
             self._listener.close()
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -83,7 +83,7 @@
 
     async def run():
         async with site(tmp_path, stomp="") as (app, _):
-            app.edge._limit = 1
+            app.edge.limit = 1
             _, idle = await asyncio.open_connection("127.0.0.1", app.edge.port)
             await until(lambda: app.edge.connections == 1)
             assert b"\r\nConnection: close\r\n" in await talk(app.edge.port, request())
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -9,7 +9,7 @@
 from hazelbend.decisions.interface import LoadReport, Outcome
 from hazelbend.protocol.worker_lines import LoadFields
 from hazelbend.routing.ports import Job, News
-from hazelbend.transport.links import LinkPool
+from hazelbend.transport.links import LinkPool, LinkSettings
 
 JOB = Job("9b", 0, 0, 1_000_000, target="/nearby/%31?q=%20+&x=", body=b"a\0b", idempotency_key="k")
 OK = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -48,7 +48,7 @@
 @asynccontextmanager
 async def linked(script: Script, keepalive: float = 60.0):
     server = await asyncio.start_server(script.serve, "127.0.0.1", 0)
-    pool = LinkPool(0.25, keepalive, 4, LoadFields({"inflight": "in_flight"}))
+    pool = LinkPool(LinkSettings(0.25, keepalive, 4, LoadFields({"inflight": "in_flight"})))
     try:
         yield pool.link(f"127.0.0.1:{server.sockets[0].getsockname()[1]}"), server
     finally:
@@ -178,7 +178,7 @@
             closed.set()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        pool = LinkPool(0.25, 60.0, 4, LoadFields({}))
+        pool = LinkPool(LinkSettings(0.25, 60.0, 4, LoadFields({})))
         link, started = pool.link(f"127.0.0.1:{server.sockets[0].getsockname()[1]}"), asyncio.Event()
         task = asyncio.create_task(link.attempt(JOB, 500_000, lambda news: started.set()))
         await asyncio.wait_for(started.wait(), 10)
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,165 @@
+"""SIGHUP: what is taken over in the running program, what waits for a restart, and that nothing is lost."""
+
+import asyncio
+import http.client
+import logging
+import signal
+from contextlib import asynccontextmanager
+
+import orjson
+from site_kit import ROOT, SETTINGS, STOMP, StandIn, ToyServer, host_entry, site, until
+from test_edge import request, talk
+from test_program import answers, ask, free_port, start, wait_for  # noqa: F401
+
+from hazelbend.program import config
+from hazelbend.protocol.discovery import ListReader
+
+
+class Service:
+    """Discovery: the first call on each connection gets the whole list, a watch is held."""
+
+    def __init__(self, *hosts):
+        self.hosts, self.asked, self.open = list(hosts), [], 0
+
+    async def serve(self, reader, writer):
+        self.open += 1
+        try:
+            while True:
+                path = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
+                self.asked.append(path)
+                if "?" in path:
+                    await reader.read()
+                    break
+                body = orjson.dumps({"seq": 41, "whole": True, "hosts": self.hosts})
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        self.open -= 1
+        writer.close()
+
+
+@asynccontextmanager
+async def served(service):
+    server = await asyncio.start_server(service.serve, "127.0.0.1", 0)
+    yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    server.close()
+
+
+def changed(app, tmp_path, settings=None, **values):
+    """The configuration that a reload would read: the one that runs, with these changes."""
+    host, port = app.conf.listen
+    conf = {"name": app.conf.name, "listen": f"{host}:{port}", "discovery": app.conf.discovery or ""}
+    conf |= {"settings": SETTINGS | (settings or {})} | values
+    return config.with_deploy(config.from_object(conf), tmp_path, conf)
+
+
+def test_the_watch_moves_and_the_list_and_flows_stay(tmp_path):
+    async def run():
+        toy = ToyServer("toy-0")
+        entry = host_entry(toy.name, await toy.listen())
+        old, new = Service(entry), Service(entry)
+        async with (
+            served(old) as first,
+            served(new) as second,
+            site(tmp_path, toys=0, discovery=first, membership_mode="ask") as (app, _),
+        ):
+            await until(lambda: len(old.asked) == 2)
+            running = asyncio.create_task(
+                talk(app.edge.port, request("a", b"150", more="Connection: close\r\n"))
+            )
+            await until(lambda: app.router.flows)
+            app.apply(changed(app, tmp_path, {"membership_mode": "ask"}, discovery=second))
+            assert app.router.table.servers, "the list is kept until the new address has answered"
+            await until(lambda: len(new.asked) == 2 and old.open == 0)
+            assert new.asked[0] == "/v1/servers", "another service: its numbers say nothing of the old ones"
+            assert len(old.asked) == 2, "nothing more goes to the old address"
+            assert b" 200 " in await running
+            assert app.router.tally.taken == 1 and app.router.table.servers
+        await toy.close()
+
+    asyncio.run(run())
+
+
+def test_settings_limits_and_names_apply_at_once_and_stomp_stays_connected(tmp_path):
+    async def run():
+        async with site(tmp_path) as (app, _):
+            peer = await StandIn.connect(app.stomp.port)
+            peer.send("SUBSCRIBE", id="1", destination="/hazelbend/answers", ack="auto")
+            lanes = [*SETTINGS["lanes"], {"name": "plan", "deadline_us": 3_000_000, "semantics": "read_like"}]
+            limits = SETTINGS["limits"] | {"keepalive_us": 2_000_000, "connect_timeout_us": 100_000}
+            changes = {"lanes": lanes, "limits": limits, "orgs": [*SETTINGS["orgs"], {"name": "new"}]}
+            before = app.pool.session
+            app.apply(changed(app, tmp_path, changes, limits={"sockets": 256}, name="n9"))
+            assert app.conf.name == "n9" and app.edge.limit < 128
+            assert app.pool.settings.keepalive == 2.0 and app.pool.settings.connect_timeout == 0.1
+            await until(lambda: before.closed)
+            plan = request("p", more="Connection: close\r\n").replace(b"/nearby/", b"/plan/")
+            assert b" 200 " in await talk(app.edge.port, plan.replace(b"ege-volt", b"new"))
+            peer.job("s", b"1", job_class="plan", tenant="new")
+            await until(lambda: peer.answers() == {"s": ["served"]})
+            assert not peer.closed
+
+    asyncio.run(run())
+
+
+def test_what_cannot_apply_is_said_and_the_rest_applies(tmp_path, caplog):
+    async def run():
+        async with site(tmp_path) as (app, _):
+            listen, settings = app.conf.listen, app.conf.settings
+            lanes = list(reversed(SETTINGS["lanes"]))  # open flows are known by the places of their classes
+            (tmp_path / "stomp.toml").write_text(STOMP.replace("toros-sarj", "ege-volt"))
+            with caplog.at_level(logging.INFO, "hazelbend"):
+                app.apply(changed(app, tmp_path, {"lanes": lanes}, listen="127.0.0.1:1", name="n9"))
+            assert app.conf.listen == listen and app.conf.settings is settings and app.conf.name == "n9"
+            assert "wait for a restart: listen, known, stomp, settings" in caplog.text
+            assert "reloaded: name\n" in caplog.text
+            assert b" 200 " in await talk(app.edge.port, request(more="Connection: close\r\n"))
+
+    asyncio.run(run())
+
+
+def test_zones_keep_their_numbers_or_wait():
+    old = ListReader(("a", "b"), ("k",))
+    old._zones.number("z")  # one that only a list has named
+    further, moved = ListReader(("a", "b", "z", "c"), ("k",)), ListReader(("b", "a"), ("k",))
+    assert further.take_over(old) and further._zones.number("z") == 2 and further._zones.number("d") == 4
+    assert not moved.take_over(old)
+    assert ListReader(("a",), ("k",)) != old == ListReader(("a", "b"), ("k",))
+
+
+def test_sighup_as_a_process(start, tmp_path):  # noqa: F811
+    """Guards the program's life: SIGHUP used to end it, and with it all that it had taken."""
+    toy, port = free_port(), free_port()
+    conf = {
+        "name": "one",
+        "listen": f"127.0.0.1:{port}",
+        "settings": SETTINGS,
+        "known": {"seq": 1, "whole": True, "hosts": [host_entry("toy", f"127.0.0.1:{toy}")]},
+    }
+    file, log = tmp_path / "config.json", tmp_path / "log"
+    file.write_bytes(orjson.dumps(conf))
+    start(str(ROOT / "example/toy_server.py"), f"127.0.0.1:{toy}")
+    program = start("-m", "hazelbend", RELAY_CONFIG=str(file))
+    wait_for(lambda: answers(port) and answers(toy))
+    for text, said in (
+        (b'{"name": "two"', b"reload: "),
+        (orjson.dumps(conf | {"discovery": "nowhere"}), b"reload: discovery: 'nowhere' is no address:port"),
+        (orjson.dumps(conf | {"settings": 5}), b"reload: settings: "),
+        (orjson.dumps(conf | {"name": "two"}), b"reloaded: name"),
+    ):
+        file.write_bytes(text)
+        program.send_signal(signal.SIGHUP)
+        wait_for(lambda said=said: said in log.read_bytes())
+        assert ask(port)[0] == 200
+    for _ in range(5):
+        program.send_signal(signal.SIGHUP)
+    running = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    headers = {"X-Request-ID": "long", "X-Tenant-Id": "ege-volt", "X-Timeout-Ms": "5000"}
+    running.request("POST", "/nearby/1", "900", headers)
+    wait_for(lambda: orjson.loads(ask(toy, "GET", "/load")[2])["inflight"] == 1)
+    program.send_signal(signal.SIGTERM)
+    wait_for(lambda: b"leaving" in log.read_bytes())
+    program.send_signal(signal.SIGHUP)
+    response = running.getresponse()
+    assert (response.status, response.read()) == (200, b"toy did long")
+    assert program.wait(10) == 0
