Shut a server out for its second reset in a row, never for a kept connection's

Lines at fault: brain.py, Dispatcher._ended: each RESET called _suspect, which shuts its worker out for a second; with six servers most were out at any time, and what was left looked late. Ruled out: links.py sends nothing twice; the pool was never full (46 at once).

A link now says whether the connection was kept and nothing came on it (stale); the module shuts a worker out for the second reset without a sign in between.

--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -26,6 +26,7 @@
 SLOT_RISE, SLOT_FALL = 0.3, 0.02  # most jobs running at once is a high-water mark, less the reports' noise
 PAUSE = 300_000  # a worker may stand still so long (collector, page fault) and yet be well
 SILENCE = 3.0  # expected delays without any sign after which a worker is suspected
+RESETS = 1  # connections that may break in a row, with no sign in between, ere their worker is suspected
 FIRST_BACKOFF, LAST_BACKOFF = 1_000_000, 4_000_000  # waits before a trial: not shut out long, not flooded
 COLD_SAFETY, MOST_PART = 0.6, 4.0  # part of the cold budget used by all; most equal parts that one may take
 LATE_MARGIN = 2.0  # a wait may well be twice the expected: waits are about exponential
@@ -370,7 +371,11 @@
         elif event.outcome is Outcome.FULL:  # as good as a report that it holds all that are counted
             self._trust(worker, now)
             worker.others, worker.counted_at = max(K_MAX - len(worker.sends), 0), now
-        elif event.outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
+        elif event.outcome is Outcome.RESET and not event.stale:
+            worker.resets += 1  # one may be the connection's own; a process that died fails the next as well
+            if worker.resets > RESETS or worker.backoff:
+                self._suspect(worker, now)
+        elif event.outcome is Outcome.CONNECT_FAILED and not event.stale:
             self._suspect(worker, now)
         if event.closed or request.closed:
             self._finish(request)
@@ -455,7 +460,7 @@
         worker.shut_until = now + round(worker.backoff * self.random.uniform(0.75, 1.25))
 
     def _trust(self, worker: Worker, now: int) -> None:
-        worker.heard_at, worker.shut_until, worker.backoff = now, 0, 0
+        worker.heard_at, worker.shut_until, worker.backoff, worker.resets = now, 0, 0, 0
 
     def _heard(self, event: face.JobStarted | face.JobProgress | face.StreamStarted, now: int) -> None:
         if not (attempt := find(self.requests, event)):
--- a/hazelbend/decisions/interface.py
+++ b/hazelbend/decisions/interface.py
@@ -168,6 +168,7 @@
     closed: bool = False
     elapsed: int = 0
     load: LoadReport | None = None
+    stale: bool = False  # broke on a connection kept from before, ere a byte came: it may have died idle
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -59,6 +59,7 @@
     heard_at: int = 0
     shut_until: int = 0
     backoff: int = 0
+    resets: int = 0  # connections that broke since it was last heard of
     # Cold start, keys, probes.
     spent: deque[tuple[int, float]] = field(default_factory=deque)  # sends to a cold worker: time, mean jobs
     drawn: float = 0.0  # the lot for this window while it is cold; 0: it is warm
--- a/hazelbend/routing/ports.py
+++ b/hazelbend/routing/ports.py
@@ -49,6 +49,7 @@
     outcome: Outcome
     result: bytes = b""
     load: LoadReport | None = None
+    stale: bool = False  # reset on a connection kept from before, ere a byte came
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -307,7 +307,14 @@
         elapsed = self.clock.now() - scheduling.began_at
         self._ask(
             face.AttemptEnded(
-                flow.number, scheduling.worker, number, ending.outcome, flow.is_closed, elapsed, ending.load
+                flow.number,
+                scheduling.worker,
+                number,
+                ending.outcome,
+                flow.is_closed,
+                elapsed,
+                ending.load,
+                ending.stale,
             ),
             flow,
         )
--- a/hazelbend/transport/links.py
+++ b/hazelbend/transport/links.py
@@ -52,6 +52,7 @@
         trace = aiohttp.TraceConfig(trace_config_ctx_factory=_Context)
         trace.on_request_headers_sent.append(_headers_sent)
         trace.on_request_chunk_sent.append(_chunk_sent)
+        trace.on_connection_reuseconn.append(_reused)
         session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=settings.connections,
@@ -96,12 +97,13 @@
 
 
 class Written:
-    """Whether the last byte of a request was handed to its connection: from then on it may run."""
+    """Whether the last byte of a request was handed to its connection: from then on it may run; and whether
+    that connection was kept from an earlier request."""
 
-    __slots__ = ("empty", "whole")
+    __slots__ = ("empty", "kept", "whole")
 
     def __init__(self, empty: bool) -> None:
-        self.empty, self.whole = empty, False
+        self.empty, self.whole, self.kept = empty, False, False
 
 
 async def _headers_sent(session: object, context: SimpleNamespace, params: object) -> None:
@@ -115,6 +117,11 @@
         context.trace_request_ctx.whole = True
 
 
+async def _reused(session: object, context: SimpleNamespace, params: object) -> None:
+    if context.trace_request_ctx is not None:
+        context.trace_request_ctx.kept = True
+
+
 def _raw_url(base: str, target: str) -> URL:
     """The URL whose target goes out as it came."""
     url = URL(base + target, encoded=True)
@@ -147,7 +154,8 @@
         except aiohttp.ConnectionTimeoutError:
             return Ending(Outcome.CONNECT_FAILED)
         except (aiohttp.ClientError, OSError):
-            return Ending(Outcome.RESET if written.whole else Outcome.CONNECT_FAILED)
+            outcome = Outcome.RESET if written.whole else Outcome.CONNECT_FAILED
+            return Ending(outcome, stale=written.kept)
         try:
             return await self._read(response, job, tell)
         except (aiohttp.ClientError, OSError):
--- a/tests/model.py
+++ b/tests/model.py
@@ -81,7 +81,12 @@
         self.tell(dy.JobStarted(request, worker, attempt))
 
     def end(
-        self, request: int, outcome: dy.Outcome, attempt: int = 0, load: dy.LoadReport | None = None
+        self,
+        request: int,
+        outcome: dy.Outcome,
+        attempt: int = 0,
+        load: dy.LoadReport | None = None,
+        stale: bool = False,
     ) -> None:
         job = self.jobs[request]
         each = job.tries[attempt]
@@ -90,7 +95,8 @@
             job.closed_at = self.now
         closed = job.closed_at is not None
         elapsed = self.now - each.sent_at
-        self.tell(dy.AttemptEnded(request, each.worker.worker, attempt, outcome, closed, elapsed, load))
+        worker = each.worker.worker
+        self.tell(dy.AttemptEnded(request, worker, attempt, outcome, closed, elapsed, load, stale))
 
     def leave(self, request: int) -> None:
         if self.jobs[request].closed_at is None:
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -56,6 +56,25 @@
     assert all(worker == 3 - first for _, worker, _ in model.sends[1:])
 
 
+def resets(*stale: bool) -> bool:
+    """Whether a worker still gets work after its connections broke like this, without a sign in between."""
+    model = Model(dy.Settings(classes=(SAFE,), tells_start=True))
+    model.list_workers(dy.WorkerEntry(1))
+    for request, each in enumerate(stale):
+        model.arrive(request)
+        model.end(request, dy.Outcome.RESET, stale=each)
+    before = len(model.sends)
+    model.arrive(len(stale))
+    return len(model.sends) > before
+
+
+def test_a_connection_that_breaks_alone_says_little_of_its_worker():
+    """Guards against shutting out servers that are well: on days when connections break, most would be."""
+    assert resets(False) and not resets(False, False)
+    assert resets(True, True, True, True), "a kept connection may have died since its last use"
+    assert not resets(True, False, True, False)
+
+
 def test_unsafe_request_at_a_silent_worker_is_never_sent_again():
     model = Model(dy.Settings(classes=(dy.JobClass(),), tells_start=True, second_copies_allowed=True))
     model.list_workers(dy.WorkerEntry(1), dy.WorkerEntry(2))
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -188,3 +188,23 @@
         await pool.close()
 
     asyncio.run(run())
+
+
+def test_a_reset_on_a_kept_connection_is_told_apart():
+    """Guards against shutting out a server that is well for a connection that had died since its last use."""
+
+    async def run():
+        script = Script(CASES["done"][0], b"")
+        async with linked(script) as (link, _):
+            first = await link.attempt(JOB, 500_000, lambda news: None)
+            script.close = True  # the next request on the kept connection is read, then reset
+            stale = await link.attempt(JOB, 500_000, lambda news: None)
+            script.answers.append(b"")
+            fresh = await link.attempt(JOB, 500_000, lambda news: None)
+        return [(each.outcome, each.stale) for each in (first, stale, fresh)]
+
+    assert asyncio.run(run()) == [
+        (Outcome.SERVED, False),
+        (Outcome.RESET, True),
+        (Outcome.RESET, False),
+    ]
