--- a/hazelbend/protocol/http_fields.py
+++ b/hazelbend/protocol/http_fields.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 from math import isfinite
 
+from multidict import MultiMapping
+
 from hazelbend.routing.ports import Job
 
+TARGET_LIMIT = 8_190
+
 
 class BadRequest(Exception):
     """What a client sent cannot be taken; the text tells the client why."""
@@ -83,25 +86,43 @@
     return 1.0
 
 
-def read_job(target: str, headers: Mapping[str, str], body: bytes, catalogue: Catalogue) -> Job:
-    if not target.startswith("/") or not target.isascii() or "#" in target:
+def _one(headers: MultiMapping[str], name: str) -> str | None:
+    """A field that stands there once or not at all: of two, a server might go by the other one."""
+    values = headers.getall(name, [])
+    if len(values) > 1:
+        raise BadRequest(f"{name} stands there more than once")
+    return values[0] if values else None
+
+
+def _is_plain(text: str, most: int) -> bool:
+    """Whether it can go on in a field as it came."""
+    return 0 < len(text) <= most and text.isascii() and text.isprintable()
+
+
+def read_job(target: str, headers: MultiMapping[str], body: bytes, catalogue: Catalogue) -> Job:
+    if not target.startswith("/") or not _is_plain(target, TARGET_LIMIT) or "#" in target:
         raise BadRequest("the target is no plain path")
     parts = target.partition("?")[0].split("/")
-    job_id = headers.get("X-Request-ID", "")
-    if not job_id or not job_id.isascii() or not job_id.isprintable() or len(job_id) > 128:
+    job_id = _one(headers, "X-Request-ID") or ""
+    if not _is_plain(job_id, 128):
         raise BadRequest("X-Request-ID is missing or unusable")
-    index = catalogue.class_index(headers.get("X-Priority-Class") or parts[1])
-    row, key = catalogue.classes[index], headers.get("Idempotency-Key")
+    name = _one(headers, "X-Priority-Class")
+    index = catalogue.class_index(parts[1] if name is None else name)
+    if parts[1] != catalogue.classes[index].name:
+        raise BadRequest("the path is of another class")  # servers go by the path
+    row, key = catalogue.classes[index], _one(headers, "Idempotency-Key")
     if row.keyed and not key:
         raise BadRequest("Idempotency-Key is missing")
+    if key is not None and not _is_plain(key, 256):
+        raise BadRequest("Idempotency-Key is unusable")
     cost = headers.get("X-Cost", "")
     return Job(
         id=job_id,
         class_index=index,
-        tenant=catalogue.tenant_index(headers.get("X-Tenant-Id")),
-        patience=patience(headers.get("X-Timeout-Ms"), row.deadline_ms, catalogue.margin),
+        tenant=catalogue.tenant_index(_one(headers, "X-Tenant-Id")),
+        patience=patience(_one(headers, "X-Timeout-Ms"), row.deadline_ms, catalogue.margin),
         key=key_number(parts[-1]) if len(parts) > 2 else 0,
-        slots=slots(headers.get("X-Attrs")),
+        slots=slots(_one(headers, "X-Attrs")),
         expected_work=int(cost) if cost.isascii() and cost.isdecimal() and len(cost) < 10 else 0,
         target=target,
         body=body,
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -110,6 +110,7 @@
         self.decider, self.clock, self.table = decider, clock, table
         self.discovery: Discovery | None = None
         self.flows: dict[int, Flow] = {}
+        self._ids: set[str] = set()
         self.tally = Tally()
         self.last_known = ServiceList()
         self.started_at = clock.now()
@@ -135,11 +136,16 @@
         flow = Flow(self._next, job, now)
         self._next += 1
         self.flows[flow.number] = flow
+        self._ids.add(job.id)
         self.tally.taken += 1
         self._idle.clear()
         flow.task = asyncio.create_task(self._live(flow))
         return flow
 
+    def holds(self, job_id: str) -> bool:
+        """Whether a flow of this id is open: servers know a job by it, so there must not be two."""
+        return job_id in self._ids
+
     def add_guest(self, entry: ServiceEntry, link: Link) -> None:
         """A server has come by itself, not by a list."""
         self._ask(self.table.add_guest(entry, link))
@@ -228,6 +234,7 @@
                     each.task.cancel()
             self._answer(flow, Answer(Verdict.FAILED))
             self.flows.pop(flow.number, None)
+            self._ids.discard(job.id)
             if not self.flows:
                 self._idle.set()
 
--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -29,7 +29,7 @@
 log = logging.getLogger("hazelbend.stomp")
 
 SERVER = "hazelbend/0.2"
-FIRST_FRAME = 10.0  # seconds that a connection has to say who it is
+FIRST_FRAME = 2.3  # seconds that a connection has to say who it is, as on the edge
 LAST_WORDS = 1.0  # seconds that an ERROR or RECEIPT has to get out before the connection closes
 BEAT_TOLERANCE = 2.0  # of the agreed interval: what the network may add
 MOST_SUBSCRIPTIONS = 16
@@ -70,7 +70,7 @@
         self._take = take
         self._mailboxes: dict[str, Mailbox] = {}
         self._usage = Usage()
-        self._sessions: set[Session] = set()
+        self._sessions: dict[Session, None] = {}  # in the order in which they came
         self._listener: asyncio.Server | None = None
 
     @property
@@ -115,6 +115,14 @@
         for mailbox in self._mailboxes.values():
             mailbox.drop_settled()
 
+    def _make_place(self) -> bool:
+        """The oldest that has not said who it is goes: such connections must not keep others out."""
+        unknown = next((session for session in self._sessions if not session.is_known), None)
+        if unknown is not None:
+            del self._sessions[unknown]
+            unknown.cut("others wait for this place")
+        return unknown is not None
+
     def account(self, frame: Frame) -> ClientAccount | BoxAccount:
         """Who it is, by our file; all comparisons take the same time."""
         digest = sha256(frame.get("passcode").encode()).hexdigest()
@@ -129,18 +137,18 @@
 
     async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         session = Session(self, reader, writer)
-        if len(self._sessions) >= self.settings.connections:
+        if len(self._sessions) >= self.settings.connections and not self._make_place():
             session.error("too many connections")
             await session.finish()
             return
-        self._sessions.add(session)
+        self._sessions[session] = None
         try:
             await session.run()
         except Exception:
             # A fault in one connection ends that one alone.
             log.exception("connection: fault")
         finally:
-            self._sessions.discard(session)
+            self._sessions.pop(session, None)
             session.leave()
             await session.finish()
 
@@ -164,6 +172,10 @@
         self._sent_at = asyncio.get_running_loop().time()
         self._beats: asyncio.Task[None] | None = None
 
+    @property
+    def is_known(self) -> bool:
+        return self._account is not None
+
     # --- out ---
 
     def send(self, frame: Frame) -> bool:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -3,6 +3,7 @@
 import http.client
 import os
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -105,6 +106,27 @@
     assert b"left" in (tmp_path / "log").read_bytes()
 
 
+def test_hundreds_of_silent_connections_leave_room(start, tmp_path):
+    """Guards the descriptors: accepting more than there are stopped the whole program for seconds."""
+    toy, port = free_port(), free_port()
+    conf = {
+        "listen": f"127.0.0.1:{port}",
+        "limits": {"sockets": 128},
+        "settings": SETTINGS,
+        "known": {"seq": 1, "whole": True, "hosts": [host_entry("toy", f"127.0.0.1:{toy}")]},
+    }
+    (tmp_path / "config.json").write_bytes(orjson.dumps(conf))
+    start(str(ROOT / "example/toy_server.py"), f"127.0.0.1:{toy}")
+    program = start("-m", "hazelbend", RELAY_CONFIG=str(tmp_path / "config.json"))
+    wait_for(lambda: answers(port) and answers(toy))
+    resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (128, 128))
+    silent = [socket.create_connection(("127.0.0.1", port)) for _ in range(300)]
+    assert [ask(port)[0] for _ in range(5)] == [200] * 5
+    for each in silent:
+        each.close()
+    assert b"system resource" not in (tmp_path / "log").read_bytes()
+
+
 def test_a_faulty_configuration_ends_the_start_with_its_key(start, tmp_path):
     (tmp_path / "config.json").write_text('{"listen": "127.0.0.1:0"}')
     program = start("-m", "hazelbend", RELAY_CONFIG=str(tmp_path / "config.json"))
--- a/tests/test_stomp_front.py
+++ b/tests/test_stomp_front.py
@@ -9,6 +9,8 @@
 from parser_kit import garbage, pieces
 from site_kit import SECRET, STOMP, StandIn, StandInBox, site, until, write_frame
 
+from hazelbend.transport import stomp_listener
+
 ANSWERS = {"id": "a", "destination": "/hazelbend/answers"}
 WORK = {"id": "w", "destination": "/hazelbend/work"}
 
@@ -405,3 +407,35 @@
     frame = stomp.utils.parse_frame(write_frame("SEND", {"destination": "/a:b"}, b"x\x00y")[:-1])
     assert frame.cmd == "SEND"
     assert frame.headers["destination"] == "/a:b"
+
+
+def test_connections_that_do_not_say_who_they_are_keep_nobody_out(tmp_path):
+    """Guards the places of clients and boxes: connections that say nothing once took them all, for 10 s."""
+
+    async def run():
+        text = STOMP.replace("[[client]]", "connections = 3\n[[client]]", 1)
+        async with site(tmp_path, stomp=text) as (app, _):
+            known = await StandIn.connect(app.stomp.port)
+            silent = [await asyncio.open_connection("127.0.0.1", app.stomp.port) for _ in range(8)]
+            await until(lambda: app.stomp.connections == 3)
+            peer = await StandIn.connect(app.stomp.port, "partner")
+            assert peer.of("CONNECTED") and not known.closed and app.stomp.connections <= 3
+            assert b"others wait" in await asyncio.wait_for(silent[0][0].read(), 10)
+            for _, writer in silent:
+                writer.close()
+
+    asyncio.run(run())
+
+
+def test_a_connection_has_little_time_to_say_who_it_is(tmp_path, monkeypatch):
+    assert stomp_listener.FIRST_FRAME < 3.0
+    monkeypatch.setattr(stomp_listener, "FIRST_FRAME", 0.05)
+
+    async def run():
+        async with site(tmp_path) as (app, _):
+            reader, writer = await asyncio.open_connection("127.0.0.1", app.stomp.port)
+            writer.write(b"CONNECT\nlogin:dash")
+            assert b"no CONNECT came in time" in await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+
+    asyncio.run(run())
