Copy a job that later ones overtake, or that misses one note of progress

Checked: brain.py, _silent. A job not started counted as silent only while its whole worker was, and others' news kept it from that for ever; one that had started, after 2.3 s without a note, when a copy comes late (a reserve is wanted within about 2.2 s). Each suspected the worker too, though it spoke on other connections.

Now three own jobs sent later that have started, or 1.3 s without a note, call for a copy, and the worker is suspected only if nothing was heard of it since.

--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -7,6 +7,7 @@
 import random
 from hashlib import blake2b
 from heapq import nsmallest
+from itertools import takewhile
 from math import exp, log
 from operator import attrgetter, itemgetter
 from typing import Any
@@ -25,6 +26,7 @@
 LONGEST_RATIO = 10.0  # a run counts as at most so many expected ones: 4 made rates too hopeful in heavy tails
 SLOT_RISE, SLOT_FALL = 0.3, 0.02  # most jobs running at once is a high-water mark, less the reports' noise
 PAUSE = 300_000  # a worker may stand still so long (collector, page fault) and yet be well
+OVERTAKEN = 3  # jobs sent later to its worker that start before it, after which a job is taken as lost
 SILENCE = 3.0  # expected delays without any sign after which a worker is suspected
 RESETS = 1  # connections that may break in a row, with no sign in between, ere their worker is suspected
 FIRST_BACKOFF, LAST_BACKOFF = 1_000_000, 4_000_000  # waits before a trial: not shut out long, not flooded
@@ -439,7 +441,9 @@
         for attempt in [each for request in self.requests.values() for each in request.attempts]:
             if attempt.outcome is not None or not self._silent(attempt, now):
                 continue
-            if not attempt.worker.backoff:
+            # Where its worker speaks, it is that one connection that is silent.
+            speaks = attempt.worker.heard_at > max(attempt.heard_at, attempt.sent_at)
+            if not attempt.worker.backoff and not speaks:
                 self._suspect(attempt.worker, now)
             if attempt is attempt.request.attempts[-1] and self._may_send(attempt.request, now):
                 self._dispatch(attempt.request, now)  # a second copy elsewhere, where the class allows it
@@ -451,8 +455,9 @@
         """A worker that hangs takes jobs and says nothing: no start, no progress, no answer since a send."""
         every, worker = self.settings.progress_interval, attempt.worker
         if attempt.started_at:
-            return every > 0 and now - attempt.heard_at > 2 * every + PAUSE
-        return self.settings.tells_start and now - max(worker.heard_at, attempt.sent_at) > attempt.patience
+            return every > 0 and now - attempt.heard_at > every + PAUSE
+        unheard = now - max(worker.heard_at, attempt.sent_at) > attempt.patience
+        return self.settings.tells_start and (unheard or attempt.passed >= OVERTAKEN)
 
     def _suspect(self, worker: Worker, now: int) -> None:
         """Nothing goes there for a while, then one trial job, and so on, each time after a longer wait."""
@@ -468,6 +473,8 @@
         attempt.heard_at = now
         if isinstance(event, face.JobStarted):
             attempt.started_at = now
+            for earlier in takewhile(lambda each: each is not attempt, attempt.worker.sends):
+                earlier.passed += 1
         self._trust(attempt.worker, now)
 
     def _probed(self, event: face.ProbeEnded, now: int) -> None:
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -131,6 +131,7 @@
     fetches: bool = False  # its key's data is not believed to be there
     started_at: int = 0
     heard_at: int = 0
+    passed: int = 0  # jobs sent later to the same worker that have started
     outcome: Outcome | None = None
 
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -112,3 +112,35 @@
     ]
     assert len(model.subscriptions) == 7
     assert max(gaps) < model.settings.ask_within
+
+
+def test_a_job_that_later_ones_overtake_is_copied_and_its_worker_stays():
+    """Guards against waiting for a connection that fell silent at a worker that goes on speaking."""
+    model = Model(dy.Settings(classes=(SAFE,), tells_start=True, second_copies_allowed=True))
+    model.list_workers(dy.WorkerEntry(1))
+    model.arrive(0)
+    model.advance(1_000)
+    for request in (1, 2, 3):
+        model.arrive(request)
+        model.start(request)
+    model.list_workers(dy.WorkerEntry(2), kind=dy.ListKind.DELTA)
+    model.advance(600_000)
+    assert [worker for _, worker, request in model.sends if request == 0] == [1, 2]
+    assert len(model.sends) == 5, "of the others none"
+    assert model.dispatcher.workers[1].shut_until == 0
+
+
+def test_a_job_that_misses_one_note_of_progress_is_copied_in_time():
+    """Guards jobs whose answer stopped short: two notes later the copy would be late as well."""
+    job = dy.JobClass(effect=dy.Effect.SAFE, objective=3_000_000)
+    settings = dy.Settings(
+        classes=(job,), tells_start=True, progress_interval=1_000_000, second_copies_allowed=True
+    )
+    model = Model(settings)
+    model.list_workers(dy.WorkerEntry(1), dy.WorkerEntry(2))
+    model.arrive(0)
+    model.start(0)
+    model.advance(1_200_000)
+    assert len(model.sends) == 1
+    model.advance(800_000)
+    assert len(model.sends) == 2
