Find a silent watch after 4.5 s in place of 12, ask again sooner after a first failure

Lines at fault: discovery_watch.py HOLD_MS 10,000 and HOLD_GRACE 2; brain.py LIST_WAIT, 0.5 to 3 s after each failure, though most failures here are one answer that broke off. Ruled out: the 200 ms between calls (held by a test); drains in force later than the rule allows.

--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -36,7 +36,8 @@
 SAMPLE = 8  # workers a pick that asks chooses among: more cost CPU, and all dispatchers would ask the same
 ASK_PART = 0.1  # part of a mean job that a request waits for probes at most: what they tell is worth no more
 FIRST_UPKEEP, LAST_UPKEEP = 100_000, 500_000  # how often health and held requests are seen to: by job length
-LIST_WAIT = (0.05, 0.3)  # after a failed call to the shared, slow list: parts of the time the rule gives
+LIST_WAIT = (0.01, 0.06)  # after a failed call to the shared, slow list: parts of the time the rule gives,
+LIST_DOUBLINGS = 3  # doubled so often at most while calls go on failing
 UPKEEP_TIMER, SUBSCRIBE_TIMER, REQUEST_TIMERS = 0, 1, 2  # tokens; a request has two, for its end and its pick
 
 Row = tuple[float, float, float, Worker]  # what a pick goes by, expected delay, a mean job's run, worker
@@ -77,6 +78,7 @@
 class Dispatcher:
     def __init__(self, settings: face.Settings, seed: int) -> None:
         self.random, self.born = random.Random(seed), -1
+        self.list_failures = 0  # calls in a row
         self.lots_at, self.part = 0, 0.0  # own part of the cold budget, in jobs for a rate of one
         self.workers: dict[int, Worker] = {}
         self.ready: dict[Worker, None] = {}
@@ -126,9 +128,11 @@
 
     def _members(self, event: face.MembershipUpdate, now: int) -> None:
         if event.kind is face.ListKind.FAILED:
-            wait = round(self.settings.ask_within * self.random.uniform(*LIST_WAIT))
+            wait = round(self.settings.ask_within * self.random.uniform(*LIST_WAIT) * 2**self.list_failures)
+            self.list_failures = min(self.list_failures + 1, LIST_DOUBLINGS)
             self.out.append(face.StartTimer(wait, SUBSCRIBE_TIMER))
             return
+        self.list_failures = 0
         if event.kind is not face.ListKind.DELTA:
             named = {entry.worker for entry in event.entries}
             self.workers = {each: held for each, held in self.workers.items() if each in named}
--- a/hazelbend/transport/discovery_watch.py
+++ b/hazelbend/transport/discovery_watch.py
@@ -14,9 +14,9 @@
 
 log = logging.getLogger("hazelbend.discovery")
 
-HOLD_MS = 10_000
+HOLD_MS = 3_000  # a watch that falls silent is found out after this and the grace
 CALL_LIMIT = 6.0  # seconds that a call which does not wait may take
-HOLD_GRACE = 2.0  # seconds that one which waits may take beyond its wait
+HOLD_GRACE = 1.5  # seconds that one which waits may take beyond its wait
 LIST_LIMIT = 4 * 1024 * 1024
 
 
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -82,6 +82,15 @@
     assert [news.failed for news in told] == [True]
 
 
+def test_a_watch_that_falls_silent_is_found_out_soon(monkeypatch):
+    """Guards against an old list in force for 12 s: servers added meanwhile got nothing."""
+    assert discovery_watch.HOLD_MS / 1e3 + discovery_watch.HOLD_GRACE < 6.0
+    monkeypatch.setattr(discovery_watch, "HOLD_MS", 10)
+    monkeypatch.setattr(discovery_watch, "HOLD_GRACE", 0.05)
+    told, asked, _ = watch(answer(41, True, "a"), None)
+    assert [news.failed for news in told] == [False, True] and "hold_ms=10" in asked[1]
+
+
 def test_after_a_failed_call_the_next_one_has_a_connection_of_its_own(monkeypatch):
     """Guards against a pooled connection that is dead without a sign: it would fail call after call."""
 
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -114,6 +114,24 @@
     assert max(gaps) < model.settings.ask_within
 
 
+def test_the_first_call_after_a_failed_one_comes_soon_and_a_list_that_arrives_starts_that_anew():
+    """Guards against working by an old list for seconds because one answer broke off."""
+    model = Model(dy.Settings(list_must_be_asked=True))
+    model.list_workers(dy.WorkerEntry(1), kind=dy.ListKind.CACHED)
+    waits = []
+    for failed in (True, True, True, True, False, True):
+        if not failed:
+            model.list_workers(dy.WorkerEntry(1))
+            continue
+        before, asked = model.now, len(model.subscriptions)
+        model.tell(dy.MembershipUpdate(dy.ListKind.FAILED))
+        while len(model.subscriptions) == asked:
+            model.advance(10_000)
+        waits.append(model.now - before)
+    assert waits[0] < 700_000 and waits[-1] < 700_000
+    assert sum(waits[2:4]) > sum(waits[:2]), "calls that go on failing come less often"
+
+
 def test_a_job_that_later_ones_overtake_is_copied_and_its_worker_stays():
     """Guards against waiting for a connection that fell silent at a worker that goes on speaking."""
     model = Model(dy.Settings(classes=(SAFE,), tells_start=True, second_copies_allowed=True))
