Tell an attempt as not sent when no connection has a place, not as its server's fault

Probed: a pool of one place, held by one attempt: a second one ends in CONNECT_FAILED after 0.25 s, so the module shuts out a server that is well. Lines at fault: links.py, ClientTimeout(connect=...), which aiohttp also counts while it waits for a place. Now LinkPool counts its places; without one the attempt is NOT_SENT after 0.00 s, and the module goes on at once by what it knows then, to a refusal if need be.

--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -306,7 +306,7 @@
             server.out -= 1
             if ending.outcome is Outcome.SERVED:
                 server.served += 1
-            elif ending.outcome not in (Outcome.CANCELLED, Outcome.FULL):
+            elif ending.outcome not in (Outcome.CANCELLED, Outcome.FULL, Outcome.NOT_SENT):
                 server.failed += 1
         self.tally.outcomes[ending.outcome] += 1
         if ending.outcome is Outcome.SERVED:
--- a/hazelbend/transport/links.py
+++ b/hazelbend/transport/links.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from types import SimpleNamespace
 from typing import Any
@@ -37,6 +38,18 @@
     def __init__(self, settings: LinkSettings) -> None:
         self.settings, self.session = settings, self._open(settings)
         self._ending: set[asyncio.Task[None]] = set()
+        self._out = 0
+
+    @contextmanager
+    def place(self) -> Iterator[bool]:
+        """A place among the connections, or False: to wait for one would look like the server's fault, and
+        what was true of the server when the module chose it would be old by then."""
+        free = self._out < self.settings.connections
+        self._out += free
+        try:
+            yield free
+        finally:
+            self._out -= free
 
     def change(self, settings: LinkSettings) -> None:
         """What is out goes on as it began; what comes next goes by the new settings."""
@@ -55,12 +68,12 @@
         trace.on_connection_reuseconn.append(_reused)
         session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
-                limit=settings.connections,
+                limit=0,  # by `place`
                 keepalive_timeout=max(keepalive - KEEP_MARGIN, keepalive / 2),
                 use_dns_cache=False,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None, connect=timeout, sock_connect=timeout),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=timeout),
             auto_decompress=False,
             trust_env=False,
             skip_auto_headers=SKIP,
@@ -142,6 +155,10 @@
         """Idle connections of a server that is gone run out by themselves."""
 
     async def attempt(self, job: Job, patience: int, tell: Callable[[News], None]) -> Ending:
+        with self._pool.place() as free:
+            return await self._attempt(job, patience, tell) if free else Ending(Outcome.NOT_SENT)
+
+    async def _attempt(self, job: Job, patience: int, tell: Callable[[News], None]) -> Ending:
         headers = {"X-Request-ID": job.id, "X-Timeout-Ms": str(max(patience // 1_000, 1))}
         if job.idempotency_key is not None:
             headers["Idempotency-Key"] = job.idempotency_key
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -46,9 +46,9 @@
 
 
 @asynccontextmanager
-async def linked(script: Script, keepalive: float = 60.0):
+async def linked(script: Script, keepalive: float = 60.0, places: int = 4):
     server = await asyncio.start_server(script.serve, "127.0.0.1", 0)
-    pool = LinkPool(LinkSettings(0.25, keepalive, 4, LoadFields({"inflight": "in_flight"})))
+    pool = LinkPool(LinkSettings(0.25, keepalive, places, LoadFields({"inflight": "in_flight"})))
     try:
         yield pool.link(f"127.0.0.1:{server.sockets[0].getsockname()[1]}"), server
     finally:
@@ -208,3 +208,21 @@
         (Outcome.RESET, True),
         (Outcome.RESET, False),
     ]
+
+
+def test_a_want_of_places_is_no_fault_of_the_server():
+    """Guards against our own queue looking like a server that cannot be reached: it was shut out for that."""
+
+    async def run():
+        script = Script(b"", *[CASES["done"][0]] * 2)
+        async with linked(script, places=1) as (link, _):
+            held = asyncio.create_task(link.attempt(JOB, 500_000, lambda news: None))
+            while not script.heard:
+                await asyncio.sleep(0.005)
+            second = await link.attempt(JOB, 500_000, lambda news: None)
+            held.cancel()
+            await asyncio.gather(held, return_exceptions=True)
+            third = await link.attempt(JOB, 500_000, lambda news: None)
+        return second.outcome, third.outcome
+
+    assert asyncio.run(run()) == (Outcome.NOT_SENT, Outcome.SERVED)
