Keep the watch over clients' time going after a fault, and share a test's setup

Read again: Edge._sweep set its next look last, so one fault in it would have ended every bound on silent clients without a sign. Now the next look is set first and a fault ends that connection alone. The reload test now also holds that what is out goes on over the session that is replaced.

--- a/hazelbend/transport/edge.py
+++ b/hazelbend/transport/edge.py
@@ -228,9 +228,14 @@
 
     def _sweep(self) -> None:
         loop = asyncio.get_running_loop()
+        self._sweeping = loop.call_later(SWEEP, self._sweep)  # first: no fault may end it
         for connection in list(self._open):
-            connection.look(loop.time())
-        self._sweeping = loop.call_later(SWEEP, self._sweep)
+            try:
+                connection.look(loop.time())
+            except Exception:
+                log.exception("edge connection: fault")
+                self.left(connection)
+                connection.force_close()
 
     # --- requests ---
 
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -313,3 +313,21 @@
             assert loop.time() - began >= edge.BAD_PAUSE * (1 + 2)
 
     asyncio.run(run())
+
+
+def test_a_fault_over_one_connection_does_not_end_the_watch_over_the_others(tmp_path, hurried, monkeypatch):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            look, faults = edge._Connection.look, []
+
+            def faulty(connection, now):
+                if not faults:
+                    faults.append(connection)
+                    raise OSError("as the test asks")
+                look(connection, now)
+
+            monkeypatch.setattr(edge._Connection, "look", faulty)
+            assert await asyncio.gather(*(talk(app.edge.port) for _ in range(3))) == [b""] * 3
+            assert len(faults) == 1
+
+    asyncio.run(run())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -66,19 +66,25 @@
         process.wait()
 
 
-def test_sigterm_serves_on_then_finishes_what_was_taken(start, tmp_path):
-    """Guards a planned restart: clients still come on new connections and on those that they have, which may
-    be all there is while another dispatcher is down; and nothing taken may be lost."""
+def run_with_a_toy(start, tmp_path, **more):
+    """The program, ready, with a toy server; both ports, and the configuration."""
     toy, port = free_port(), free_port()
     conf = {
         "listen": f"127.0.0.1:{port}",
         "settings": SETTINGS,
         "known": {"seq": 1, "whole": True, "hosts": [host_entry("toy", f"127.0.0.1:{toy}")]},
-    }
+    } | more
     (tmp_path / "config.json").write_bytes(orjson.dumps(conf))
     start(str(ROOT / "example/toy_server.py"), f"127.0.0.1:{toy}")
     program = start("-m", "hazelbend", RELAY_CONFIG=str(tmp_path / "config.json"))
     wait_for(lambda: answers(port) and answers(toy))
+    return program, port, toy, conf
+
+
+def test_sigterm_serves_on_then_finishes_what_was_taken(start, tmp_path):
+    """Guards a planned restart: clients still come on new connections and on those that they have, which may
+    be all there is while another dispatcher is down; and nothing taken may be lost."""
+    program, port, toy, _ = run_with_a_toy(start, tmp_path)
     running = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
     idle = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
     idle.connect()
@@ -108,17 +114,7 @@
 
 def test_hundreds_of_silent_connections_leave_room(start, tmp_path):
     """Guards the descriptors: accepting more than there are stopped the whole program for seconds."""
-    toy, port = free_port(), free_port()
-    conf = {
-        "listen": f"127.0.0.1:{port}",
-        "limits": {"sockets": 128},
-        "settings": SETTINGS,
-        "known": {"seq": 1, "whole": True, "hosts": [host_entry("toy", f"127.0.0.1:{toy}")]},
-    }
-    (tmp_path / "config.json").write_bytes(orjson.dumps(conf))
-    start(str(ROOT / "example/toy_server.py"), f"127.0.0.1:{toy}")
-    program = start("-m", "hazelbend", RELAY_CONFIG=str(tmp_path / "config.json"))
-    wait_for(lambda: answers(port) and answers(toy))
+    program, port, _, _ = run_with_a_toy(start, tmp_path, limits={"sockets": 128})
     resource.prlimit(program.pid, resource.RLIMIT_NOFILE, (128, 128))
     silent = [socket.create_connection(("127.0.0.1", port)) for _ in range(300)]
     assert [ask(port)[0] for _ in range(5)] == [200] * 5
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -7,9 +7,9 @@
 from contextlib import asynccontextmanager
 
 import orjson
-from site_kit import ROOT, SETTINGS, STOMP, StandIn, ToyServer, host_entry, site, until
+from site_kit import SETTINGS, STOMP, StandIn, ToyServer, host_entry, site, until
 from test_edge import request, talk
-from test_program import answers, ask, free_port, start, wait_for  # noqa: F401
+from test_program import ask, run_with_a_toy, start, wait_for  # noqa: F401
 
 from hazelbend.program import config
 from hazelbend.protocol.discovery import ListReader
@@ -82,16 +82,20 @@
 
 def test_settings_limits_and_names_apply_at_once_and_stomp_stays_connected(tmp_path):
     async def run():
-        async with site(tmp_path) as (app, _):
+        async with site(tmp_path) as (app, [toy]):
             peer = await StandIn.connect(app.stomp.port)
             peer.send("SUBSCRIBE", id="1", destination="/hazelbend/answers", ack="auto")
             lanes = [*SETTINGS["lanes"], {"name": "plan", "deadline_us": 3_000_000, "semantics": "read_like"}]
             limits = SETTINGS["limits"] | {"keepalive_us": 2_000_000, "connect_timeout_us": 100_000}
             changes = {"lanes": lanes, "limits": limits, "orgs": [*SETTINGS["orgs"], {"name": "new"}]}
             before = app.pool.session
+            data = request("running", b"200", more="Connection: close\r\n")
+            running = asyncio.create_task(talk(app.edge.port, data))
+            await until(lambda: toy.ran)
             app.apply(changed(app, tmp_path, changes, limits={"sockets": 256}, name="n9"))
             assert app.conf.name == "n9" and app.edge.limit < 128
             assert app.pool.settings.keepalive == 2.0 and app.pool.settings.connect_timeout == 0.1
+            assert b" 200 " in await running, "what is out goes on over the connection that it has"
             await until(lambda: before.closed)
             plan = request("p", more="Connection: close\r\n").replace(b"/nearby/", b"/plan/")
             assert b" 200 " in await talk(app.edge.port, plan.replace(b"ege-volt", b"new"))
@@ -129,18 +133,8 @@
 
 def test_sighup_as_a_process(start, tmp_path):  # noqa: F811
     """Guards the program's life: SIGHUP used to end it, and with it all that it had taken."""
-    toy, port = free_port(), free_port()
-    conf = {
-        "name": "one",
-        "listen": f"127.0.0.1:{port}",
-        "settings": SETTINGS,
-        "known": {"seq": 1, "whole": True, "hosts": [host_entry("toy", f"127.0.0.1:{toy}")]},
-    }
+    program, port, toy, conf = run_with_a_toy(start, tmp_path, name="one")
     file, log = tmp_path / "config.json", tmp_path / "log"
-    file.write_bytes(orjson.dumps(conf))
-    start(str(ROOT / "example/toy_server.py"), f"127.0.0.1:{toy}")
-    program = start("-m", "hazelbend", RELAY_CONFIG=str(file))
-    wait_for(lambda: answers(port) and answers(toy))
     for text, said in (
         (b'{"name": "two"', b"reload: "),
         (orjson.dumps(conf | {"discovery": "nowhere"}), b"reload: discovery: 'nowhere' is no address:port"),
