--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -11,6 +11,7 @@
 from hazelbend.decisions.brain import Dispatcher
 from hazelbend.program import config
 from hazelbend.program.console_server import ConsoleServer
+from hazelbend.program.drain import Drain
 from hazelbend.program.log import RecentLines, set_up
 from hazelbend.routing.clock import Clock
 from hazelbend.routing.overview import Overview, take_overview
@@ -19,6 +20,7 @@
 from hazelbend.transport.discovery_watch import DiscoveryWatch
 from hazelbend.transport.edge import Edge
 from hazelbend.transport.links import LinkPool, LinkSettings
+from hazelbend.transport.ops_door import OpsDoor
 from hazelbend.transport.stomp_boxes import Boxes
 from hazelbend.transport.stomp_listener import StompListener
 
@@ -28,7 +30,7 @@
 # deadline, or 3 s where that is longer, and 0.7 s; what came in the first 0.7 s may be cut off by it.
 NEW_CONNECTIONS, FIRST_REQUESTS, LONGEST, BEFORE_KILL = 0.5, 0.6, 3.0, 0.6
 LAST_JOBS = 1.6  # kept of that for the jobs that came last
-RESERVED = 64  # descriptors for discovery, listeners, the log and the interpreter
+RESERVED = 64  # descriptors for the operators' door, discovery, listeners, the log and the interpreter
 
 
 class Agent(Protocol):
@@ -69,6 +71,33 @@
             snmp = conf.snmp
             self.agent = SnmpAgent(snmp.host, snmp.port, snmp.community, snmp.notify, self.overview)
         table.watcher = self._server_changed
+        self._drain = Drain(self)
+        self._ends: dict[str, int] = {}  # by when what comes must be over, and why
+        self.door: OpsDoor | None = None
+        self._moving: asyncio.Task[None] | None = None
+
+    # --- what operators see and do ---
+
+    @property
+    def takes_clients(self) -> bool:
+        return self.edge.takes_clients
+
+    def drain(self) -> None:
+        self._drain.start()
+
+    def undrain(self) -> bool:
+        if self.leaving:
+            return False
+        self._drain.stop()
+        return True
+
+    def end_by(self, why: str, end: int | None) -> None:
+        """Bound what is taken from now on, for this reason too; the earliest end holds."""
+        if end is None:
+            self._ends.pop(why, None)
+        else:
+            self._ends[why] = end
+        self.router.end_by(min(self._ends.values(), default=None))
 
     def overview(self) -> Overview:
         fronts = {
@@ -93,9 +122,27 @@
             await self.console.listen()
         if self.agent is not None:
             await self.agent.start()
+        await self._move_door(self.conf.ops)
         await self.edge.listen(*self.conf.listen)
         log.info("%s: listening on %s:%d", self.conf.name, self.conf.listen[0], self.edge.port)
 
+    async def _move_door(self, address: tuple[str, int] | None) -> None:
+        """Open the door there, and only then close the one that was open."""
+        door = None
+        if address is not None:
+            door = OpsDoor(self)
+            await door.listen(*address)
+            log.info("operators' door: listening on %s:%d", address[0], door.port)
+        before, self.door = self.door, door
+        if before is not None:
+            await before.close()
+
+    async def _move_door_later(self, address: tuple[str, int] | None) -> None:
+        try:
+            await self._move_door(address)
+        except OSError as error:
+            log.error("reload: ops: %s; the door stays where it was", error)
+
     def reload(self) -> None:
         """SIGHUP: read the configuration again. One that is bad changes nothing."""
         if self._closed:
@@ -125,6 +172,8 @@
             self.router.change_settings(conf.settings)
         if (conf.discovery, conf.reader) != (old.discovery, old.reader):
             self.watch.move(conf.discovery, conf.reader)
+        if conf.ops != old.ops:
+            self._moving = asyncio.create_task(self._move_door_later(conf.ops))
         log.info("reloaded: %s", ", ".join(changed) or "nothing has changed")
         if kept:
             log.warning("reload: these wait for a restart: %s", ", ".join(kept))
@@ -137,7 +186,7 @@
         longest = max(row.deadline_ms for row in self.conf.catalogue.classes) / 1e3
         end = min(longest, LONGEST) + BEFORE_KILL
         await asyncio.sleep(FIRST_REQUESTS)
-        self.router.end_by(self.router.clock.now() + round((end - FIRST_REQUESTS) * 1e6))
+        self.end_by("leave", self.router.clock.now() + round((end - FIRST_REQUESTS) * 1e6))
         await asyncio.sleep(max(NEW_CONNECTIONS, end - LAST_JOBS) - FIRST_REQUESTS)
         log.info("doors closed: %d flows to finish", len(self.router.flows))
         self.edge.stop_accepting()
@@ -149,7 +198,12 @@
 
     async def close(self) -> None:
         self._closed = True
+        self._drain.close()
+        if self._moving is not None:
+            self._moving.cancel()
         await self.edge.close()
+        if self.door is not None:
+            await self.door.close()
         if self.stomp is not None:
             await self.stomp.close()
         await self.watch.close()
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -54,6 +54,7 @@
     load_fields: LoadFields
     connect_timeout: float  # seconds
     keepalive: float  # seconds
+    ops: tuple[str, int] | None = None  # the operators' door
     stomp: StompSettings | None = None
     snmp: SnmpSettings | None = None
     console: Path | None = None
@@ -137,7 +138,7 @@
         raise ConfigError(f"{path}: not JSON: {error}") from None
     if not isinstance(conf, dict):
         raise ConfigError(f"{path}: no JSON object")
-    for key in ("name", "listen", "discovery"):
+    for key in ("name", "listen", "discovery", "ops"):
         if key not in conf and (value := environment.get(f"RELAY_{key.upper()}")):
             conf[key] = value
     return with_deploy(from_object(conf), Path(environment.get(DEPLOY_VARIABLE, "deploy")), conf)
@@ -191,6 +192,7 @@
         load_fields=LoadFields(names),
         connect_timeout=limits.number("connect_timeout_us", 250_000, 1_000, 60_000_000) / 1e6,
         keepalive=limits.number("keepalive_us", 60_000_000, 100_000, 3_600_000_000) / 1e6,
+        ops=keys.address("ops") if keys.get("ops", str, "") else None,
     )
 
 
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -164,8 +164,8 @@
         """For what comes from now on; flows that are open keep the rules that they came under."""
         self._ask(face.SettingsChanged(settings))
 
-    def end_by(self, end: int) -> None:
-        """What is taken from now on must be over by then: the program ends."""
+    def end_by(self, end: int | None) -> None:
+        """What is taken from now on must be over by then: the program ends, or sends its clients away."""
         self._last_moment = end
 
     def close(self) -> None:
--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -30,6 +30,7 @@
 
 SERVER = "hazelbend/0.2"
 FIRST_FRAME = 2.3  # seconds that a connection has to say who it is, as on the edge
+YOUNG = 1.0  # seconds from its connecting in which a connection is not taken for idle
 LAST_WORDS = 1.0  # seconds that an ERROR or RECEIPT has to get out before the connection closes
 BEAT_TOLERANCE = 2.0  # of the agreed interval: what the network may add
 MOST_SUBSCRIPTIONS = 16
@@ -95,6 +96,12 @@
         if self._listener is not None:
             self._listener.close()
 
+    def close_idle_clients(self) -> None:
+        """Clients that have nothing open here are to go elsewhere. Boxes stay: they are servers."""
+        for session in list(self._sessions):
+            if session.is_idle:
+                session.cut("this dispatcher is being emptied: connect to another")
+
     async def close(self) -> None:
         """Let what is written get out, then close."""
         self.stop_accepting()
@@ -169,13 +176,24 @@
         self._link: BoxLink | None = None
         self._work_id: str | None = None
         self._in_interval = 0.0  # seconds; 0: no heart-beats are expected
-        self._sent_at = asyncio.get_running_loop().time()
+        self._sent_at = self._began_at = asyncio.get_running_loop().time()
         self._beats: asyncio.Task[None] | None = None
 
     @property
     def is_known(self) -> bool:
         return self._account is not None
 
+    @property
+    def is_idle(self) -> bool:
+        """A client's that has no flow open nor an answer on its way, and has had time to send or fetch."""
+        now = asyncio.get_running_loop().time()
+        return (
+            self._open
+            and self._mailbox is not None
+            and not self._mailbox.unsettled()
+            and now > self._began_at + YOUNG
+        )
+
     # --- out ---
 
     def send(self, frame: Frame) -> bool:
--- a/tests/site_kit.py
+++ b/tests/site_kit.py
@@ -76,7 +76,7 @@
 
 @asynccontextmanager
 async def site(
-    folder: Path, toys: int = 1, stomp: str = STOMP, discovery: str = "", **settings: Any
+    folder: Path, toys: int = 1, stomp: str = STOMP, discovery: str = "", ops: str = "", **settings: Any
 ) -> AsyncIterator[tuple[App, list[ToyServer]]]:
     """The program with so many toy servers; closed at once afterwards."""
     servers = [ToyServer(f"toy-{number}") for number in range(toys)]
@@ -87,6 +87,7 @@
         "name": "test",
         "listen": "127.0.0.1:0",
         "discovery": discovery,
+        "ops": ops,
         "known": {"seq": 1, "whole": True, "hosts": hosts},
         "settings": SETTINGS | settings,
     }
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,149 @@
+"""A drain: clients are sent away and nothing is cut; the program runs on, and takes them again when told."""
+
+import asyncio
+import http.client
+import signal
+
+import pytest
+from site_kit import StandIn, site, until
+from test_edge import request, talk
+from test_ops_door import OPS, asked
+from test_program import ask, free_port, run_with_a_toy, start, wait_for  # noqa: F401
+from test_reload import changed
+
+from hazelbend.program import drain
+from hazelbend.transport import http_listener
+
+HEALTHZ = b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+
+
+@pytest.fixture
+def hurried(monkeypatch):
+    """A drain at a tenth of its time."""
+    assert http_listener.REQUEST_WAIT + 0.4 + 3 * http_listener.SWEEP < drain.LAST < 4.0 - 2 * 0.1
+    assert drain.LATE < 2.0 and drain.KEPT > 0.3 and drain.OVER > 4.0
+    for name in ("KEPT", "LATE", "LAST", "OVER", "ROUND"):
+        monkeypatch.setattr(drain, name, getattr(drain, name) / 10)
+    monkeypatch.setattr(http_listener, "SWEEP", 0.02)
+
+
+async def open_kept(port: int, job_id: str = "kept"):
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(request(job_id))
+    assert b" 200 " in await reader.readuntil(b"did " + job_id.encode())
+    return reader, writer
+
+
+def test_a_drain_says_no_serves_what_comes_and_closes_what_is_idle(tmp_path, hurried):
+    async def run():
+        async with site(tmp_path, stomp="", ops=OPS) as (app, _):
+            reader, writer = await open_kept(app.edge.port)
+            idle, _ = await open_kept(app.edge.port, "idle")
+            long = asyncio.create_task(talk(app.edge.port, request("long", b"600")))
+            await until(lambda: app.router.flows)
+            assert (await asked(app, "/ops/drain/start", "POST"))[0] == 200
+            assert (await asked(app, "/ops/readiness"))[0] == 503
+            assert b" 503 " in await talk(app.edge.port, HEALTHZ)
+            late = await talk(app.edge.port, request("late"))
+            assert b" 200 " in late and b"\r\nConnection: close\r\n" in late
+            writer.write(request("on a kept one"))
+            answer = await reader.read()
+            assert b" 200 " in answer and b"\r\nConnection: close\r\n" in answer
+            assert await idle.read() == b"", "it was idle: closed without a word"
+            assert app.edge.connections == 1, "what was taken before goes on"
+            assert b" 200 " in await long
+            assert (await asked(app, "/ops/drain/start", "POST"))[0] == 200, "it may be said again"
+            assert (await asked(app, "/ops/drain/stop", "POST"))[0] == 200
+            assert (await asked(app, "/ops/readiness"))[0] == 200
+            assert b" 200 " in await talk(app.edge.port, HEALTHZ)
+            _, again = await open_kept(app.edge.port, "again")
+            assert app.edge.connections == 1
+            again.close()
+
+    asyncio.run(run())
+
+
+def test_a_job_that_comes_late_in_a_drain_is_over_in_time(tmp_path, hurried):
+    """Guards the rule that at 4 s no connection carries a job of the last 2 s."""
+
+    async def run():
+        async with site(tmp_path, stomp="", ops=OPS) as (app, _):
+            loop = asyncio.get_running_loop()
+            app.drain()
+            began = loop.time()
+            await asyncio.sleep(drain.LATE + 0.05)
+            half, slow = await asyncio.open_connection("127.0.0.1", app.edge.port)
+            slow.write(request("half")[:40])
+            answer = await talk(app.edge.port, request("late", b"hang"))
+            assert answer.startswith(b"HTTP/1.1 50") and loop.time() - began < drain.LAST + 0.2
+            assert b" 408 " in await half.read()
+            await until(lambda: loop.time() - began > drain.OVER + 0.02)
+            after = asyncio.create_task(talk(app.edge.port, request("after", b"100")))
+            assert b" 200 " in await after, "who comes even then is served"
+
+    asyncio.run(run())
+
+
+def test_stop_crosses_start_and_a_reload(tmp_path, hurried):
+    async def run():
+        async with site(tmp_path, stomp="", ops=OPS) as (app, _):
+            for _ in range(3):
+                app.drain()
+                assert app.undrain() and app.undrain()
+            app.drain()
+            app.apply(changed(app, tmp_path, ops=f"127.0.0.1:{app.door.port}", name="n9"))
+            assert not app.takes_clients, "a reload ends no drain"
+            app.undrain()
+            reader, writer = await open_kept(app.edge.port)
+            await asyncio.sleep(drain.OVER)
+            writer.write(request("on"))
+            assert b" 200 " in await reader.readuntil(b"did on"), "nothing of the drains is left"
+            assert app._ends == {} and app.takes_clients
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_stomp_clients_are_sent_away_when_they_have_their_answers(tmp_path, hurried, monkeypatch):
+    monkeypatch.setattr("hazelbend.transport.stomp_listener.YOUNG", 0.01)
+
+    async def run():
+        async with site(tmp_path, ops=OPS) as (app, _):
+            idle = await StandIn.connect(app.stomp.port, client_id="idle")
+            busy = await StandIn.connect(app.stomp.port, client_id="busy")
+            box = await StandIn.connect(app.stomp.port, login="box-1")
+            busy.send("SUBSCRIBE", id="1", destination="/hazelbend/answers", ack="auto")
+            busy.job("b", b"300")
+            await until(lambda: app.router.flows)
+            app.drain()
+            await until(lambda: idle.closed)
+            assert "emptied" in idle.of("ERROR")[0].headers["message"] and not busy.closed
+            await until(lambda: busy.closed)
+            assert busy.answers() == {"b": ["served"]} and not box.closed
+            late = await StandIn.connect(app.stomp.port, client_id="late")
+            late.send("SUBSCRIBE", id="1", destination="/hazelbend/answers", ack="auto")
+            late.job("l", b"1")
+            await until(lambda: late.closed)
+            assert late.answers() == {"l": ["served"]}
+            app.undrain()
+
+    asyncio.run(run())
+
+
+def test_sigterm_in_a_drain_and_the_door_while_leaving(start, tmp_path):  # noqa: F811
+    """Guards a planned end: the door answers until the end, and a drain's stop cannot take the leave back."""
+    ops = free_port()
+    program, port, toy, _ = run_with_a_toy(start, tmp_path, ops=f"127.0.0.1:{ops}")
+    running = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    headers = {"X-Request-ID": "long", "X-Tenant-Id": "ege-volt", "X-Timeout-Ms": "5000"}
+    running.request("POST", "/nearby/1", "2900", headers)
+    assert ask(ops, "POST", "/ops/drain/start")[0] == 200
+    wait_for(lambda: b"draining: " in (tmp_path / "log").read_bytes())
+    program.send_signal(signal.SIGTERM)
+    wait_for(lambda: b"leaving" in (tmp_path / "log").read_bytes())
+    assert ask(ops, "POST", "/ops/drain/stop")[0] == 409
+    assert ask(ops, "GET", "/ops/readiness")[0] == 503
+    assert ask(ops, "POST", "/ops/drain/start")[0] == 200
+    response = running.getresponse()
+    assert (response.status, response.read()) == (200, b"toy did long")
+    assert program.wait(10) == 0
--- /dev/null
+++ b/tests/test_ops_door.py
@@ -0,0 +1,128 @@
+"""The operators' door: what each call is answered, and that silent or odd callers keep nobody out."""
+
+import asyncio
+
+import pytest
+from parser_kit import garbage, pieces
+from site_kit import site, until
+from test_edge import request, talk
+from test_reload import changed
+
+from hazelbend.program import config
+from hazelbend.transport import ops_door
+
+OPS = "127.0.0.1:0"
+
+
+def call(path: str, method: str = "GET", version: str = "1.1", more: str = "") -> bytes:
+    return f"{method} {path} HTTP/{version}\r\nHost: x\r\n{more}\r\n".encode()
+
+
+async def asked(app, path: str, method: str = "GET") -> tuple[int, str]:
+    """One call: its status and text; the door closes after it."""
+    head, _, text = (await talk(app.door.port, call(path, method))).partition(b"\r\n\r\n")
+    return int(head.split()[1]), text.decode()
+
+
+def test_each_call_has_its_answer_and_closes(tmp_path):
+    calls = {
+        ("GET", "/ops/readiness"): 200,
+        ("POST", "/ops/readiness"): 405,
+        ("GET", "/ops/drain/start"): 405,
+        ("POST", "/ops/drain/stop"): 200,
+        ("GET", "/ops/nothing"): 404,
+        ("GET", "/healthz"): 404,
+        ("POST", "/nearby/1"): 404,
+    }
+
+    async def run():
+        async with site(tmp_path, stomp="", ops=OPS) as (app, _):
+            for (method, path), status in calls.items():
+                assert (await asked(app, path, method))[0] == status, (method, path)
+            for wrong in (b"\x16\x03\x01\r\n\r\n", call("/ops/readiness").replace(b"HTTP", b"HTCPCP")):
+                assert b" 400 " in await talk(app.door.port, wrong)
+            body = call("/ops/drain/stop", "POST", more="Content-Length: 2\r\n") + b"ab"
+            assert b" 200 " in await talk(app.door.port, body)
+            assert app.takes_clients and not app.router.tally.taken
+
+    asyncio.run(run())
+
+
+def test_without_the_key_there_is_no_door(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            assert app.door is None and app.conf.ops is None
+
+    asyncio.run(run())
+
+
+def test_a_bad_address_is_named(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            with pytest.raises(config.ConfigError, match="ops: 'here' is no address:port"):
+                changed(app, tmp_path, ops="here")
+
+    asyncio.run(run())
+
+
+def test_silent_and_slow_callers_make_room(tmp_path):
+    """Guards the operators' way in, and the few descriptors that are kept for it."""
+
+    async def run():
+        async with site(tmp_path, stomp="", ops=OPS) as (app, _):
+            writers = []
+            for number in range(4 * ops_door.CONNECTIONS):
+                _, writer = await asyncio.open_connection("127.0.0.1", app.door.port)
+                if number % 2:
+                    writer.write(call("/ops/readiness")[:-7])
+                writers.append(writer)
+                assert app.door.connections <= 2 * ops_door.CONNECTIONS + 1
+            assert (await asked(app, "/ops/readiness"))[0] == 200
+            for writer in writers:
+                writer.close()
+            await until(lambda: not app.door.connections)
+
+    asyncio.run(run())
+
+
+def test_full_clients_keep_no_operator_out(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="", ops=OPS) as (app, _):
+            app.edge.limit = 1
+            running = [asyncio.create_task(talk(app.edge.port, request(f"r{n}", b"300"))) for n in range(4)]
+            await until(lambda: len(app.router.flows) == 4)
+            assert (await asked(app, "/ops/readiness"))[0] == 200
+            app.edge.limit = 0
+            await asyncio.gather(*running)
+
+    asyncio.run(run())
+
+
+def test_random_cuts_and_garbage_at_the_door(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="", ops=OPS) as (app, _):
+            good = call("/ops/readiness")
+            for seed in range(25):
+                cut = [piece for piece in pieces(good, seed) if piece]
+                assert b" 200 " in await talk(app.door.port, *cut)
+                answer = await talk(app.door.port, garbage(good, seed), end=True)
+                assert not answer or answer.startswith(b"HTTP/1.")
+            assert app.takes_clients
+
+    asyncio.run(run())
+
+
+def test_the_door_moves_at_a_reload_or_stays_where_it_was(tmp_path, caplog):
+    async def run():
+        async with site(tmp_path, stomp="", ops=OPS) as (app, _):
+            first = app.door
+            app.apply(changed(app, tmp_path, ops=f"127.0.0.1:{app.edge.port}"))
+            await until(lambda: "the door stays where it was" in caplog.text)
+            assert app.door is first and (await asked(app, "/ops/readiness"))[0] == 200
+            app.apply(changed(app, tmp_path, ops="localhost:0"))
+            await until(lambda: app.door is not first)
+            assert (await asked(app, "/ops/readiness"))[0] == 200
+            app.apply(changed(app, tmp_path))
+            await until(lambda: app.door is None)
+
+    asyncio.run(run())
