--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import signal
+from collections.abc import Awaitable, Callable
 from dataclasses import fields, replace
 from typing import Protocol
 
 from hazelbend.decisions.brain import Dispatcher
 from hazelbend.program import config
 from hazelbend.program.console_server import ConsoleServer
-from hazelbend.program.drain import Drain
+from hazelbend.program.drain import KEPT, Drain
 from hazelbend.program.log import RecentLines, set_up
 from hazelbend.routing.clock import Clock
 from hazelbend.routing.overview import Overview, take_overview
@@ -19,6 +21,7 @@
 from hazelbend.routing.table import RealServer, ServerTable
 from hazelbend.transport.discovery_watch import DiscoveryWatch
 from hazelbend.transport.edge import Edge
+from hazelbend.transport.http_listener import passed_listener
 from hazelbend.transport.links import LinkPool, LinkSettings
 from hazelbend.transport.ops_door import OpsDoor
 from hazelbend.transport.stomp_boxes import Boxes
@@ -30,6 +33,8 @@
 # deadline, or 3 s where that is longer, and 0.7 s; what came in the first 0.7 s may be cut off by it.
 NEW_CONNECTIONS, FIRST_REQUESTS, LONGEST, BEFORE_KILL = 0.5, 0.6, 3.0, 0.6
 LAST_JOBS = 1.6  # kept of that for the jobs that came last
+FIRST_LIST = 3.0  # seconds that a start on a passed listener waits for discovery; it is due within 6
+HELD_PAUSE = 0.2  # seconds between tries for an address that the process before still holds
 RESERVED = 64  # descriptors for the operators' door, discovery, listeners, the log and the interpreter
 
 
@@ -75,6 +80,7 @@
         self._ends: dict[str, int] = {}  # by when what comes must be over, and why
         self.door: OpsDoor | None = None
         self._moving: asyncio.Task[None] | None = None
+        self._opening: list[asyncio.Task[None]] = []  # addresses that are not free yet
 
     # --- what operators see and do ---
 
@@ -114,18 +120,40 @@
 
     async def start(self) -> None:
         """Everything that can fail for want of an address comes before the edge says that it is ready."""
+        passed = self.conf.passed_socket
+        listener = passed_listener(passed) if passed is not None else None
         self.router.begin(self.conf.known)
         if self.stomp is not None:
-            await self.stomp.listen()
-            log.info("stomp: listening on %s:%d", self.stomp.settings.host, self.stomp.port)
+            await self._open(self.stomp.listen)
         if self.console is not None:
-            await self.console.listen()
+            await self._open(self.console.listen)
         if self.agent is not None:
-            await self.agent.start()
+            await self._open(self.agent.start)
         await self._move_door(self.conf.ops)
-        await self.edge.listen(*self.conf.listen)
+        if listener is not None and self.conf.settings.list_must_be_asked:
+            # An upgrade, it may be: the list as last known may lack drains that the process before was told.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FIRST_LIST):
+                    await self.router.listed.wait()
+        await self.edge.listen(*self.conf.listen, listener)
         log.info("%s: listening on %s:%d", self.conf.name, self.conf.listen[0], self.edge.port)
 
+    async def _open(self, listen: Callable[[], Awaitable[None]]) -> None:
+        """Take an address. In an upgrade the process before may still hold it: then it is taken when free."""
+        try:
+            await listen()
+        except OSError as error:
+            if self.conf.passed_socket is None:
+                raise
+            log.warning("an address is still held, and taken when it is free: %s", error)
+            self._opening.append(asyncio.create_task(self._open_later(listen)))
+
+    async def _open_later(self, listen: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            await asyncio.sleep(HELD_PAUSE)
+            with contextlib.suppress(OSError):
+                return await listen()
+
     async def _move_door(self, address: tuple[str, int] | None) -> None:
         """Open the door there, and only then close the one that was open."""
         door = None
@@ -185,6 +213,14 @@
         self.leaving = True
         longest = max(row.deadline_ms for row in self.conf.catalogue.classes) / 1e3
         end = min(longest, LONGEST) + BEFORE_KILL
+        if self.conf.passed_socket is not None:
+            # An upgrade: whoever is not accepted yet is the next process's, and clients go there from now on.
+            self._drain.close()
+            self.edge.stop_listening()
+            if self.stomp is not None:
+                self.stomp.stop_accepting()
+            now = asyncio.get_running_loop().time()
+            self.edge.empty(now + KEPT, now + end)
         await asyncio.sleep(FIRST_REQUESTS)
         self.end_by("leave", self.router.clock.now() + round((end - FIRST_REQUESTS) * 1e6))
         await asyncio.sleep(max(NEW_CONNECTIONS, end - LAST_JOBS) - FIRST_REQUESTS)
@@ -199,8 +235,8 @@
     async def close(self) -> None:
         self._closed = True
         self._drain.close()
-        if self._moving is not None:
-            self._moving.cancel()
+        for task in (*self._opening, *filter(None, [self._moving])):
+            task.cancel()
         await self.edge.close()
         if self.door is not None:
             await self.door.close()
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -25,6 +25,7 @@
 from hazelbend.transport.stomp_clients import Bounds
 from hazelbend.transport.stomp_listener import ClientAccount, StompSettings
 
+PASSED_SOCKET = "RELAY_PASSED_SOCKET"
 DEPLOY_VARIABLE = "HAZELBEND_DEPLOY"  # another folder in place of deploy/
 
 
@@ -55,6 +56,7 @@
     connect_timeout: float  # seconds
     keepalive: float  # seconds
     ops: tuple[str, int] | None = None  # the operators' door
+    passed_socket: int | None = None  # descriptor of the clients' listener, which the platform holds
     stomp: StompSettings | None = None
     snmp: SnmpSettings | None = None
     console: Path | None = None
@@ -141,7 +143,17 @@
     for key in ("name", "listen", "discovery", "ops"):
         if key not in conf and (value := environment.get(f"RELAY_{key.upper()}")):
             conf[key] = value
-    return with_deploy(from_object(conf), Path(environment.get(DEPLOY_VARIABLE, "deploy")), conf)
+    config = replace(from_object(conf), passed_socket=_passed_socket(environment.get(PASSED_SOCKET, "")))
+    return with_deploy(config, Path(environment.get(DEPLOY_VARIABLE, "deploy")), conf)
+
+
+def _passed_socket(text: str) -> int | None:
+    """The descriptor that the platform names; whether it is a listener shows when it is opened."""
+    if not text:
+        return None
+    if not text.isascii() or not text.isdecimal() or not 2 < int(text) < 1_000_000:
+        raise ConfigError(f"{PASSED_SOCKET}: {text!r} is no descriptor")
+    return int(text)
 
 
 def from_object(conf: dict[str, Any]) -> Config:
--- a/hazelbend/program/console_server.py
+++ b/hazelbend/program/console_server.py
@@ -123,23 +123,41 @@
     )
 
 
+async def _is_live(path: Path) -> bool:
+    """Whether a program listens there; one that does not answer at once may be busy."""
+    try:
+        async with asyncio.timeout(0.5):
+            _, writer = await asyncio.open_unix_connection(str(path))
+    except (ConnectionRefusedError, FileNotFoundError):
+        return False
+    except TimeoutError:
+        return True
+    writer.close()
+    return True
+
+
 class ConsoleServer:
     def __init__(self, path: Path, app: App) -> None:
         self.path, self._commands = path, Commands(app)
         self._server: asyncio.Server | None = None
+        self._own = 0  # the inode of our socket
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def listen(self) -> None:
         """The socket is made with mode 0600: at no moment could another user open it."""
         with contextlib.suppress(OSError):
-            if self.path.is_socket():
+            if self.path.is_socket() and not await _is_live(self.path):
                 self.path.unlink()  # left by a program that was killed
         listener = socket.socket(socket.AF_UNIX)
         before = os.umask(0o177)
         try:
             listener.bind(str(self.path))
+        except OSError:
+            listener.close()
+            raise
         finally:
             os.umask(before)
+        self._own = self.path.stat().st_ino
         self._server = await asyncio.start_unix_server(self._serve, sock=listener, limit=LINE_LIMIT)
 
     async def close(self) -> None:
@@ -148,7 +166,8 @@
             for writer in self._writers:
                 writer.close()
             with contextlib.suppress(OSError):
-                self.path.unlink()
+                if self.path.stat().st_ino == self._own:  # not one that another program has put there since
+                    self.path.unlink()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -120,6 +120,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._idle = asyncio.Event()
         self._idle.set()
+        self.listed = asyncio.Event()  # discovery has told its list
 
     # --- what fronts and wiring call ---
 
@@ -382,3 +383,5 @@
 
     def _listed(self, news: ServiceList) -> None:
         self._ask(self.table.apply(news))
+        if not news.failed:
+            self.listed.set()
--- a/hazelbend/transport/edge.py
+++ b/hazelbend/transport/edge.py
@@ -41,6 +41,10 @@
         """Whether clients should come: what /healthz says."""
         return self._listener is not None and not self.emptying and not self.leaving
 
+    def stop_listening(self) -> None:
+        """The listener is another process's from now on; what was accepted here is served here."""
+        super().stop_accepting()
+
     def empty(self, idle_until: float, part_until: float) -> None:
         """Send clients away. `idle_until`: loop time from which idle connections close; `part_until`: from
         which those close too that have not sent a whole request."""
--- a/hazelbend/transport/http_listener.py
+++ b/hazelbend/transport/http_listener.py
@@ -138,6 +138,19 @@
         return HttpConnection(self._listener, self, loop=self._loop, **self._kwargs)
 
 
+def passed_listener(descriptor: int) -> socket.socket:
+    """The listener that this process was given; OSError if there is none at this descriptor."""
+    try:
+        given = socket.socket(fileno=descriptor)
+    except OSError as error:
+        raise OSError(f"RELAY_PASSED_SOCKET: descriptor {descriptor} is no socket: {error}") from None
+    if given.type != socket.SOCK_STREAM or not given.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        given.detach()
+        raise OSError(f"RELAY_PASSED_SOCKET: descriptor {descriptor} is no listening socket")
+    given.setblocking(False)
+    return given
+
+
 class HttpListener:
     """One address. What is made of a request is for `_serve` to say."""
 
@@ -163,11 +176,15 @@
         assert self._listener is not None
         return int(self._listener.sockets[0].getsockname()[1])
 
-    async def listen(self, host: str, port: int) -> None:
+    async def listen(self, host: str, port: int, passed: socket.socket | None = None) -> None:
+        """At this address; or on a listener that others hold as well, so it is closed, never shut down."""
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._server, host, port, backlog=ACCEPTS, reuse_address=True
-        )
+        if passed is not None:
+            self._listener = await loop.create_server(self._server, sock=passed, backlog=ACCEPTS)
+        else:
+            self._listener = await loop.create_server(
+                self._server, host, port, backlog=ACCEPTS, reuse_address=True
+            )
         # asyncio takes one number for both; many may wait, but few are accepted in one go.
         for each in self._listener.sockets:
             with socket.socket(fileno=socket.dup(each.fileno())) as same:
--- a/hazelbend/transport/snmp_agent.py
+++ b/hazelbend/transport/snmp_agent.py
@@ -169,7 +169,11 @@
     async def start(self) -> None:
         self._engine = snmp = engine.SnmpEngine()
         self._transport = udp.UdpAsyncioTransport().open_server_mode(self._address)
-        await self._transport._lport  # the socket is bound by a task; a taken address must show now
+        try:
+            await self._transport._lport  # the socket is bound by a task; a taken address must show now
+        except OSError:
+            self._engine = None
+            raise
         config.add_transport(snmp, udp.DOMAIN_NAME, self._transport)
         config.add_v1_system(snmp, "reader", self._community)
         config.add_context(snmp, "")
--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -85,6 +85,7 @@
 
     async def listen(self) -> None:
         self._listener = await asyncio.start_server(self._connected, self.settings.host, self.settings.port)
+        log.info("listening on %s:%d", self.settings.host, self.port)
 
     def change(self, catalogue: Catalogue) -> None:
         """New names for what comes from now on; connections, mailboxes and subscriptions stay."""
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -53,10 +53,12 @@
     """Start processes; each is ended, by its own id, when the test is over."""
     running = []
 
-    def begin(*command, **variables):
+    def begin(*command, pass_fds=(), **variables):
         environment = os.environ | {"PYTHONPATH": str(ROOT)} | variables
         with (tmp_path / "log").open("ab") as log:
-            process = subprocess.Popen([sys.executable, *command], env=environment, stderr=log, cwd=tmp_path)
+            process = subprocess.Popen(
+                [sys.executable, *command], env=environment, stderr=log, cwd=tmp_path, pass_fds=pass_fds
+            )
         running.append(process)
         return process
 
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,138 @@
+"""An upgrade: a second process beside the first, on the listener that the platform passes to both."""
+
+import asyncio
+import http.client
+import os
+import signal
+import socket
+import time
+
+import orjson
+import pytest
+from site_kit import ROOT, SETTINGS, STOMP, host_entry, site
+from test_edge import request, talk
+from test_program import ask, free_port, start, wait_for  # noqa: F401
+
+from hazelbend.program import config
+from hazelbend.program.console_server import ConsoleServer
+from hazelbend.transport.http_listener import passed_listener
+
+
+def run_beside(begin, tmp_path, listener, name, **more):
+    """A program on the passed listener; it, its door's port, and where its configuration is."""
+    door = free_port()
+    conf = {"listen": f"127.0.0.1:{listener.getsockname()[1]}", "settings": SETTINGS} | more
+    (tmp_path / f"{name}.json").write_bytes(orjson.dumps(conf | {"ops": f"127.0.0.1:{door}"}))
+    variables = {"RELAY_CONFIG": str(tmp_path / f"{name}.json"), "HAZELBEND_DEPLOY": str(tmp_path / "deploy")}
+    fd = listener.fileno()
+    os.set_inheritable(fd, True)
+    program = begin("-m", "hazelbend", pass_fds=(fd,), RELAY_PASSED_SOCKET=str(fd), **variables)
+    return program, door
+
+
+def ready(door: int) -> bool:
+    try:
+        return ask(door, "GET", "/ops/readiness")[0] == 200
+    except OSError:
+        return False
+
+
+def test_the_new_process_takes_over_and_the_old_one_finishes(start, tmp_path):  # noqa: F811
+    """Guards an upgrade under load: the second process used to die of the held addresses; and what waits to
+    be accepted must not be reset with the first."""
+    toy, stomp = free_port(), free_port()
+    start(str(ROOT / "example/toy_server.py"), f"127.0.0.1:{toy}")
+    (tmp_path / "deploy").mkdir()
+    (tmp_path / "deploy/stomp.toml").write_text(STOMP.replace("127.0.0.1:0", f"127.0.0.1:{stomp}"))
+    (tmp_path / "deploy/console.toml").write_text('enabled = true\nsocket = "console.sock"\n')
+    (tmp_path / "deploy/snmp.toml").write_text(
+        f'enabled = true\nlisten = "127.0.0.1:{free_port()}"\ncommunity = "reading-room"\n'
+    )
+    known = {"seq": 1, "whole": True, "hosts": [host_entry("toy", f"127.0.0.1:{toy}")]}
+    log = tmp_path / "log"
+    with socket.create_server(("127.0.0.1", 0), backlog=128) as listener:
+        port = listener.getsockname()[1]
+        old, first = run_beside(start, tmp_path, listener, "old", known=known)
+        wait_for(lambda: ready(first))
+        assert ask(port)[0] == 200
+        socket_file = (tmp_path / "console.sock").stat().st_ino
+        running = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        headers = {"X-Request-ID": "long", "X-Tenant-Id": "ege-volt", "X-Timeout-Ms": "5000"}
+        running.request("POST", "/nearby/1", "2500", headers)
+        wait_for(lambda: orjson.loads(ask(toy, "GET", "/load")[2])["inflight"] == 1)
+        new, second = run_beside(start, tmp_path, listener, "new", known=known)
+        wait_for(lambda: ready(second))
+        assert log.read_bytes().count(b"an address is still held") == 3, "STOMP's, SNMP's and the console's"
+        assert (tmp_path / "console.sock").stat().st_ino == socket_file, "a live one stays"
+        old.send_signal(signal.SIGTERM)
+        left_at = time.monotonic()
+        for _ in range(20):
+            assert ask(port)[0] == 200
+        assert ask(first, "GET", "/ops/readiness")[0] == 503 and ready(second)
+        response = running.getresponse()
+        assert (response.status, response.headers["Connection"], response.read()) == (
+            200, "close", b"toy did long"
+        )  # fmt: skip
+        assert old.wait(10) == 0 and time.monotonic() - left_at < 3.7
+        assert ask(port)[0] == 200, "the listener was closed and not shut down"
+        wait_for(lambda: (tmp_path / "console.sock").exists())
+        wait_for(lambda: log.read_bytes().count(b"hazelbend.stomp: listening on") == 2)
+        wait_for(lambda: log.read_bytes().count(b"snmp: listening on") == 2)
+        assert new.poll() is None
+
+
+@pytest.mark.parametrize("text", ["five", "-1", "1", "5.0", "99999999"])
+def test_a_descriptor_that_is_none_is_named(text):
+    with pytest.raises(config.ConfigError, match="RELAY_PASSED_SOCKET: .* is no descriptor"):
+        config._passed_socket(text)
+
+
+def test_what_is_no_listener_ends_the_start(start, tmp_path):  # noqa: F811
+    with socket.socket() as plain:
+        fd = plain.fileno()
+        (tmp_path / "c.json").write_bytes(orjson.dumps({"listen": "127.0.0.1:1", "settings": SETTINGS}))
+        variables = {"RELAY_CONFIG": str(tmp_path / "c.json"), "RELAY_PASSED_SOCKET": str(fd)}
+        assert start("-m", "hazelbend", pass_fds=(fd,), **variables).wait(20) == 1
+        said = (tmp_path / "log").read_text()
+        assert f"RELAY_PASSED_SOCKET: descriptor {fd} is no listening socket" in said
+        variables["RELAY_PASSED_SOCKET"] = str(fd + 1)
+        assert start("-m", "hazelbend", **variables).wait(20) == 1
+
+
+def test_a_closed_listener_is_not_shut_down():
+    """Guards what waits in the kernel's queue: it is the other process's."""
+
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            server = await asyncio.start_server(
+                lambda reader, writer: None, sock=passed_listener(socket.dup(held.fileno()))
+            )
+            server.close()
+            reader, writer = await asyncio.open_connection(*held.getsockname())
+            held.setblocking(True)
+            accepted, _ = held.accept()
+            accepted.close()
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_a_console_socket_left_by_a_dead_program_is_replaced_and_a_live_one_stays(tmp_path):
+    async def run():
+        path = tmp_path / "console.sock"
+        async with site(tmp_path, stomp="") as (app, _):
+            left = socket.socket(socket.AF_UNIX)
+            left.bind(str(path))
+            left.close()
+            first, second = ConsoleServer(path, app), ConsoleServer(path, app)
+            await first.listen()
+            with pytest.raises(OSError):
+                await second.listen()
+            await asyncio.open_unix_connection(str(path))
+            await second.close()
+            assert path.exists(), "it is the first one's"
+            await first.close()
+            assert not path.exists()
+            assert b" 200 " in await talk(app.edge.port, request(more="Connection: close\r\n"))
+
+    asyncio.run(run())
