--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -126,6 +126,10 @@
         self.handlers[type(event)](event, now)
         return self.out
 
+    def avoided(self, now: int) -> set[face.WorkerId]:
+        """The listed workers that are shut out now."""
+        return {number for number, worker in self.workers.items() if worker.shut_until > now}
+
     def _members(self, event: face.MembershipUpdate, now: int) -> None:
         if event.kind is face.ListKind.FAILED:
             wait = round(self.settings.ask_within * self.random.uniform(*LIST_WAIT) * 2**self.list_failures)
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -16,7 +16,7 @@
 from hazelbend.program.drain import KEPT, Drain
 from hazelbend.program.log import RecentLines, set_up
 from hazelbend.routing.clock import Clock
-from hazelbend.routing.overview import Overview, take_overview
+from hazelbend.routing.overview import Figures, Overview, take_figures, take_overview
 from hazelbend.routing.router import Router
 from hazelbend.routing.table import RealServer, ServerTable
 from hazelbend.transport.discovery_watch import DiscoveryWatch
@@ -65,7 +65,7 @@
         self.boxes = Boxes(self.router, conf.catalogue, conf.load_fields)
         self.stomp: StompListener | None = None
         if conf.stomp is not None:
-            self.stomp = StompListener(conf.stomp, self.router.take, self.boxes, conf.catalogue)
+            self.stomp = StompListener(conf.stomp, self.router, self.boxes, conf.catalogue)
         self.console: ConsoleServer | None = None
         if conf.console is not None:
             self.console = ConsoleServer(conf.console, self)
@@ -88,6 +88,9 @@
     def takes_clients(self) -> bool:
         return self.edge.takes_clients
 
+    def figures(self) -> Figures:
+        return take_figures(self.router, self._class_names)
+
     def drain(self) -> None:
         self._drain.start()
 
@@ -111,7 +114,12 @@
             "stomp": self.stomp.connections if self.stomp is not None else 0,
             "boxes": self.boxes.connected,
         }
-        return take_overview(self.router, self.conf.name, self.leaving, fronts)
+        state = "leaving" if self.leaving else "draining" if self._drain.is_on else "serving"
+        return take_overview(self.router, self.conf.name, state, self._class_names, fronts)
+
+    @property
+    def _class_names(self) -> list[str]:
+        return [row.name for row in self.conf.catalogue.classes]
 
     def _server_changed(self, server: RealServer, takes_work: bool) -> None:
         log.info("server %s: %s", server.entry.host, "up" if takes_work else "down")
--- a/hazelbend/program/console_server.py
+++ b/hazelbend/program/console_server.py
@@ -25,6 +25,7 @@
 
 HELP = """\
 show status            what the program is doing, counts since its start
+show figures           what the operators' door and SNMP tell as well
 show servers           the table of real servers
 show flows             the requests that are open
 show fronts            connections by front
@@ -46,6 +47,7 @@
         self._app = app
         self._shows: dict[str, Callable[[Overview], str]] = {
             "status": self._status,
+            "figures": self._figures,
             "servers": self._servers,
             "flows": self._flows,
             "fronts": self._fronts,
@@ -71,9 +73,9 @@
     def _status(self, view: Overview) -> str:
         rows = [
             ("name", view.name),
-            ("state", "leaving" if view.leaving else "serving"),
+            ("state", view.state),
             ("up for", f"{view.uptime / 1e6:.0f} s"),
-            ("flows open", len(view.flows)),
+            ("flows open", view.figures.outstanding),
             ("flows taken", view.taken),
             *((f"  {verdict.value}", count) for verdict, count in view.verdicts.items()),
             ("  client left", view.abandoned),
@@ -82,6 +84,9 @@
         ]
         return table(rows)
 
+    def _figures(self, view: Overview) -> str:
+        return table(list(view.figures.named().items()))
+
     def _servers(self, view: Overview) -> str:
         head = ("SERVER", "ADDRESS", "STATE", "OUT", "SERVED", "FAILED")
         rows = [
--- a/hazelbend/routing/overview.py
+++ b/hazelbend/routing/overview.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from hazelbend.decisions.interface import Outcome, WorkerState
@@ -32,14 +33,45 @@
     servers: tuple[str, ...]  # of its schedulings under way
 
 
+@dataclass(slots=True, frozen=True)
+class ClassFigures:
+    name: str
+    succeeded: int
+    declined: int
+    aborted: int
+
+
+@dataclass(slots=True, frozen=True)
+class Figures:
+    """What operators watch. Counts run from the start; the rest is as of now."""
+
+    classes: tuple[ClassFigures, ...]
+    forwards: int  # attempts written whole to servers
+    outstanding: int  # jobs taken and not yet answered
+    discovered: int  # servers on the list
+    ejected: int  # of those, the ones that are avoided now: shut out by the module, or drained by hand
+
+    def named(self) -> dict[str, int]:
+        """Each by the name that the operators know it by."""
+        found = {}
+        for each in self.classes:
+            found[f"succeeded.{each.name}"] = each.succeeded
+            found[f"declined.{each.name}"] = each.declined
+            found[f"aborted.{each.name}"] = each.aborted
+        for name in ("forwards", "outstanding", "discovered", "ejected"):
+            found[name] = getattr(self, name)
+        return found
+
+
 @dataclass(slots=True, frozen=True)
 class Overview:
     name: str
     uptime: int  # microseconds
-    leaving: bool
+    state: str  # serving, draining or leaving
     taken: int
     abandoned: int
     verdicts: dict[Verdict, int]
+    figures: Figures
     outcomes: dict[Outcome, int]
     flows: tuple[FlowRow, ...]
     servers: tuple[ServerRow, ...]
@@ -54,16 +86,39 @@
     ]
 
 
-def take_overview(router: Router, name: str, leaving: bool, fronts: dict[str, int]) -> Overview:
+def take_figures(router: Router, classes: Iterable[str]) -> Figures:
+    answers, servers = router.tally.answers, router.table.servers
+    avoided = router.decider.avoided(router.clock.now())
+    return Figures(
+        classes=tuple(
+            ClassFigures(
+                name,
+                answers[index, Verdict.SERVED],
+                answers[index, Verdict.REFUSED],
+                answers[index, Verdict.FAILED],
+            )
+            for index, name in enumerate(classes)
+        ),
+        forwards=router.tally.forwards,
+        outstanding=sum(not flow.is_closed for flow in router.flows.values()),
+        discovered=len(servers),
+        ejected=sum(each.held_back or number in avoided for number, each in servers.items()),
+    )
+
+
+def take_overview(
+    router: Router, name: str, state: str, classes: Iterable[str], fronts: dict[str, int]
+) -> Overview:
     now = router.clock.now()
     servers = sorted(router.table.servers.values(), key=lambda server: server.index)
     return Overview(
         name=name,
         uptime=now - router.started_at,
-        leaving=leaving,
+        state=state,
         taken=router.tally.taken,
         abandoned=router.tally.abandoned,
-        verdicts=dict(router.tally.verdicts),
+        verdicts=router.tally.verdicts,
+        figures=take_figures(router, classes),
         outcomes=dict(router.tally.outcomes),
         flows=tuple(
             FlowRow(
--- a/hazelbend/routing/ports.py
+++ b/hazelbend/routing/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -59,10 +60,15 @@
     fraction: float | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class Forwarded:
+    """The last byte of an attempt was written to its server: from now on it may run."""
+
+
 class Link(Protocol):
     """The way to one real server. A cancelled call gives the attempt up, so that the server stops it."""
 
-    async def attempt(self, job: Job, patience: int, tell: Callable[[News], None]) -> Ending: ...
+    async def attempt(self, job: Job, patience: int, tell: Callable[[News | Forwarded], None]) -> Ending: ...
 
     async def probe(self, patience: int) -> Ending: ...
 
@@ -101,9 +107,16 @@
 
 @dataclass(slots=True)
 class Tally:
-    """Counts since the start, for the console and SNMP."""
+    """Counts since the start: the one place, whoever shows them."""
 
     taken: int = 0
     abandoned: int = 0  # the client left before the answer
-    verdicts: dict[Verdict, int] = field(default_factory=lambda: dict.fromkeys(Verdict, 0))
+    answers: Counter[tuple[int, Verdict]] = field(default_factory=Counter)  # by class
+    forwards: int = 0  # attempts written whole
     outcomes: dict[Outcome, int] = field(default_factory=lambda: dict.fromkeys(Outcome, 0))
+
+    @property
+    def verdicts(self) -> dict[Verdict, int]:
+        return {
+            each: sum(n for (_, verdict), n in self.answers.items() if verdict is each) for each in Verdict
+        }
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -19,6 +19,7 @@
     Answer,
     Discovery,
     Ending,
+    Forwarded,
     Job,
     Link,
     News,
@@ -40,6 +41,9 @@
 
     def handle(self, event: face.Event, now: int) -> list[face.Action]: ...
 
+    def avoided(self, now: int) -> set[face.WorkerId]:
+        """The listed workers that it shuts out now."""
+
 
 @dataclass(slots=True, frozen=True)
 class Ended:
@@ -143,6 +147,12 @@
         flow.task = asyncio.create_task(self._live(flow))
         return flow
 
+    def refuse(self, job: Job, retry_after: int) -> Answer:
+        """A front has no room for this job: it is counted like any other, and was never taken up."""
+        self.tally.taken += 1
+        self.tally.answers[job.class_index, Verdict.REFUSED] += 1
+        return Answer(Verdict.REFUSED, retry_after=retry_after)
+
     def holds(self, job_id: str) -> bool:
         """Whether a flow of this id is open: servers know a job by it, so there must not be two."""
         return job_id in self._ids
@@ -245,7 +255,7 @@
             return
         flow.answered.set_result(answer)
         if not flow.client_left:
-            self.tally.verdicts[answer.verdict] += 1
+            self.tally.answers[flow.job.class_index, answer.verdict] += 1
 
     def _forget(self, flow: Flow) -> None:
         """After a fault: the module counts an attempt as load on its server until it hears of its end."""
@@ -284,7 +294,7 @@
         try:
             async with asyncio.timeout(wait / 1e6):
                 ending = await server.link.attempt(
-                    flow.job, wait, lambda news: flow.inbox.put_nowait(Told(number, news))
+                    flow.job, wait, lambda news: self._hear(flow, number, news)
                 )
         except TimeoutError:
             ending = Ending(Outcome.TIMED_OUT)
@@ -294,6 +304,12 @@
             log.exception("flow %s: scheduling on %s: fault in the link", flow.job.id, server.entry.host)
         flow.inbox.put_nowait(Ended(number, ending))
 
+    def _hear(self, flow: Flow, number: int, news: News | Forwarded) -> None:
+        if isinstance(news, Forwarded):
+            self.tally.forwards += 1
+        else:
+            flow.inbox.put_nowait(Told(number, news))
+
     def _news(self, flow: Flow, number: int, news: News) -> face.Event:
         worker = flow.schedulings[number].worker
         if news.fraction is None:
--- a/hazelbend/transport/links.py
+++ b/hazelbend/transport/links.py
@@ -15,7 +15,7 @@
 
 from hazelbend.decisions.interface import Outcome
 from hazelbend.protocol.worker_lines import LINE_LIMIT, LoadFields, read_line, read_status
-from hazelbend.routing.ports import Ending, Job, News
+from hazelbend.routing.ports import Ending, Forwarded, Job, News
 
 log = logging.getLogger("hazelbend.links")
 
@@ -110,24 +110,30 @@
 
 
 class Written:
-    """Whether the last byte of a request was handed to its connection: from then on it may run; and whether
-    that connection was kept from an earlier request."""
+    """Whether the last byte of a request was handed to its connection: from then on it may run, which is told
+    once; and whether that connection was kept from an earlier request."""
 
-    __slots__ = ("empty", "kept", "whole")
+    __slots__ = ("_tell", "empty", "kept", "whole")
 
-    def __init__(self, empty: bool) -> None:
+    def __init__(self, empty: bool, tell: Callable[[Forwarded], None]) -> None:
         self.empty, self.whole, self.kept = empty, False, False
+        self._tell = tell
+
+    def done(self) -> None:
+        if not self.whole:
+            self.whole = True
+            self._tell(Forwarded())
 
 
 async def _headers_sent(session: object, context: SimpleNamespace, params: object) -> None:
     written = context.trace_request_ctx
     if written is not None and written.empty:
-        written.whole = True
+        written.done()
 
 
 async def _chunk_sent(session: object, context: SimpleNamespace, params: object) -> None:
     if context.trace_request_ctx is not None:
-        context.trace_request_ctx.whole = True
+        context.trace_request_ctx.done()
 
 
 async def _reused(session: object, context: SimpleNamespace, params: object) -> None:
@@ -154,16 +160,16 @@
     def close(self) -> None:
         """Idle connections of a server that is gone run out by themselves."""
 
-    async def attempt(self, job: Job, patience: int, tell: Callable[[News], None]) -> Ending:
+    async def attempt(self, job: Job, patience: int, tell: Callable[[News | Forwarded], None]) -> Ending:
         with self._pool.place() as free:
             return await self._attempt(job, patience, tell) if free else Ending(Outcome.NOT_SENT)
 
-    async def _attempt(self, job: Job, patience: int, tell: Callable[[News], None]) -> Ending:
+    async def _attempt(self, job: Job, patience: int, tell: Callable[[News | Forwarded], None]) -> Ending:
         headers = {"X-Request-ID": job.id, "X-Timeout-Ms": str(max(patience // 1_000, 1))}
         if job.idempotency_key is not None:
             headers["Idempotency-Key"] = job.idempotency_key
         url = _raw_url(self._base, job.target)
-        written = Written(not job.body)
+        written = Written(not job.body, tell)
         try:
             response = await self._pool.session.post(
                 url, data=job.body, headers=headers, allow_redirects=False, trace_request_ctx=written
@@ -184,7 +190,9 @@
         finally:
             response.close()  # unless it was read to its end and so released, the connection goes
 
-    async def _read(self, response: aiohttp.ClientResponse, job: Job, tell: Callable[[News], None]) -> Ending:
+    async def _read(
+        self, response: aiohttp.ClientResponse, job: Job, tell: Callable[[News | Forwarded], None]
+    ) -> Ending:
         if response.status != 200:
             outcome = read_status(response.status, response.headers.get("X-Not-Processed") == "1")
             load = self._pool.settings.fields.read_text(response.headers.get("X-Server-Load"))
--- a/hazelbend/transport/ops_door.py
+++ b/hazelbend/transport/ops_door.py
@@ -11,6 +11,7 @@
 
 from aiohttp import web
 
+from hazelbend.routing.overview import Figures
 from hazelbend.transport.http_listener import HttpConnection, HttpListener
 
 CONNECTIONS = 16
@@ -22,6 +23,8 @@
     @property
     def takes_clients(self) -> bool: ...
 
+    def figures(self) -> Figures: ...
+
     def drain(self) -> None:
         """Empty the dispatcher; a drain that runs goes on."""
 
@@ -35,6 +38,7 @@
         self._operations = operations
         self._calls: dict[str, tuple[str, Callable[[], web.Response]]] = {
             "/ops/readiness": ("GET", self._readiness),
+            "/ops/stats": ("GET", self._stats),
             "/ops/drain/start": ("POST", self._start_drain),
             "/ops/drain/stop": ("POST", self._stop_drain),
         }
@@ -67,6 +71,10 @@
     def _readiness(self) -> web.Response:
         return _yes("ready") if self._operations.takes_clients else _no(503, "no clients are taken")
 
+    def _stats(self) -> web.Response:
+        figures = self._operations.figures().named()
+        return web.Response(text="".join(f"relay.{name}={value}\n" for name, value in figures.items()))
+
     def _start_drain(self) -> web.Response:
         self._operations.drain()
         return _yes("draining")
--- a/hazelbend/transport/snmp_agent.py
+++ b/hazelbend/transport/snmp_agent.py
@@ -36,8 +36,9 @@
 SYSTEM: Oid = (1, 3, 6, 1, 2, 1, 1)
 OBJECTS, NOTIFICATIONS = (*BASE, 1), (*BASE, 0)
 SERVER_UP, SERVER_DOWN = (*NOTIFICATIONS, 1), (*NOTIFICATIONS, 2)
-SERVER_ENTRY = (*OBJECTS, 5, 1)
+SERVER_ENTRY, CLASS_ENTRY = (*OBJECTS, 5, 1), (*OBJECTS, 6, 1)
 NAME_COLUMN, STATE_COLUMN = 2, 4
+PROGRAM_STATES = {"serving": 1, "leaving": 2, "draining": 3}
 STATES = {"ready": 1, "draining": 2, "held back": 3, "gone": 2}
 FRESH = 0.5  # seconds for which one view of the program serves: a walk asks for a lot of single values
 
@@ -56,31 +57,40 @@
 
 def values(view: Overview) -> dict[Oid, Any]:
     """Every instance of the MIB's objects, in the order of a walk."""
+    figures = view.figures
     counter, gauge, text = rfc1902.Counter64, rfc1902.Gauge32, rfc1902.OctetString
     groups = [
         [
             text(view.name),
             rfc1902.TimeTicks(view.uptime // 10_000 % 2**32),
-            rfc1902.Integer32(1 + view.leaving),
+            rfc1902.Integer32(PROGRAM_STATES[view.state]),
         ],
         [
             counter(view.taken),
             *(counter(view.verdicts[each]) for each in _VERDICTS),
             counter(view.abandoned),
-            gauge(len(view.flows)),
+            gauge(figures.outstanding),
         ],
         [*(counter(view.outcomes[each]) for each in _OUTCOMES), gauge(sum(row.out for row in view.servers))],
         [gauge(view.fronts.get(name, 0)) for name in ("edge", "stomp", "boxes")],
     ]
+    # Groups 5 and 6 are the tables.
+    numbers = [counter(figures.forwards), gauge(figures.discovered), gauge(figures.ejected)]
     found: dict[Oid, Any] = {
         (*OBJECTS, group, place, 0): value
         for group, members in enumerate(groups, 1)
         for place, value in enumerate(members, 1)
     }
-    rows = [(row.index, _columns(row)) for row in view.servers]
-    for column in range(NAME_COLUMN, 8):
+    found |= {(*OBJECTS, 7, place, 0): value for place, value in enumerate(numbers, 1)}
+    servers = [(row.index, _columns(row)) for row in view.servers]
+    classes = [
+        (index, [text(row.name), counter(row.succeeded), counter(row.declined), counter(row.aborted)])
+        for index, row in enumerate(figures.classes, 1)
+    ]
+    for entry, rows in ((SERVER_ENTRY, servers), (CLASS_ENTRY, classes)):
         for index, cells in rows:
-            found[(*SERVER_ENTRY, column, index)] = cells[column - NAME_COLUMN]
+            for column, value in enumerate(cells, NAME_COLUMN):
+                found[(*entry, column, index)] = value
     return found
 
 
--- a/hazelbend/transport/stomp_boxes.py
+++ b/hazelbend/transport/stomp_boxes.py
@@ -13,7 +13,7 @@
 from hazelbend.protocol.http_fields import Catalogue
 from hazelbend.protocol.stomp import Frame
 from hazelbend.protocol.worker_lines import LoadFields, read_line
-from hazelbend.routing.ports import Ending, Job, News, ServiceEntry
+from hazelbend.routing.ports import Ending, Forwarded, Job, News, ServiceEntry
 from hazelbend.routing.router import Router
 from hazelbend.transport.stomp_clients import Outlet
 
@@ -35,7 +35,7 @@
 @dataclass(slots=True)
 class _Work:
     job: Job
-    tell: Callable[[News], None]
+    tell: Callable[[News | Forwarded], None]
     ending: asyncio.Future[Ending]
     started: bool = False
 
@@ -56,7 +56,7 @@
     def jobs(self) -> int:
         return len(self._work)
 
-    async def attempt(self, job: Job, patience: int, tell: Callable[[News], None]) -> Ending:
+    async def attempt(self, job: Job, patience: int, tell: Callable[[News | Forwarded], None]) -> Ending:
         message_id = secrets.token_hex(8)
         frame = Frame(
             "MESSAGE",
@@ -68,6 +68,7 @@
         )
         if self._lost or not self.outlet.send(frame):
             return Ending(Outcome.CONNECT_FAILED)  # not a byte of it went out
+        tell(Forwarded())
         work = self._work[message_id] = _Work(job, tell, asyncio.get_running_loop().create_future())
         try:
             return await work.ending
--- a/hazelbend/transport/stomp_clients.py
+++ b/hazelbend/transport/stomp_clients.py
@@ -12,7 +12,7 @@
 from hazelbend.protocol import stomp_jobs
 from hazelbend.protocol.http_fields import BadRequest, Catalogue
 from hazelbend.protocol.stomp import Frame
-from hazelbend.routing.ports import Answer, Job, Verdict
+from hazelbend.routing.ports import Answer, Job
 from hazelbend.routing.router import Flow
 
 log = logging.getLogger("hazelbend.stomp")
@@ -76,6 +76,7 @@
         identity: str,
         bounds: Bounds,
         take: Callable[[Job], Flow],
+        refuse: Callable[[Job, int], Answer],
         catalogue: Catalogue,
         usage: Usage,
         make_room: Callable[[], None],
@@ -83,6 +84,7 @@
         self.identity = identity
         self._usage, self._make_room = usage, make_room
         self._bounds, self._take, self.catalogue = bounds, take, catalogue
+        self._refuse = refuse
         self._entries: dict[str, Entry] = {}
         self._subscriptions: list[Subscription] = []
         self.connections = 0  # whose client this is; one that has sent nothing yet may still do so
@@ -108,7 +110,7 @@
         entry = Entry(request_id, secrets.token_hex(8))
         if self._is_full(len(frame.body)):
             # Nothing has run: a refusal is true. It is not kept, as there is no room to keep it.
-            entry.answer = Answer(Verdict.REFUSED, retry_after=FULL_PAUSE)
+            entry.answer = self._refuse(job, FULL_PAUSE)
             entry.settled = True
             if self._subscriptions:
                 self._write(self._subscriptions[-1], entry, remember=False)
--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -6,7 +6,7 @@
 import contextlib
 import hmac
 import logging
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from hashlib import sha256
 
@@ -21,8 +21,7 @@
     choose_version,
     encode,
 )
-from hazelbend.routing.ports import Job
-from hazelbend.routing.router import Flow
+from hazelbend.routing.router import Router
 from hazelbend.transport.stomp_boxes import BoxAccount, Boxes, BoxLink
 from hazelbend.transport.stomp_clients import Bounds, Mailbox, Subscription, Usage
 
@@ -64,11 +63,9 @@
 
 
 class StompListener:
-    def __init__(
-        self, settings: StompSettings, take: Callable[[Job], Flow], boxes: Boxes, catalogue: Catalogue
-    ) -> None:
+    def __init__(self, settings: StompSettings, router: Router, boxes: Boxes, catalogue: Catalogue) -> None:
         self.settings, self.boxes, self.catalogue = settings, boxes, catalogue
-        self._take = take
+        self._router = router
         self._mailboxes: dict[str, Mailbox] = {}
         self._usage = Usage()
         self._sessions: dict[Session, None] = {}  # in the order in which they came
@@ -115,7 +112,13 @@
             if len(self._mailboxes) >= MOST_MAILBOXES:
                 raise StompError("too many clients have answers waiting")
             self._mailboxes[identity] = Mailbox(
-                identity, self.settings.bounds, self._take, self.catalogue, self._usage, self._make_room
+                identity,
+                self.settings.bounds,
+                self._router.take,
+                self._router.refuse,
+                self.catalogue,
+                self._usage,
+                self._make_room,
             )
         return self._mailboxes[identity]
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,7 +8,7 @@
 
 from hazelbend.decisions.interface import LoadReport, Outcome
 from hazelbend.protocol.worker_lines import LoadFields
-from hazelbend.routing.ports import Job, News
+from hazelbend.routing.ports import Forwarded, Job, News
 from hazelbend.transport.links import LinkPool, LinkSettings
 
 JOB = Job("9b", 0, 0, 1_000_000, target="/nearby/%31?q=%20+&x=", body=b"a\0b", idempotency_key="k")
@@ -106,7 +106,7 @@
 
 def test_the_result_news_and_load_come_through():
     [ending], news = attempt(Script(CASES["done"][0]))
-    assert ending.result == b"r" and news == [News()]
+    assert ending.result == b"r" and news == [Forwarded(), News()]
     [ending], _ = attempt(Script(REFUSED))
     assert ending.load == LoadReport(in_flight=7.0)
 
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -27,6 +27,9 @@
         answer = self.script.get(type(event).__name__, [])
         return answer(event) if callable(answer) else answer
 
+    def avoided(self, now):
+        return set()
+
     def of(self, kind):
         return [event for event in self.events if isinstance(event, kind)]
 
@@ -118,7 +121,7 @@
         Outcome.NOT_SENT,
     ]
     assert all(event.closed for event in module.of(face.AttemptEnded))
-    assert router.tally.abandoned == 1 and sum(router.tally.verdicts.values()) == 0
+    assert router.tally.abandoned == 1 and not router.tally.answers.total()
 
 
 def test_a_second_answer_is_dropped_and_a_late_attempt_still_reported():
--- a/tests/test_snmp.py
+++ b/tests/test_snmp.py
@@ -111,12 +111,16 @@
 
 def test_counters_follow_the_program(mib):
     from hazelbend.decisions.interface import Outcome
-    from hazelbend.routing.overview import Overview
+    from hazelbend.routing.overview import ClassFigures, Figures, Overview
     from hazelbend.routing.ports import Verdict
 
     verdicts = {verdict: 10 + number for number, verdict in enumerate(Verdict)}
     outcomes = {outcome: 20 + number for number, outcome in enumerate(Outcome)}
-    view = Overview("n", 5_000_000, True, 100, 7, verdicts, outcomes, (), (), {"edge": 3, "boxes": 1})
+    figures = Figures(
+        (ClassFigures("nearby", 31, 32, 33), ClassFigures("reserve", 34, 35, 36)), 40, 41, 42, 43
+    )
+    fronts = {"edge": 3, "boxes": 1}
+    view = Overview("n", 5_000_000, "leaving", 100, 7, verdicts, figures, outcomes, (), (), fronts)
     found = {
         oid: int(value)
         for oid, value in snmp_agent.values(view).items()
@@ -127,8 +131,13 @@
         "hbFlowsAbandoned": 7, "hbSchedulingsError": 20, "hbSchedulingsServed": 21,
         "hbSchedulingsNotSent": 27,
         "hbSchedulingsConnectFailed": 24, "hbEdgeConnections": 3, "hbStompConnections": 0, "hbStompBoxes": 1,
+        "hbFlowsOpen": 41, "hbForwards": 40, "hbDiscovered": 42, "hbEjected": 43,
     }  # fmt: skip
     assert {name: found[(*mib[name].name, 0)] for name in want} == want
+    columns = ("hbClassSucceeded", "hbClassDeclined", "hbClassAborted")
+    assert [[found[(*mib[name].name, row)] for name in columns] for row in (1, 2)] == [
+        [31, 32, 33], [34, 35, 36]
+    ]  # fmt: skip
 
 
 def test_a_stranger_gets_nothing_and_nobody_may_write(tmp_path):
