--- /dev/null
+++ b/hazelbend/decisions/memory.py
@@ -0,0 +1,97 @@
+"""What a dispatcher has learnt, as plain values: for the process that takes its place beside it.
+
+Own jobs that are out count as others': the process that goes on with them is another one by then.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from math import isfinite
+from typing import Any
+
+from hazelbend.decisions.brain import K_MAX, LAST_BACKOFF, Dispatcher, expected_jobs
+from hazelbend.decisions.records import Mean, Worker
+
+MEANS = ("work", "width", "runs_with", "runs_without", "share", "rates", "weights")
+WORKER_MEANS = ("level", "ratio")
+WORKER_NUMBERS = ("slots", "crowd", "rate", "most")
+WORKER_TIMES = ("rated_at", "heard_at", "shut_until", "backoff", "resets", "round_trip")
+
+
+def recall(dispatcher: Dispatcher, now: int) -> dict[str, Any]:
+    return {
+        "means": {name: _pair(getattr(dispatcher, name)) for name in MEANS},
+        "runs": [_pair(each) for each in dispatcher.runs],
+        "levels": [[kind, _pair(each)] for kind, each in dispatcher.levels.items()],
+        "misses": dispatcher.misses,
+        "part": dispatcher.part,
+        "workers": [
+            {
+                "worker": number,
+                "started_at": each.entry.started_at,
+                "others": min(round(expected_jobs(each, now, each.rate)), K_MAX),
+                "keys": list(each.keys),
+                "spent": list(each.spent),
+                **{name: _pair(getattr(each, name)) for name in WORKER_MEANS},
+                **{name: getattr(each, name) for name in WORKER_NUMBERS + WORKER_TIMES},
+            }
+            for number, each in dispatcher.workers.items()
+        ],
+    }
+
+
+def remember(dispatcher: Dispatcher, memory: dict[str, Any], now: int) -> None:
+    """Go on from there, for the workers that are listed. ValueError, and nothing changed, if it is no use."""
+    try:
+        means = {name: _mean(memory["means"][name]) for name in MEANS}
+        runs = [_mean(each) for each in memory["runs"]]
+        levels = {int(kind): _mean(each) for kind, each in memory["levels"]}
+        misses, part = [_number(each) for each in memory["misses"]], _number(memory["part"])
+        named = [(_same(dispatcher, each), each) for each in memory["workers"]]
+        workers = [(worker, _worker(values, now)) for worker, values in named if worker is not None]
+    except (KeyError, TypeError, OverflowError) as error:
+        raise ValueError(f"no memory of a dispatcher: {error!r}") from None
+    if len(runs) != len(dispatcher.runs) or len(misses) != len(dispatcher.misses):
+        raise ValueError("the memory of a dispatcher of another kind")
+    for name, mean in means.items():
+        setattr(dispatcher, name, mean)
+    dispatcher.runs, dispatcher.levels, dispatcher.misses, dispatcher.part = runs, levels, misses, part
+    for worker, values in workers:
+        for name, value in values.items():
+            setattr(worker, name, value)
+
+
+def _same(dispatcher: Dispatcher, values: dict[str, Any]) -> Worker | None:
+    """The worker that this speaks of, unless its process is a newer one."""
+    worker = dispatcher.workers.get(values["worker"])
+    return worker if worker and worker.entry.started_at == values["started_at"] else None
+
+
+def _worker(values: dict[str, Any], now: int) -> dict[str, Any]:
+    found: dict[str, Any] = {name: _mean(values[name]) for name in WORKER_MEANS}
+    found |= {name: _number(values[name]) for name in WORKER_NUMBERS}
+    found |= {name: int(_number(values[name])) for name in WORKER_TIMES}
+    if found["rate"] <= 0 or found["most"] < 1:
+        raise ValueError("a worker without a rate")
+    found |= {name: min(found[name], now) for name in ("rated_at", "heard_at")}
+    found["shut_until"] = min(found["shut_until"], now + 2 * LAST_BACKOFF)
+    found["backoff"] = min(found["backoff"], LAST_BACKOFF)
+    found |= {"others": int(_number(values["others"])), "counted_at": now}
+    found["keys"] = {int(_number(key)): None for key in values["keys"]}
+    found["spent"] = deque((int(_number(at)), _number(cost)) for at, cost in values["spent"])
+    return found
+
+
+def _pair(mean: Mean) -> tuple[float, float]:
+    return mean.count, mean.total
+
+
+def _mean(value: Any) -> Mean:
+    count, total = value
+    return Mean(_number(count), _number(total))
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value) or value < 0:
+        raise ValueError(f"no number: {value!r}")
+    return value
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -11,16 +11,19 @@
 from typing import Protocol
 
 from hazelbend.decisions.brain import Dispatcher
+from hazelbend.decisions.memory import recall, remember
 from hazelbend.program import config
 from hazelbend.program.console_server import ConsoleServer
 from hazelbend.program.drain import KEPT, Drain
 from hazelbend.program.log import RecentLines, set_up
+from hazelbend.protocol.handover import State
 from hazelbend.routing.clock import Clock
 from hazelbend.routing.overview import Figures, Overview, take_figures, take_overview
 from hazelbend.routing.router import Router
 from hazelbend.routing.table import RealServer, ServerTable
 from hazelbend.transport.discovery_watch import DiscoveryWatch
 from hazelbend.transport.edge import Edge
+from hazelbend.transport.handover import Handover
 from hazelbend.transport.http_listener import passed_listener
 from hazelbend.transport.links import LinkPool, LinkSettings
 from hazelbend.transport.ops_door import OpsDoor
@@ -58,7 +61,8 @@
         self.leaving = self._closed = False
         self.pool = LinkPool(_link_settings(conf))
         table = ServerTable(lambda entry: self.pool.link(entry.dial))
-        self.router = Router(Dispatcher(conf.settings, conf.seed), Clock(), table)
+        self.module = Dispatcher(conf.settings, conf.seed)
+        self.router = Router(self.module, Clock(), table)
         self.watch = DiscoveryWatch(conf.discovery, conf.reader)
         self.router.discovery = self.watch
         self.edge = Edge(self.router, conf.catalogue, _half(conf))
@@ -80,6 +84,11 @@
         self._ends: dict[str, int] = {}  # by when what comes must be over, and why
         self.door: OpsDoor | None = None
         self._moving: asyncio.Task[None] | None = None
+        self._siblings = 0  # other processes of this dispatcher, in an upgrade
+        self.handover: Handover | None = None
+        if conf.handover is not None:
+            self.handover = Handover(conf.handover, self, lambda: self.conf.reader)
+            self.router.held_elsewhere, self.router.id_watcher = self.handover.holds, self.handover.tell
         self._opening: list[asyncio.Task[None]] = []  # addresses that are not free yet
 
     # --- what operators see and do ---
@@ -130,7 +139,8 @@
         """Everything that can fail for want of an address comes before the edge says that it is ready."""
         passed = self.conf.passed_socket
         listener = passed_listener(passed) if passed is not None else None
-        self.router.begin(self.conf.known)
+        state = await self.handover.fetch() if self.handover is not None else None
+        self._begin(state)
         if self.stomp is not None:
             await self._open(self.stomp.listen)
         if self.console is not None:
@@ -144,8 +154,48 @@
                 async with asyncio.timeout(FIRST_LIST):
                     await self.router.listed.wait()
         await self.edge.listen(*self.conf.listen, listener)
+        if self.handover is not None:
+            await self.handover.listen()
         log.info("%s: listening on %s:%d", self.conf.name, self.conf.listen[0], self.edge.port)
 
+    def _begin(self, state: State | None) -> None:
+        """From the configuration; or from where the process before this one stands."""
+        if state is None:
+            self.router.begin(self.conf.known)
+            return
+        self.router.begin(state.known if state.known.entries else self.conf.known)
+        for host in state.held_back:
+            self.router.hold_back(host, True)
+        if list(state.classes) != self._class_names:
+            return
+        try:
+            remember(self.module, state.learnt, self.router.clock.now())
+        except ValueError as error:
+            log.warning("what the process before has learnt cannot be used: %s", error)
+        else:
+            log.info("going on from the process before: %d servers", len(state.known.entries))
+
+    def state(self) -> State:
+        """Where this process stands, for the next one."""
+        table, now = self.router.table, self.router.clock.now()
+        return State(
+            tuple(self._class_names),
+            table.listed(),
+            table.held_back(),
+            self.router.open_ids,
+            recall(self.module, now),
+        )
+
+    def siblings_changed(self, count: int) -> None:
+        """The processes of one dispatcher have its descriptors together."""
+        if not self._closed:
+            self._siblings = count
+            self._share_descriptors()
+
+    def _share_descriptors(self) -> None:
+        self.edge.limit = _half(self.conf, self._siblings)
+        self.pool.limit(_half(self.conf, self._siblings))
+
     async def _open(self, listen: Callable[[], Awaitable[None]]) -> None:
         """Take an address. In an upgrade the process before may still hold it: then it is taken when free."""
         try:
@@ -199,7 +249,8 @@
         changed = [each.name for each in fields(conf) if getattr(conf, each.name) != getattr(old, each.name)]
         if _link_settings(conf) != _link_settings(old):
             self.pool.change(_link_settings(conf))
-        self.edge.catalogue, self.edge.limit = conf.catalogue, _half(conf)
+        self.edge.catalogue = conf.catalogue
+        self._share_descriptors()
         if (conf.catalogue, conf.load_fields) != (old.catalogue, old.load_fields):
             self.boxes.change(conf.catalogue, conf.load_fields)
             if self.stomp is not None:
@@ -248,6 +299,8 @@
         await self.edge.close()
         if self.door is not None:
             await self.door.close()
+        if self.handover is not None:
+            await self.handover.close()
         if self.stomp is not None:
             await self.stomp.close()
         await self.watch.close()
@@ -268,9 +321,10 @@
         await self.leave()
 
 
-def _half(conf: config.Config) -> int:
+def _half(conf: config.Config, siblings: int = 0) -> int:
     """Half of the descriptors for the servers' side, half for the clients'; STOMP's come off first."""
-    return max((conf.sockets - RESERVED - (conf.stomp.connections if conf.stomp else 0)) // 2, 8)
+    own = conf.sockets // (1 + siblings)
+    return max((own - RESERVED - (conf.stomp.connections if conf.stomp else 0)) // 2, 8)
 
 
 def _link_settings(conf: config.Config) -> LinkSettings:
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -10,6 +10,7 @@
 import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, replace
+from hashlib import blake2b
 from pathlib import Path
 from typing import Any
 
@@ -57,6 +58,7 @@
     keepalive: float  # seconds
     ops: tuple[str, int] | None = None  # the operators' door
     passed_socket: int | None = None  # descriptor of the clients' listener, which the platform holds
+    handover: Path | None = None  # where the next process finds this one, in an upgrade
     stomp: StompSettings | None = None
     snmp: SnmpSettings | None = None
     console: Path | None = None
@@ -144,6 +146,11 @@
         if key not in conf and (value := environment.get(f"RELAY_{key.upper()}")):
             conf[key] = value
     config = replace(from_object(conf), passed_socket=_passed_socket(environment.get(PASSED_SOCKET, "")))
+    if config.passed_socket is not None and (folder := environment.get("TMPDIR")):
+        digest = blake2b(
+            config.name.encode(), digest_size=6
+        ).hexdigest()  # a name may hold what a path may not
+        config = replace(config, handover=Path(folder) / f"hazelbend-{digest}.next")
     return with_deploy(config, Path(environment.get(DEPLOY_VARIABLE, "deploy")), conf)
 
 
--- a/hazelbend/protocol/discovery.py
+++ b/hazelbend/protocol/discovery.py
@@ -12,6 +12,8 @@
 
 _STATES = {"SERVING": WorkerState.READY, "DRAINING": WorkerState.DRAINING, "DELETED": WorkerState.GONE}
 
+_HEALTH = {state: health for health, state in _STATES.items()}
+
 
 class Names:
     """Numbers for the names of zones or kinds: the settings' places, and further ones as they turn up."""
@@ -23,6 +25,9 @@
     def number(self, name: str) -> int:
         return self._numbers.setdefault(name, len(self._numbers))
 
+    def names(self) -> dict[int, str]:
+        return {number: name for name, number in self._numbers.items()}
+
     def joined(self, old: Names) -> Names | None:
         """These names beside the numbers that are in use; None where a number would change its meaning."""
         numbers = old._numbers | self._numbers
@@ -66,6 +71,24 @@
         seq = _typed(value, "seq", int)
         return ServiceList(tuple(self._entry(each) for each in hosts), value.get("whole") is True, seq=seq)
 
+    def to_object(self, news: ServiceList) -> dict[str, Any]:
+        """The list in discovery's form, as `from_object` reads it."""
+        zones, kinds = self._zones.names(), self._kinds.names()
+        hosts = [
+            {
+                "host": each.host,
+                "dial": each.dial,
+                "site": zones[each.zone],
+                "class": kinds[each.kind],
+                "block": each.cell,
+                "health": _HEALTH[each.state],
+                "share": each.weight,
+                "born_ms": each.started_at // 1_000,
+            }
+            for each in news.entries
+        ]
+        return {"seq": news.seq, "whole": news.whole, "hosts": hosts}
+
     def _entry(self, value: object) -> ServiceEntry:
         if not isinstance(value, Mapping):
             raise ValueError("list: an entry is no object")
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field, replace
 from typing import Any, Protocol, TypeAlias
 
@@ -115,6 +115,9 @@
         self.discovery: Discovery | None = None
         self.flows: dict[int, Flow] = {}
         self._ids: set[str] = set()
+        # Another process of this dispatcher, in an upgrade: what it holds, and who tells it what is open.
+        self.held_elsewhere: Callable[[str], bool] = lambda job_id: False
+        self.id_watcher: Callable[[str, bool], None] = lambda job_id, taken: None
         self.tally = Tally()
         self.last_known = ServiceList()
         self.started_at = clock.now()
@@ -142,6 +145,7 @@
         self._next += 1
         self.flows[flow.number] = flow
         self._ids.add(job.id)
+        self.id_watcher(job.id, True)
         self.tally.taken += 1
         self._idle.clear()
         flow.task = asyncio.create_task(self._live(flow))
@@ -155,7 +159,11 @@
 
     def holds(self, job_id: str) -> bool:
         """Whether a flow of this id is open: servers know a job by it, so there must not be two."""
-        return job_id in self._ids
+        return job_id in self._ids or self.held_elsewhere(job_id)
+
+    @property
+    def open_ids(self) -> tuple[str, ...]:
+        return tuple(self._ids)
 
     def add_guest(self, entry: ServiceEntry, link: Link) -> None:
         """A server has come by itself, not by a list."""
@@ -246,6 +254,7 @@
             self._answer(flow, Answer(Verdict.FAILED))
             self.flows.pop(flow.number, None)
             self._ids.discard(job.id)
+            self.id_watcher(job.id, False)
             if not self.flows:
                 self._idle.set()
 
--- a/hazelbend/routing/table.py
+++ b/hazelbend/routing/table.py
@@ -87,6 +87,14 @@
         self._notice(server, before)
         return MembershipUpdate(ListKind.DELTA, (server.told(),))
 
+    def listed(self) -> ServiceList:
+        """The servers that lists have named, as they stand now."""
+        entries = (each.entry for number, each in self.servers.items() if number not in self._guests)
+        return ServiceList(tuple(entries), whole=True)
+
+    def held_back(self) -> tuple[str, ...]:
+        return tuple(each.entry.host for each in self.servers.values() if each.held_back)
+
     def _enter(self, entries: Iterable[ServiceEntry]) -> Iterable[WorkerEntry]:
         for entry in entries:
             server = self.servers.get(stable_id(entry.host))
--- a/hazelbend/transport/links.py
+++ b/hazelbend/transport/links.py
@@ -6,7 +6,7 @@
 import logging
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -51,6 +51,10 @@
         finally:
             self._out -= free
 
+    def limit(self, connections: int) -> None:
+        """So many at once from now on; those that are open stay."""
+        self.settings = replace(self.settings, connections=connections)
+
     def change(self, settings: LinkSettings) -> None:
         """What is out goes on as it began; what comes next goes by the new settings."""
         before, self.settings = self.session, settings
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,239 @@
+"""What passes between two processes of one dispatcher in an upgrade; and that nothing of it can do harm."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import orjson
+import pytest
+from hypothesis import given
+from parser_kit import SEEDS, garbage, survives
+from site_kit import host_entry, site, until
+from test_edge import request, talk
+
+from hazelbend.decisions import Dispatcher, Settings
+from hazelbend.decisions import interface as face
+from hazelbend.decisions.memory import recall, remember
+from hazelbend.protocol.discovery import ListReader
+from hazelbend.protocol.handover import IdNews, State, read_news, read_state, write_news, write_state
+from hazelbend.transport import handover
+from hazelbend.transport.handover import Handover
+
+ENTRIES = (face.WorkerEntry(1), face.WorkerEntry(2, started_at=900_000), face.WorkerEntry(3, machine_kind=1))
+SETTINGS = Settings(fall_window=1, warm_after=1)
+BUSY = face.LoadReport(in_flight=9.0, queued=5.0, free_slots=0.0)
+IDLE = face.LoadReport(in_flight=0.0, queued=0.0, free_slots=4.0)
+
+
+def fresh() -> Dispatcher:
+    dispatcher = Dispatcher(SETTINGS, 7)
+    dispatcher.handle(face.MembershipUpdate(face.ListKind.FULL, ENTRIES), 1_000_000)
+    return dispatcher
+
+
+def seasoned() -> Dispatcher:
+    """One that knows worker 1 to be busy, 2 to have gone silent, 3 to be idle, and has a job out on 3."""
+    dispatcher, now, loads = fresh(), 1_000_000, {1: BUSY, 2: None, 3: IDLE}
+    for number in range(60):
+        now += 50_000
+        for action in dispatcher.handle(face.RequestArrived(number, 5_000_000), now):
+            if isinstance(action, face.Send):
+                outcome = face.Outcome.CONNECT_FAILED if action.worker == 2 else face.Outcome.SERVED
+                event = face.AttemptEnded(number, action.worker, 0, outcome, load=loads[action.worker])
+                dispatcher.handle(event, now + 40_000)
+    dispatcher._suspect(dispatcher.workers[2], now)
+    dispatcher.handle(face.RequestArrived(1_000, 5_000_000), 4_100_000)
+    return dispatcher
+
+
+def passed(memory: dict) -> dict:
+    return orjson.loads(orjson.dumps(memory))
+
+
+def test_what_was_learnt_goes_on():
+    old, new, now = seasoned(), fresh(), 4_200_000
+    assert old.avoided(now) == {2} and new.avoided(now) == set()
+    remember(new, passed(recall(old, now)), now)
+    assert new.avoided(now) == {2}
+    assert [each.value for each in new.runs] == [each.value for each in old.runs]
+    held = {number: len(worker.sends) for number, worker in old.workers.items()}
+    assert held[3]
+    for number, worker in new.workers.items():
+        assert worker.rate == old.workers[number].rate and not worker.sends
+        assert worker.others >= bool(held[number]), "the old one's jobs run there still"
+    [sent] = [
+        each for each in new.handle(face.RequestArrived(1, 5_000_000), now) if isinstance(each, face.Send)
+    ]
+    assert sent.worker == 3, "1 is known to be busy, 2 to be silent"
+
+
+def test_a_worker_whose_process_is_new_starts_afresh():
+    old, new = seasoned(), Dispatcher(SETTINGS, 7)
+    entries = (ENTRIES[0], face.WorkerEntry(2, started_at=4_000_000))
+    new.handle(face.MembershipUpdate(face.ListKind.FULL, entries), 4_150_000)
+    remember(new, passed(recall(old, 4_200_000)), 4_200_000)
+    assert new.avoided(4_200_000) == set() and new.workers[1].others and 3 not in new.workers
+
+
+@given(SEEDS)
+def test_a_memory_that_is_no_use_changes_nothing(seed):
+    text, new = orjson.dumps(recall(seasoned(), 4_200_000)), fresh()
+    before = recall(new, 4_200_000)
+    try:
+        memory = orjson.loads(garbage(text, seed))
+        remember(new, memory if isinstance(memory, dict) else {}, 4_200_000)
+    except ValueError:
+        assert recall(new, 4_200_000) == before
+    actions = new.handle(face.RequestArrived(1, 5_000_000), 4_300_000)
+    assert any(isinstance(each, face.Send) for each in actions) or new.held, "it goes on deciding"
+
+
+READER = ListReader(("ankara-1", "konya-1"), ("big-box",))
+KNOWN = READER.from_object({"seq": 0, "whole": True, "hosts": [host_entry("s-1", "127.0.0.1:9")]})
+STATE = State(("nearby", "reserve"), KNOWN, ("s-1",), ("a", "b"), {"means": {}})
+
+
+@given(SEEDS)
+def test_any_line_is_read_or_refused(seed):
+    survives(lambda line: read_state(line, READER), garbage(write_state(STATE, READER), seed), ValueError)
+    survives(read_news, garbage(write_news(IdNews("9b", True)), seed), ValueError)
+
+
+def test_a_state_and_news_are_read_as_they_were_written():
+    assert read_state(write_state(STATE, READER), ListReader(("konya-1",), ())).known.entries[0].zone == 1, (
+        "zones go by name: the next process may have them in another order"
+    )
+    assert read_state(write_state(STATE, READER), READER) == STATE
+    assert [read_news(write_news(IdNews("9b", taken))) for taken in (True, False)] == [
+        IdNews("9b", True), IdNews("9b", False)
+    ]  # fmt: skip
+    assert read_news(b'{"something": "later versions say"}') is None
+
+
+class Told:
+    def __init__(self):
+        self.counts = []
+
+    def state(self):
+        return STATE
+
+    def siblings_changed(self, count):
+        self.counts.append(count)
+
+
+@asynccontextmanager
+async def listening(path):
+    told = Told()
+    here = Handover(path, told, lambda: READER)
+    await here.listen()
+    yield here, told
+    await here.close()
+
+
+def test_ids_pass_both_ways_until_either_ends(tmp_path):
+    async def run():
+        path = tmp_path / "next"
+        async with listening(path) as (old, old_told):
+            new_told = Told()
+            new = Handover(path, new_told, lambda: READER)
+            assert await new.fetch() == STATE
+            assert new.holds("a") and not new.holds("c") and new_told.counts == [1]
+            old.tell("c", True)
+            old.tell("a", False)
+            await until(lambda: new.holds("c") and not new.holds("a"))
+            new.tell("d", True)
+            await until(lambda: old.holds("d"))
+            await new.listen()
+            await old.close()
+            await until(lambda: new_told.counts == [1, 0])
+            assert not new.holds("c") and path.exists(), "the socket is the new one's by now"
+            await new.close()
+            assert not path.exists() and not list(tmp_path.iterdir())
+        assert old_told.counts == [1, 0]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("said", [b"", b"{", b'{"known": 5}\n', b'{"classes": [1]}\n', None, "stale", "file"])
+def test_what_the_process_before_left_does_no_harm(tmp_path, monkeypatch, said):
+    monkeypatch.setattr(handover, "FETCH_WAIT", 0.2)
+
+    async def speak(reader, writer):
+        if said is not None:
+            writer.write(said)
+            writer.close()
+
+    async def run():
+        path, server = tmp_path / "next", None
+        if said == "stale":
+            with socket.socket(socket.AF_UNIX) as left:
+                left.bind(str(path))
+        elif said == "file":
+            path.write_text("what is this")
+        else:
+            server = await asyncio.start_unix_server(speak, str(path))
+        told = Told()
+        new = Handover(path, told, lambda: READER)
+        assert await new.fetch() is None and told.counts == []
+        await new.listen()
+        assert path.is_socket()
+        await new.close()
+        if server is not None:
+            server.close()
+
+    asyncio.run(run())
+
+
+def test_nonsense_from_the_other_process_parts_the_two(tmp_path):
+    async def run():
+        async with listening(tmp_path / "next") as (old, told):
+            _, writer = await asyncio.open_unix_connection(str(tmp_path / "next"), limit=2**22)
+            await until(lambda: told.counts == [1])
+            writer.write(b'{"taken": "x"}\n\x00\xff\n')
+            await until(lambda: told.counts == [1, 0])
+            assert not old.holds("x")
+            writer.close()
+
+    asyncio.run(run())
+
+
+def test_a_path_that_is_too_long_is_gone_without(tmp_path):
+    async def run():
+        new = Handover(tmp_path / ("x" * 200), Told(), lambda: READER)
+        assert await new.fetch() is None
+        await new.listen()
+        await new.close()
+
+    asyncio.run(run())
+
+
+def test_an_id_that_is_open_in_the_other_process_is_turned_away(tmp_path):
+    async def run():
+        async with site(tmp_path, stomp="") as (app, [toy]):
+            whole = app.edge.limit
+            here = Handover(tmp_path / "next", app, lambda: app.conf.reader)
+            app.router.held_elsewhere, app.router.id_watcher = here.holds, here.tell
+            await here.listen()
+            other = Told()
+            there = Handover(tmp_path / "next", other, lambda: app.conf.reader)
+            running = asyncio.create_task(
+                talk(app.edge.port, request("a", b"300", more="Connection: close\r\n"))
+            )
+            await until(lambda: toy.holds)
+            state = await there.fetch()
+            assert state.ids == ("a",) and [each.host for each in state.known.entries] == ["toy-0"]
+            assert app.edge.limit < whole / 2 and app.pool.settings.connections < whole / 2
+            there.tell("b", True)
+            await until(lambda: here.holds("b"))
+            again = request("b", more="Connection: close\r\n")
+            assert b" 409 " in await talk(app.edge.port, again)
+            there.tell("b", False)
+            await until(lambda: not here.holds("b"))
+            assert b" 200 " in await talk(app.edge.port, again)
+            assert b" 200 " in await running
+            await until(lambda: not there.holds("a"))
+            await there.close()
+            await until(lambda: app.edge.limit == whole)
+            await here.close()
+
+    asyncio.run(run())
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -24,6 +24,7 @@
     conf = {"listen": f"127.0.0.1:{listener.getsockname()[1]}", "settings": SETTINGS} | more
     (tmp_path / f"{name}.json").write_bytes(orjson.dumps(conf | {"ops": f"127.0.0.1:{door}"}))
     variables = {"RELAY_CONFIG": str(tmp_path / f"{name}.json"), "HAZELBEND_DEPLOY": str(tmp_path / "deploy")}
+    variables["TMPDIR"] = str(tmp_path)
     fd = listener.fileno()
     os.set_inheritable(fd, True)
     program = begin("-m", "hazelbend", pass_fds=(fd,), RELAY_PASSED_SOCKET=str(fd), **variables)
@@ -64,6 +65,10 @@
         wait_for(lambda: ready(second))
         assert log.read_bytes().count(b"an address is still held") == 3, "STOMP's, SNMP's and the console's"
         assert (tmp_path / "console.sock").stat().st_ino == socket_file, "a live one stays"
+        assert b"going on from the process before: 1 servers" in log.read_bytes()
+        copy = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        copy.request("POST", "/nearby/1", "1", headers)
+        assert copy.getresponse().status == 409, "whichever of the two it came to"
         old.send_signal(signal.SIGTERM)
         left_at = time.monotonic()
         for _ in range(20):
