--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -23,6 +23,7 @@
 CLASS_PRIOR = 2.0  # samples that the objective stands for as a first guess of a class's run time
 RATE_PRIOR = 8.0  # samples that the listed weight stands for: heavy-tailed run times need that many to speak
 RATED = 2_000_000  # after which a rate is set anew for a pick: it costs CPU and changes slowly
+SHORTEST_RATIO = 0.1  # and what a worker does for at least this part: its first may be next to nothing
 LONGEST_RATIO = 10.0  # a run counts as at most so many expected ones: 4 made rates too hopeful in heavy tails
 SLOT_RISE, SLOT_FALL = 0.3, 0.02  # most jobs running at once is a high-water mark, less the reports' noise
 PAUSE = 300_000  # a worker may stand still so long (collector, page fault) and yet be well
@@ -34,6 +35,8 @@
 LATE_MARGIN = 2.0  # a wait may well be twice the expected: waits are about exponential
 PROBE_POINTS, MOST_PROBES = 0.01, 2  # part of the result to spend on probes; probes a request at most
 SAMPLE = 8  # workers a pick that asks chooses among: more cost CPU, and all dispatchers would ask the same
+LARGE_FLEET = 8  # dispatchers from which own answers bring too few reports: old ones are asked for
+REPORT_OLD, PRICE_OLD = 1_000_000, 0.002  # old by then; part of the result to spend on asking
 ASK_PART = 0.1  # part of a mean job that a request waits for probes at most: what they tell is worth no more
 FIRST_UPKEEP, LAST_UPKEEP = 100_000, 500_000  # how often health and held requests are seen to: by job length
 LIST_WAIT = (0.01, 0.06)  # after a failed call to the shared, slow list: parts of the time the rule gives,
@@ -78,7 +81,7 @@
 class Dispatcher:
     def __init__(self, settings: face.Settings, seed: int) -> None:
         self.random, self.born = random.Random(seed), -1
-        self.list_failures = 0  # calls in a row
+        self.list_failures, self.may_ask = 0, 0.0  # calls in a row; servers that may be asked for a report
         self.lots_at, self.part = 0, 0.0  # own part of the cold budget, in jobs for a rate of one
         self.workers: dict[int, Worker] = {}
         self.ready: dict[Worker, None] = {}
@@ -92,6 +95,7 @@
         self.levels: dict[int, Mean] = {}  # by machine kind: others' jobs over the rate, by reports
         self.sizes: dict[int, float] = {}  # by machine kind: the highest weight listed
         self.misses = [0.0] * len(LAGS)
+        self.slowness = Mean(CLASS_PRIOR, CLASS_PRIOR)  # run times over the expected
         self.rates, self.weights = Mean(1.0, 1.0), Mean(1.0, 1.0)  # of workers that served, in mean jobs
         self.out: list[face.Action] = []
         self.handlers: dict[type, Any] = {
@@ -107,6 +111,8 @@
         for job in settings.classes[len(self.runs) :]:
             self.runs.append(Mean(CLASS_PRIOR, CLASS_PRIOR * max(job.objective, 1)))
         asks = settings.probes_allowed and settings.reports_by_probe
+        spoken = settings.probes_allowed and settings.reports_inline and settings.fleet_size >= LARGE_FLEET
+        self.asks = PRICE_OLD / max(settings.probe_charge, PRICE_OLD) if spoken else 0.0
         self.probes = min(MOST_PROBES, int(PROBE_POINTS / max(settings.probe_charge, 1e-6))) if asks else 0
 
     def _changed(self, event: face.SettingsChanged, now: int) -> None:
@@ -136,6 +142,8 @@
             self.list_failures = min(self.list_failures + 1, LIST_DOUBLINGS)
             self.out.append(face.StartTimer(wait, SUBSCRIBE_TIMER))
             return
+        if self.list_failures == 0 and not self.workers and self.asks:
+            self.may_ask = float(len(event.entries))
         self.list_failures = 0
         if event.kind is not face.ListKind.DELTA:
             named = {entry.worker for entry in event.entries}
@@ -177,6 +185,7 @@
             for index, lag in enumerate(LAGS):
                 miss = (held - own_jobs_at(worker, now - lag - worker.round_trip)) ** 2
                 self.misses[index] += (miss - self.misses[index]) / MEMORY
+        worker.reported_at = now
         worker.counted_at = now - LAGS[self.misses.index(min(self.misses))] - worker.round_trip // 2
         worker.others = max(round(min(held, K_MAX)) - own_jobs_at(worker, worker.counted_at), 0)
         seen = held - queued + (load.free_slots or 0.0)
@@ -194,7 +203,8 @@
         ratio = min(run / request.work, LONGEST_RATIO)
         (self.runs_without if attempt.fetches else self.runs_with).add(ratio)
         worker.ratio.add(ratio, MEMORY)
-        self.rates.add(worker.most / worker.ratio.value)
+        self.rates.add(worker.most / max(worker.ratio.value, SHORTEST_RATIO))
+        self.slowness.add(ratio, MEMORY)
         self.weights.add(worker.weight)
 
     def _set_rate(self, worker: Worker, now: int) -> None:
@@ -202,6 +212,8 @@
         worker.rated_at, ratio, kind = now, worker.ratio, self.levels.get(worker.entry.machine_kind, Mean())
         worker.most = max(worker.slots / self.width.value, 1.0)
         listed = worker.most * self.weights.value / (self.rates.value * worker.weight)
+        if worker.slots and not self.settings.weights_tell:
+            listed = self.slowness.value  # the list says nothing of sizes, and reports do
         slowness = (RATE_PRIOR * listed + ratio.total) / (RATE_PRIOR + ratio.count)
         worker.rate = worker.most / (slowness * self.work.value)
         prior = LEVEL_PRIOR * kind.value * (not worker.drawn)  # a cold one is not as full as its kind
@@ -305,6 +317,16 @@
         turn = self.random.randrange(len(able) or 1)  # of equals not always the first
         return min(self._delays(request, able[turn:] + able[:turn], now), key=itemgetter(0), default=None)
 
+    def _ask_silent(self, now: int) -> None:
+        """In a large fleet own answers bring few reports, and one that nobody sends to would be taken for as
+        full as it last was: ask those that have reported nothing for a while."""
+        for worker in self.ready:
+            old = now - max(worker.reported_at, worker.asked_at) > REPORT_OLD
+            if old and worker.shut_until <= now and self.may_ask >= 1:
+                self.may_ask -= 1
+                worker.asked_at = now
+                self.out.append(face.Probe(worker.entry.worker))
+
     def _too_late(self, request: Request, choice: Row, now: int) -> bool:
         """Work that will be late makes the next late too: it waits here for a free slot, or is refused."""
         _, delay, run, worker = choice
@@ -317,6 +339,7 @@
         deadline, aim = now + event.patience, now + job.objective + job.stretch * work
         self.work.add(work)
         self.width.add(event.slots)
+        self.may_ask = min(self.may_ask + self.asks, 2.0 * len(self.workers))
         cost = work / self.work.value * event.slots / self.width.value
         request = Request(event.request, job, event.job_class, deadline, aim, work, cost, event.key)
         self.requests[request.id] = request
@@ -457,6 +480,7 @@
                 self._dispatch(attempt.request, now)  # a second copy elsewhere, where the class allows it
         if now >= self.lots_at + self.settings.fall_window:
             self._draw_lots(now)
+        self._ask_silent(now)
         self._try_held(now)
 
     def _silent(self, attempt: Attempt, now: int) -> bool:
--- a/hazelbend/decisions/interface.py
+++ b/hazelbend/decisions/interface.py
@@ -78,8 +78,10 @@
     classes: tuple[JobClass, ...] = (JobClass(),)
     list_must_be_asked: bool = False
     ask_within: int = 10_000_000
+    weights_tell: bool = True  # whether a listed weight stands for anything
     weights_fall_with_load: bool = False
     reports_by_probe: bool = False
+    reports_inline: bool = False
     probes_allowed: bool = False
     cancel_allowed: bool = False
     second_copies_allowed: bool = False
--- a/hazelbend/decisions/memory.py
+++ b/hazelbend/decisions/memory.py
@@ -12,7 +12,7 @@
 from hazelbend.decisions.brain import K_MAX, LAST_BACKOFF, Dispatcher, expected_jobs
 from hazelbend.decisions.records import Mean, Worker
 
-MEANS = ("work", "width", "runs_with", "runs_without", "share", "rates", "weights")
+MEANS = ("work", "width", "runs_with", "runs_without", "share", "rates", "weights", "slowness")
 WORKER_MEANS = ("level", "ratio")
 WORKER_NUMBERS = ("slots", "crowd", "rate", "most")
 WORKER_TIMES = ("rated_at", "heard_at", "shut_until", "backoff", "resets", "round_trip")
@@ -43,7 +43,7 @@
 def remember(dispatcher: Dispatcher, memory: dict[str, Any], now: int) -> None:
     """Go on from there, for the workers that are listed. ValueError, and nothing changed, if it is no use."""
     try:
-        means = {name: _mean(memory["means"][name]) for name in MEANS}
+        means = {name: _mean(memory["means"][name]) for name in MEANS if name in memory["means"]}
         runs = [_mean(each) for each in memory["runs"]]
         levels = {int(kind): _mean(each) for kind, each in memory["levels"]}
         misses, part = [_number(each) for each in memory["misses"]], _number(memory["part"])
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -54,6 +54,8 @@
     rated_at: int = 0
     most: float = 1.0  # most mean jobs that run at once
     round_trip: int = 0
+    reported_at: int = 0
+    asked_at: int = 0
     freed_at: int = -(10**12)  # when an own attempt last left a connection idle
     # Health.
     heard_at: int = 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -116,3 +116,73 @@
         share = min(0.2 + 0.8 * (at - cold_since) / 20_000_000, 1.0)
         sent = sum(at - 1_500_000 < other <= at for other in to_cold)
         assert sent <= 3.0 * share * rate * 1_500_000
+
+
+def list_three(fleet: int) -> Model:
+    settings = dy.Settings(
+        fleet_size=fleet, classes=(SAFE,), probes_allowed=True, reports_inline=True, probe_charge=0.002
+    )
+    model = Model(settings)
+    model.list_workers(*(dy.WorkerEntry(worker) for worker in (1, 2, 3)))
+    return model
+
+
+def test_in_a_large_fleet_servers_that_have_not_reported_are_asked():
+    """Guards against a belief that nothing corrects: each of many dispatchers sends a server little, and one
+    that was full once stayed so in its eyes for the rest of the day."""
+    model = list_three(14)
+    model.advance(200_000)
+    assert sorted(model.probes) == [1, 2, 3], "nothing is known of any"
+    answer(model, {1: 9})
+    model.advance(900_000)
+    assert not model.probes, "what they said is new enough"
+    model.arrive(1)
+    model.advance(400_000)
+    assert len(model.probes) == 1, "one probe a job of its own: the price holds it down"
+    assert model.dispatcher.workers[1].reported_at
+
+
+def test_a_small_fleet_asks_nobody():
+    model = list_three(3)
+    for number in range(20):
+        model.arrive(number)
+        model.advance(300_000)
+    assert not model.probes
+
+
+def rated(weights_tell: bool, *runs: int) -> list[float]:
+    """Rates of a worker of two slots and one of five, after runs on the first that took so long."""
+    settings = dy.Settings(classes=(SAFE,), weights_tell=weights_tell, tells_start=True)
+    dispatcher = Dispatcher(settings, 1)
+    dispatcher.handle(
+        dy.MembershipUpdate(dy.ListKind.FULL, (dy.WorkerEntry(1), dy.WorkerEntry(2))), 1_000_000
+    )
+    for worker, slots in ((1, 2.0), (2, 5.0)):
+        dispatcher._report(dispatcher.workers[worker], dy.LoadReport(0.0, 0.0, slots), 1_000_000)
+    now = 1_100_000
+    for number, run in enumerate(runs):
+        request = dispatcher.handle(dy.RequestArrived(number, 5_000_000), now) and dispatcher.requests[number]
+        [attempt] = request.attempts
+        attempt.worker.drop(attempt, now, 0)
+        attempt.worker = dispatcher.workers[1]
+        attempt.worker.add(attempt)
+        dispatcher.handle(dy.JobStarted(number, 1, 0), now)
+        now += run
+        dispatcher.handle(dy.AttemptEnded(number, 1, 0, dy.Outcome.SERVED), now)
+    for worker in dispatcher.workers.values():
+        dispatcher._set_rate(worker, now)
+    return [dispatcher.workers[number].rate * 1e6 for number in (1, 2)]
+
+
+def test_where_the_list_tells_no_sizes_reported_slots_do():
+    """Guards the first seconds: all rates began alike, and it took eight runs on each server to part them."""
+    small, large = rated(False)
+    assert large == pytest.approx(2.5 * small)
+    small, large = rated(True)
+    assert large == pytest.approx(small), "there the weights, which are alike, stand for the rates"
+
+
+def test_one_short_run_stands_for_no_rate():
+    """Guards a start: a first run of next to nothing made servers of 370 jobs a second of all."""
+    usual = rated(True, 200_000)[1]
+    assert rated(True, 20)[1] < 10 * usual
