--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -39,6 +39,7 @@
 REPORT_OLD, PRICE_OLD = 1_000_000, 0.002  # old by then; part of the result to spend on asking
 ASK_PART = 0.1  # part of a mean job that a request waits for probes at most: what they tell is worth no more
 FIRST_UPKEEP, LAST_UPKEEP = 100_000, 500_000  # how often health and held requests are seen to: by job length
+FIRST_LIST = 100_000  # for each dispatcher of a large fleet: the time in which they ask for their first lists
 LIST_WAIT = (0.01, 0.06)  # after a failed call to the shared, slow list: parts of the time the rule gives,
 LIST_DOUBLINGS = 3  # doubled so often at most while calls go on failing
 UPKEEP_TIMER, SUBSCRIBE_TIMER, REQUEST_TIMERS = 0, 1, 2  # tokens; a request has two, for its end and its pick
@@ -128,7 +129,10 @@
             self.born = now
             self.out.append(face.StartTimer(self.random.randrange(FIRST_UPKEEP), UPKEEP_TIMER))
             if self.settings.list_must_be_asked:
-                self.out.append(face.Subscribe())
+                # A large fleet that starts together, or starts again, must not ask in one moment.
+                together = self.settings.fleet_size >= LARGE_FLEET
+                wait = self.random.randrange(FIRST_LIST * self.settings.fleet_size) if together else 0
+                self.out.append(face.StartTimer(wait, SUBSCRIBE_TIMER) if together else face.Subscribe())
         self.handlers[type(event)](event, now)
         return self.out
 
@@ -138,7 +142,8 @@
 
     def _members(self, event: face.MembershipUpdate, now: int) -> None:
         if event.kind is face.ListKind.FAILED:
-            wait = round(self.settings.ask_within * self.random.uniform(*LIST_WAIT) * 2**self.list_failures)
+            wait = self.settings.ask_within * self.random.uniform(*LIST_WAIT) * 2**self.list_failures
+            wait = round(wait * max(self.settings.fleet_size / LARGE_FLEET, 1.0))
             self.list_failures = min(self.list_failures + 1, LIST_DOUBLINGS)
             self.out.append(face.StartTimer(wait, SUBSCRIBE_TIMER))
             return
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -63,7 +63,7 @@
         table = ServerTable(lambda entry: self.pool.link(entry.dial))
         self.module = Dispatcher(conf.settings, conf.seed)
         self.router = Router(self.module, Clock(), table)
-        self.watch = DiscoveryWatch(conf.discovery, conf.reader)
+        self.watch = DiscoveryWatch(conf.discovery, conf.reader, conf.settings.fleet_size)
         self.router.discovery = self.watch
         self.edge = Edge(self.router, conf.catalogue, _half(conf))
         self.boxes = Boxes(self.router, conf.catalogue, conf.load_fields)
@@ -257,6 +257,7 @@
                 self.stomp.change(conf.catalogue)
         if conf.settings != old.settings:
             self.router.change_settings(conf.settings)
+            self.watch.fleet = conf.settings.fleet_size
         if (conf.discovery, conf.reader) != (old.discovery, old.reader):
             self.watch.move(conf.discovery, conf.reader)
         if conf.ops != old.ops:
--- a/hazelbend/transport/discovery_watch.py
+++ b/hazelbend/transport/discovery_watch.py
@@ -15,6 +15,7 @@
 log = logging.getLogger("hazelbend.discovery")
 
 HOLD_MS = 3_000  # a watch that falls silent is found out after this and the grace
+HOLD_EACH_MS, LONGEST_HOLD_MS = 750, 30_000  # of a large fleet: all watch one service, which has little room
 CALL_LIMIT = 6.0  # seconds that a call which does not wait may take
 HOLD_GRACE = 1.5  # seconds that one which waits may take beyond its wait
 LIST_LIMIT = 4 * 1024 * 1024
@@ -23,8 +24,8 @@
 class DiscoveryWatch:
     """Where discovery is may change: the list stays in force until the new address has answered."""
 
-    def __init__(self, address: str | None, reader: ListReader) -> None:
-        self.address, self._reader = address, reader
+    def __init__(self, address: str | None, reader: ListReader, fleet: int = 1) -> None:
+        self.address, self._reader, self.fleet = address, reader, fleet
         self._tell: Callable[[ServiceList], None] | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -68,7 +69,8 @@
                     break
                 tell(news)
                 # The next call must come within 200 ms, or what changes in between is lost to this watch.
-                query, limit = f"?from={news.seq}&hold_ms={HOLD_MS}", HOLD_MS / 1e3 + HOLD_GRACE
+                hold = min(max(HOLD_MS, HOLD_EACH_MS * self.fleet), LONGEST_HOLD_MS)
+                query, limit = f"?from={news.seq}&hold_ms={hold}", hold / 1e3 + HOLD_GRACE
         tell(ServiceList(failed=True))
 
     async def _call(self, session: aiohttp.ClientSession, url: str) -> ServiceList:
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import orjson
+import pytest
 from site_kit import host_entry, until
 
 from hazelbend.protocol.discovery import ListReader
@@ -14,7 +15,7 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
-def watch(*answers: bytes | None, subscriptions: int = 1):
+def watch(*answers: bytes | None, subscriptions: int = 1, fleet: int = 1):
     """What the watch told, the paths that it asked for, and the times between an answer and the next call."""
 
     async def run():
@@ -38,7 +39,7 @@
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        each = discovery_watch.DiscoveryWatch(address, ListReader(("ankara-1",), ("big-box",)))
+        each = discovery_watch.DiscoveryWatch(address, ListReader(("ankara-1",), ("big-box",)), fleet)
         for _ in range(subscriptions):
             each.subscribe(told.append)
         await until(lambda: len(asked) > len(answers) or (told and told[-1].failed))
@@ -61,6 +62,13 @@
     assert max(gaps[1:]) < 0.2, "a later call starts a new watch, and what changed in between is lost"
 
 
+@pytest.mark.parametrize(("fleet", "hold"), [(2, 3_000), (4, 3_000), (14, 10_500), (200, 30_000)])
+def test_a_large_fleet_holds_its_watches_for_longer(fleet, hold):
+    """Guards discovery's few calls a second: 14 dispatchers that come back every 3 s are too many for it."""
+    _, asked, _ = watch(answer(41, True, "a"), fleet=fleet)
+    assert asked[1].endswith(f"hold_ms={hold}")
+
+
 def test_a_call_that_fails_is_told_once_and_ends_the_watch():
     """Guards against a FAILED that the module never hears of: it would not subscribe again."""
     bad = [
@@ -86,6 +94,7 @@
     """Guards against an old list in force for 12 s: servers added meanwhile got nothing."""
     assert discovery_watch.HOLD_MS / 1e3 + discovery_watch.HOLD_GRACE < 6.0
     monkeypatch.setattr(discovery_watch, "HOLD_MS", 10)
+    monkeypatch.setattr(discovery_watch, "HOLD_EACH_MS", 0)
     monkeypatch.setattr(discovery_watch, "HOLD_GRACE", 0.05)
     told, asked, _ = watch(answer(41, True, "a"), None)
     assert [news.failed for news in told] == [False, True] and "hold_ms=10" in asked[1]
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
 from model import Model
 
 from hazelbend.decisions import interface as dy
-from hazelbend.decisions.brain import MOST_PROBES, Dispatcher
+from hazelbend.decisions.brain import FIRST_LIST, MOST_PROBES, Dispatcher
 
 SAFE = dy.JobClass(effect=dy.Effect.SAFE, objective=200_000, late_worth=0.5)
 ASKING = dy.Settings(classes=(SAFE,), probes_allowed=True, reports_by_probe=True, tells_start=True)
@@ -186,3 +186,19 @@
     """Guards a start: a first run of next to nothing made servers of 370 jobs a second of all."""
     usual = rated(True, 200_000)[1]
     assert rated(True, 20)[1] < 10 * usual
+
+
+def first_call(fleet: int, seed: int) -> int:
+    """When a dispatcher that has just started asks for its first list."""
+    model = Model(dy.Settings(fleet_size=fleet, classes=(SAFE,), list_must_be_asked=True), seed)
+    began = model.now
+    model.list_workers(dy.WorkerEntry(1), kind=dy.ListKind.CACHED)
+    model.advance(20_000_000)
+    return model.subscriptions[0] - began
+
+
+def test_a_large_fleet_that_starts_together_spreads_its_first_calls():
+    """Guards discovery, which answers a few calls a second: of 14 in one moment it failed eight."""
+    assert all(first_call(3, seed) == 0 for seed in range(5))
+    calls = sorted(first_call(14, seed) for seed in range(14))
+    assert calls[-1] <= 14 * FIRST_LIST and sum(each < 500_000 for each in calls) < 9
