Turn away a STOMP job that is open in the other process; try a door's new address again

Seen by reading: an id open in the old process of an upgrade got 409 over HTTP, yet ran anew over STOMP; a door whose new address was held at one SIGHUP was not tried again at the next, and two moves could cross. At fault: stomp_clients.send asked no one; App.apply compared configurations, not where the door is. Checked: test_handover.py and test_ops_door.py, both fail without the change.

--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -83,7 +83,9 @@
         self._drain = Drain(self)
         self._ends: dict[str, int] = {}  # by when what comes must be over, and why
         self.door: OpsDoor | None = None
+        self._door_at: tuple[str, int] | None = None
         self._moving: asyncio.Task[None] | None = None
+        self._moves = asyncio.Lock()
         self._siblings = 0  # other processes of this dispatcher, in an upgrade
         self.handover: Handover | None = None
         if conf.handover is not None:
@@ -147,7 +149,7 @@
             await self._open(self.console.listen)
         if self.agent is not None:
             await self._open(self.agent.start)
-        await self._move_door(self.conf.ops)
+        await self._move_door()
         if listener is not None and self.conf.settings.list_must_be_asked:
             # An upgrade, it may be: the list as last known may lack drains that the process before was told.
             with contextlib.suppress(TimeoutError):
@@ -212,20 +214,23 @@
             with contextlib.suppress(OSError):
                 return await listen()
 
-    async def _move_door(self, address: tuple[str, int] | None) -> None:
-        """Open the door there, and only then close the one that was open."""
-        door = None
-        if address is not None:
-            door = OpsDoor(self)
-            await door.listen(*address)
-            log.info("operators' door: listening on %s:%d", address[0], door.port)
-        before, self.door = self.door, door
-        if before is not None:
-            await before.close()
-
-    async def _move_door_later(self, address: tuple[str, int] | None) -> None:
+    async def _move_door(self) -> None:
+        """Open the door where the configuration says now, and only then close the one that was open."""
+        async with self._moves:
+            address, door = self.conf.ops, None
+            if address == self._door_at:
+                return
+            if address is not None:
+                door = OpsDoor(self)
+                await door.listen(*address)
+                log.info("operators' door: listening on %s:%d", address[0], door.port)
+            before, self.door, self._door_at = self.door, door, address
+            if before is not None:
+                await before.close()
+
+    async def _move_door_later(self) -> None:
         try:
-            await self._move_door(address)
+            await self._move_door()
         except OSError as error:
             log.error("reload: ops: %s; the door stays where it was", error)
 
@@ -260,8 +265,8 @@
             self.watch.fleet = conf.settings.fleet_size
         if (conf.discovery, conf.reader) != (old.discovery, old.reader):
             self.watch.move(conf.discovery, conf.reader)
-        if conf.ops != old.ops:
-            self._moving = asyncio.create_task(self._move_door_later(conf.ops))
+        if conf.ops != self._door_at:
+            self._moving = asyncio.create_task(self._move_door_later())
         log.info("reloaded: %s", ", ".join(changed) or "nothing has changed")
         if kept:
             log.warning("reload: these wait for a restart: %s", ", ".join(kept))
--- a/hazelbend/transport/stomp_clients.py
+++ b/hazelbend/transport/stomp_clients.py
@@ -12,8 +12,8 @@
 from hazelbend.protocol import stomp_jobs
 from hazelbend.protocol.http_fields import BadRequest, Catalogue
 from hazelbend.protocol.stomp import Frame
-from hazelbend.routing.ports import Answer, Job
-from hazelbend.routing.router import Flow
+from hazelbend.routing.ports import Answer
+from hazelbend.routing.router import Router
 
 log = logging.getLogger("hazelbend.stomp")
 
@@ -75,16 +75,14 @@
         self,
         identity: str,
         bounds: Bounds,
-        take: Callable[[Job], Flow],
-        refuse: Callable[[Job, int], Answer],
+        router: Router,
         catalogue: Catalogue,
         usage: Usage,
         make_room: Callable[[], None],
     ) -> None:
         self.identity = identity
         self._usage, self._make_room = usage, make_room
-        self._bounds, self._take, self.catalogue = bounds, take, catalogue
-        self._refuse = refuse
+        self._bounds, self._router, self.catalogue = bounds, router, catalogue
         self._entries: dict[str, Entry] = {}
         self._subscriptions: list[Subscription] = []
         self.connections = 0  # whose client this is; one that has sent nothing yet may still do so
@@ -107,17 +105,20 @@
         if allowed_tenants and frame.get("tenant") not in allowed_tenants:
             raise BadRequest("this client may not send for that tenant")
         job = stomp_jobs.read_job(frame, self.identity, self.catalogue)
+        if self._router.holds(job.id):
+            # In an upgrade: its flow is open in the process before. It must not run anew beside it.
+            raise BadRequest("a request of this id is open in another process: send it again later")
         entry = Entry(request_id, secrets.token_hex(8))
         if self._is_full(len(frame.body)):
             # Nothing has run: a refusal is true. It is not kept, as there is no room to keep it.
-            entry.answer = self._refuse(job, FULL_PAUSE)
+            entry.answer = self._router.refuse(job, FULL_PAUSE)
             entry.settled = True
             if self._subscriptions:
                 self._write(self._subscriptions[-1], entry, remember=False)
             return
         self._entries[request_id] = entry
         self._hold(entry, len(frame.body))
-        flow = self._take(job)
+        flow = self._router.take(job)
         flow.answered.add_done_callback(lambda done: self._answered(entry, done.result()))
 
     def subscribe(self, subscription: Subscription) -> None:
--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -114,8 +114,7 @@
             self._mailboxes[identity] = Mailbox(
                 identity,
                 self.settings.bounds,
-                self._router.take,
-                self._router.refuse,
+                self._router,
                 self.catalogue,
                 self._usage,
                 self._make_room,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,12 +3,13 @@
 import asyncio
 import socket
 from contextlib import asynccontextmanager
+from hashlib import blake2b
 
 import orjson
 import pytest
 from hypothesis import given
 from parser_kit import SEEDS, garbage, survives
-from site_kit import host_entry, site, until
+from site_kit import StandIn, host_entry, site, until
 from test_edge import request, talk
 
 from hazelbend.decisions import Dispatcher, Settings
@@ -209,7 +210,7 @@
 
 def test_an_id_that_is_open_in_the_other_process_is_turned_away(tmp_path):
     async def run():
-        async with site(tmp_path, stomp="") as (app, [toy]):
+        async with site(tmp_path) as (app, [toy]):
             whole = app.edge.limit
             here = Handover(tmp_path / "next", app, lambda: app.conf.reader)
             app.router.held_elsewhere, app.router.id_watcher = here.holds, here.tell
@@ -227,6 +228,13 @@
             await until(lambda: here.holds("b"))
             again = request("b", more="Connection: close\r\n")
             assert b" 409 " in await talk(app.edge.port, again)
+            own_id = blake2b(b"dashboard\0s", digest_size=16).hexdigest()
+            there.tell(own_id, True)
+            await until(lambda: here.holds(own_id))
+            peer = await StandIn.connect(app.stomp.port)
+            peer.job("s", b"1")
+            await until(lambda: peer.closed)
+            assert "open in another process" in peer.of("ERROR")[0].headers["message"], "the other front"
             there.tell("b", False)
             await until(lambda: not here.holds("b"))
             assert b" 200 " in await talk(app.edge.port, again)
--- a/tests/test_ops_door.py
+++ b/tests/test_ops_door.py
@@ -119,8 +119,11 @@
             app.apply(changed(app, tmp_path, ops=f"127.0.0.1:{app.edge.port}"))
             await until(lambda: "the door stays where it was" in caplog.text)
             assert app.door is first and (await asked(app, "/ops/readiness"))[0] == 200
+            app.apply(changed(app, tmp_path, ops=f"127.0.0.1:{app.edge.port}"))
+            await until(lambda: caplog.text.count("the door stays where it was") == 2)  # tried again
+            app.apply(changed(app, tmp_path, ops="127.0.0.2:0"))
             app.apply(changed(app, tmp_path, ops="localhost:0"))
-            await until(lambda: app.door is not first)
+            await until(lambda: app.door is not first and app._door_at == ("localhost", 0))
             assert (await asked(app, "/ops/readiness"))[0] == 200
             app.apply(changed(app, tmp_path))
             await until(lambda: app.door is None)
