End each scheduling and flow by its task's end, whenever it was cancelled

Under overload flows whose clients left stayed open for ever, and with them the load counted on a server, the id (409) and the end of the program: a task that is cancelled before it first runs never runs its body, which told the end. A second way in: a client that left before its flow's task first ran ended the flow with the module's Send unread, so that the module waited for its outcome for ever.

The end is now told by the task's done callback; what never began is NOT_SENT. A flow's inbox is read to its end. A flow whose own task never ran is answered and forgotten as well.

--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -77,7 +77,7 @@
     server: RealServer | None
     worker: int
     began_at: int
-    task: asyncio.Task[None] | None = None
+    task: asyncio.Task[Ending] | None = None
     over: bool = False
 
 
@@ -149,6 +149,7 @@
         self.tally.taken += 1
         self._idle.clear()
         flow.task = asyncio.create_task(self._live(flow))
+        flow.task.add_done_callback(lambda task: self._over(flow))
         return flow
 
     def refuse(self, job: Job, retry_after: int) -> Answer:
@@ -217,7 +218,8 @@
                 ),
                 flow,
             )
-            while not flow.is_closed or not all(each.over for each in flow.schedulings):
+            # Read to its end: the module waits for the outcome of each Send, even of one that came too late.
+            while not (flow.is_closed and flow.inbox.empty() and all(e.over for e in flow.schedulings)):
                 match await flow.inbox.get():
                     case face.Send() as send:
                         self._schedule(flow, send)
@@ -252,11 +254,15 @@
                 if each.task is not None and not each.over:
                     each.task.cancel()
             self._answer(flow, Answer(Verdict.FAILED))
-            self.flows.pop(flow.number, None)
-            self._ids.discard(job.id)
-            self.id_watcher(job.id, False)
-            if not self.flows:
-                self._idle.set()
+
+    def _over(self, flow: Flow) -> None:
+        """The flow's task is done, even if it was ended before it first ran: nothing is kept of it."""
+        self._answer(flow, Answer(Verdict.FAILED))
+        self.flows.pop(flow.number, None)
+        self._ids.discard(flow.job.id)
+        self.id_watcher(flow.job.id, False)
+        if not self.flows:
+            self._idle.set()
 
     def _answer(self, flow: Flow, answer: Answer) -> None:
         """The one final answer; any later one is dropped."""
@@ -297,21 +303,25 @@
             return
         server.out += 1
         scheduling.task = asyncio.create_task(self._run(flow, number, server, wait))
+        # The end is told by the task's own end: one that is cancelled before it first runs never runs `_run`.
+        scheduling.task.add_done_callback(
+            lambda task: flow.inbox.put_nowait(
+                Ended(number, Ending(Outcome.NOT_SENT) if task.cancelled() else task.result())
+            )
+        )
 
-    async def _run(self, flow: Flow, number: int, server: RealServer, wait: int) -> None:
-        ending = Ending(Outcome.ERROR)
+    async def _run(self, flow: Flow, number: int, server: RealServer, wait: int) -> Ending:
+        """Every way out of here is an Ending; cancelled it can only be before it begins."""
         try:
             async with asyncio.timeout(wait / 1e6):
-                ending = await server.link.attempt(
-                    flow.job, wait, lambda news: self._hear(flow, number, news)
-                )
+                return await server.link.attempt(flow.job, wait, lambda news: self._hear(flow, number, news))
         except TimeoutError:
-            ending = Ending(Outcome.TIMED_OUT)
+            return Ending(Outcome.TIMED_OUT)
         except asyncio.CancelledError:
-            ending = Ending(Outcome.CANCELLED)
+            return Ending(Outcome.CANCELLED)
         except Exception:
             log.exception("flow %s: scheduling on %s: fault in the link", flow.job.id, server.entry.host)
-        flow.inbox.put_nowait(Ended(number, ending))
+            return Ending(Outcome.ERROR)
 
     def _hear(self, flow: Flow, number: int, news: News | Forwarded) -> None:
         if isinstance(news, Forwarded):
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -124,6 +124,60 @@
     assert router.tally.abandoned == 1 and not router.tally.answers.total()
 
 
+def test_a_scheduling_cancelled_before_its_task_first_runs_is_over_all_the_same():
+    """Guards the end of flows whose clients leave in the moment of a send: they stayed open for ever, and the
+    load on the server, the id and the end of the program hung on them."""
+    module = Module(
+        RequestArrived=lambda event: [*send(event), face.Cancel(event.request, 0)],
+        AttemptEnded=lambda event: [face.Refuse(event.request)],
+    )
+    link = FakeLink()
+    [answer], router = play(module, link, JOB)
+    assert answer.verdict is Verdict.REFUSED and link.calls == 0
+    [ended] = module.of(face.AttemptEnded)
+    assert ended.outcome is Outcome.NOT_SENT, "not a byte went out"
+    assert [server.out for server in router.table.servers.values()] == [0]
+    assert not router.holds(JOB.id)
+
+
+def test_flows_whose_clients_leave_at_every_step_all_end():
+    """A storm of leaves, each so many turns of the loop after its job came: none may stay."""
+
+    async def run():
+        module = Module(
+            RequestArrived=send, ClientGone=lambda event: [face.Cancel(event.request, 0), *send(event)]
+        )
+        router = Router(module, Clock(), ServerTable(lambda entry: FakeLink()))
+        router.begin(ServiceList((ENTRY,), whole=True))
+        for turns in range(8):
+            for number in range(4):
+                flow = router.take(replace(JOB, id=f"{turns}-{number}"))
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                flow.leave()
+        async with asyncio.timeout(10):
+            await router.drained()
+        return router, module
+
+    router, module = asyncio.run(run())
+    assert len(module.of(face.AttemptEnded)) == 2 * 32, "each send and its end, once"
+    assert [server.out for server in router.table.servers.values()] == [0]
+    assert router.tally.abandoned == 32 and not router.open_ids
+
+
+def test_a_flow_ended_before_its_task_first_runs_leaves_nothing():
+    async def run():
+        router = Router(Module(), Clock(), ServerTable(lambda entry: FakeLink()))
+        flow = router.take(JOB)
+        router.close()
+        async with asyncio.timeout(10):
+            await router.drained()
+        return await flow.answered, router
+
+    answer, router = asyncio.run(run())
+    assert answer.verdict is Verdict.FAILED and not router.holds(JOB.id)
+
+
 def test_a_second_answer_is_dropped_and_a_late_attempt_still_reported():
     module = Module(
         RequestArrived=lambda event: [*send(event), face.Refuse(event.request), face.Fail(event.request)]
