--- /dev/null
+++ b/benchmarks/srv_names.py
@@ -0,0 +1,210 @@
+"""What following SRV names costs: three measurements, each against stand-ins on loopback.
+
+python benchmarks/srv_names.py refresh --names 100 1000 10000 --seconds 90
+python benchmarks/srv_names.py merge --servers 100 1000 10000
+python benchmarks/srv_names.py herd --dispatchers 100
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import resource
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from hazelbend.decisions.interface import WorkerState
+from hazelbend.membership.merge import Claim, Membership
+from hazelbend.names.answers import BoxKey, Rank
+from hazelbend.names.resolver import Resolver
+from hazelbend.names.settings import SrvSettings, read_settings
+from hazelbend.routing.clock import Clock
+from hazelbend.routing.ports import ServiceEntry, ServiceList
+from hazelbend.standins.dns import StandInNameserver
+from hazelbend.transport.name_source import NameSource
+
+LIFETIME = 30
+SOA = "@ 5 IN SOA ns host 1 3600 600 86400 5\n@ 300 IN NS ns\nns 300 IN A 127.0.0.1\n"
+
+
+def names_of(count: int) -> list[str]:
+    return [f"_arama._tcp.n{number}.example.org" for number in range(count)]
+
+
+def settings_of(address: str, names: list[str], **budgets: float) -> SrvSettings:
+    table = {
+        "nameserver": [{"address": address}],
+        "name": [{"name": each, "zone": "z", "kind": "k"} for each in names],
+        "budgets": budgets,
+    }
+    return read_settings(table, ("z",), ("k",))
+
+
+def outside(folder: Path, count: int) -> tuple[subprocess.Popen[str], str]:
+    """The stand-in nameserver in a process of its own, with so many names of one box each."""
+    path = folder / "zone"
+    rows = [
+        f"_arama._tcp.n{n} {LIFETIME} IN SRV 0 1 7101 box.n{n}\nbox.n{n} {LIFETIME} IN A 127.0.0.1"
+        for n in range(count)
+    ]
+    path.write_text(SOA + "\n".join(rows) + "\n")
+    words = [sys.executable, "-m", "hazelbend.standins.dns", str(path), "--listen", "127.0.0.1:0", "--count"]
+    process = subprocess.Popen(words, stdout=subprocess.PIPE, text=True)
+    assert process.stdout is not None
+    return process, process.stdout.readline().split()[-1]
+
+
+def resident_mb() -> float:
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+
+async def follow(address: str, names: list[str], seconds: float) -> dict[str, float]:
+    """After the first round, so many seconds of refreshes."""
+    spread = LIFETIME * 0.9
+    settings = settings_of(address, names, per_s=2_000, at_once=256, start_spread_s=spread)
+    before, changed = resident_mb(), set[str]()
+    resolver, clock = Resolver(settings, "bench"), Clock()
+    source = NameSource(resolver, clock.now, changed.update)
+    resolver.begin(clock.now(), names)
+    source.pump()
+    await asyncio.sleep(spread + 3)
+    assert len(changed) == len(names), f"{len(changed)} of {len(names)} answered in the first round"
+    resolver.totals.lateness, queries = [], resolver.totals.queries
+    used, began = time.process_time(), time.monotonic()
+    await asyncio.sleep(seconds)
+    used, took = time.process_time() - used, time.monotonic() - began
+    queries = resolver.totals.queries - queries
+    late = sorted(resolver.totals.lateness)
+    await source.close()
+    return {
+        "names": len(names),
+        "queries_per_s": round(queries / took, 1),
+        "lifetimes_ask_for_per_s": round(len(names) / LIFETIME, 1),
+        "cpu_percent": round(100 * used / took, 1),
+        "cpu_us_per_query": round(1e6 * used / max(queries, 1)),
+        "memory_kb_per_name": round(1024 * (resident_mb() - before) / len(names), 1),
+        "late_ms_p50": late[len(late) // 2] / 1e3,
+        "late_ms_p99": late[len(late) * 99 // 100] / 1e3,
+        "late_ms_worst": late[-1] / 1e3,
+        "unknown": resolver.totals.unknown,
+    }
+
+
+def refresh(options: argparse.Namespace) -> None:
+    for count in options.names:
+        pid = os.fork()  # each size begins with memory of its own
+        if pid == 0:
+            with tempfile.TemporaryDirectory() as folder:
+                process, address = outside(Path(folder), count)
+                try:
+                    print(
+                        json.dumps(asyncio.run(follow(address, names_of(count), options.seconds))), flush=True
+                    )
+                finally:
+                    process.kill()
+            os._exit(0)
+        os.waitpid(pid, 0)
+
+
+def merge(options: argparse.Namespace) -> None:
+    """Half of the servers by the box list, half by a thousandth as many SRV names."""
+    for count in options.servers:
+        members = Membership(3_600_000_000)
+        half = count // 2
+        entries = tuple(
+            ServiceEntry(f"s-{n}", f"10.0.{n // 250}.{n % 250}:7101", 0, 0, 0, WorkerState.READY, 1.0, 0)
+            for n in range(half)
+        )
+        members.hear_list(ServiceList(entries, whole=True), 1)
+        pools: dict[str, dict[BoxKey, Claim]] = {}
+        for n in range(half):
+            key = BoxKey(f"b{n}.example.org", 7101)
+            claim = Claim(Rank(0, 1), (f"10.1.{n // 250}.{n % 250}",), 0, 0, 0, 1.0)
+            pools.setdefault(f"n{n // 10}", {})[key] = claim
+        for name, boxes in pools.items():
+            members.hear_name(name, boxes, 2)
+        times: dict[str, list[float]] = {"name": [], "list": [], "whole": []}
+        changing = list(pools.items())[:: max(len(pools) // 200, 1)]
+        for turn, (name, boxes) in enumerate(changing):
+            fewer = dict(list(boxes.items())[1:])
+            began = time.perf_counter()
+            members.hear_name(name, fewer, 3 + turn)
+            members.hear_name(name, boxes, 3 + turn)
+            times["name"].append((time.perf_counter() - began) / 2)
+            entry = entries[turn % half]
+            began = time.perf_counter()
+            for state in (WorkerState.DRAINING, WorkerState.READY):
+                changed = ServiceEntry(entry.host, entry.dial, 0, 0, 0, state, 1.0, 0)
+                members.hear_list(ServiceList((changed,)), 3 + turn)
+            times["list"].append((time.perf_counter() - began) / 2)
+        for _ in range(5):
+            began = time.perf_counter()
+            members.hear_list(ServiceList(entries, whole=True), 9)
+            times["whole"].append(time.perf_counter() - began)
+        row = {f"{what}_us": round(1e6 * statistics.median(each), 1) for what, each in times.items()}
+        print(json.dumps({"servers": count, **row}), flush=True)
+
+
+async def start_together(count: int, spread: float, seconds: float) -> dict[str, float]:
+    """Dispatchers that follow ten names each, and start in one second."""
+    names = names_of(10)
+    server = StandInNameserver()
+    rows = [f"_arama._tcp.n{n} 5 IN SRV 0 1 7101 box.n{n}\nbox.n{n} 5 IN A 127.0.0.1" for n in range(10)]
+    server.serve_zone(SOA + "\n".join(rows) + "\n")
+    clock, sources = Clock(), []
+    settings = settings_of(await server.start(), names, start_spread_s=spread, timeout_s=5.0)
+    loop = asyncio.get_running_loop()
+    for number in range(count):
+        resolver = Resolver(settings, f"d-{number}" if spread else "d")
+        sources.append(NameSource(resolver, clock.now, lambda changed: None))
+
+        def begin(source: NameSource = sources[-1]) -> None:
+            source.resolver.begin(clock.now(), names)
+            source.pump()
+
+        loop.call_later(number / count if spread else 0.0, begin)
+    began = loop.time()
+    await asyncio.sleep(seconds)
+    for source in sources:
+        await source.close()
+    await server.stop()
+    slots = [0] * (round(seconds * 10) + 10)
+    for query in server.queries:
+        slots[int((query.at - began) * 10)] += 1
+    return {
+        "dispatchers": count,
+        "spread_s": spread,
+        "queries": len(server.queries),
+        "peak_in_100_ms": max(slots),
+        "peak_after_the_start_in_100_ms": max(slots[20:]),
+    }
+
+
+def herd(options: argparse.Namespace) -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (8192, 8192))
+    for spread in (0.0, 1.0, 5.0):
+        print(json.dumps(asyncio.run(start_together(options.dispatchers, spread, 14.0))), flush=True)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    commands = parser.add_subparsers(required=True)
+    one = commands.add_parser("refresh")
+    one.add_argument("--names", type=int, nargs="+", default=[100, 1_000, 10_000])
+    one.add_argument("--seconds", type=float, default=60.0)
+    one.set_defaults(run=refresh)
+    two = commands.add_parser("merge")
+    two.add_argument("--servers", type=int, nargs="+", default=[100, 1_000, 10_000])
+    two.set_defaults(run=merge)
+    three = commands.add_parser("herd")
+    three.add_argument("--dispatchers", type=int, default=100)
+    three.set_defaults(run=herd)
+    chosen = parser.parse_args()
+    chosen.run(chosen)
--- a/hazelbend/__main__.py
+++ b/hazelbend/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m hazelbend`: one dispatcher."""
+"""`python -m hazelbend`: one dispatcher. With words behind it: a command, see `--help`."""
 
 import sys
 from typing import Any, cast
@@ -7,6 +7,11 @@
 # nobody to go to, and 4 MB; asyncio and aiohttp do without where it is missing.
 cast(dict[str, Any], sys.modules)["ssl"] = None
 
-from hazelbend.program.app import main  # noqa: E402
+if len(sys.argv) > 1:
+    from hazelbend.cli.main import main as command
 
-sys.exit(main())
+    command()
+else:
+    from hazelbend.program.app import main
+
+    sys.exit(main())
--- /dev/null
+++ b/hazelbend/cli/__init__.py
@@ -0,0 +1,2 @@
+"""The command line: `python -m hazelbend COMMAND`. Without a command the dispatcher runs, and nothing of this
+is imported."""
--- a/hazelbend/console/client.py
+++ b/hazelbend/console/client.py
@@ -65,7 +65,9 @@
     from prompt_toolkit.completion import NestedCompleter
     from prompt_toolkit.shortcuts import confirm
 
-    shows: dict[str, None] = dict.fromkeys(["status", "servers", "flows", "fronts", "log"])
+    shows: dict[str, None] = dict.fromkeys(
+        ["status", "figures", "servers", "flows", "fronts", "sources", "names", "log"]
+    )
     words = {"show": shows, **dict.fromkeys(["drain", "undrain", "shutdown", "help", "quit"])}
     session: PromptSession[str] = PromptSession(
         completer=NestedCompleter.from_nested_dict(words), bottom_toolbar="help: the commands   quit: leave"
--- /dev/null
+++ b/hazelbend/membership/merge.py
@@ -0,0 +1,391 @@
+"""One view of all boxes, from the box list, SRV names and boxes that connected by themselves.
+
+Identity. The box list knows a box by its host name, SRV by a target and a port. They are the same box when
+the host name is the target (case and last dot aside) and the ports are equal, or when the list's address and
+port are among the target's. The box has the list's name where the list has it, and `target:port` otherwise:
+a function of what is said now, so that all dispatchers know it by one id. A box that changes its name between
+the two is, for the rest of the program, one that left and one that came; a drain by hand goes along.
+
+A box that SRV alone names is as just started when it first appears, when it comes back, and when its address
+moves, as there is another process then. Of several addresses it keeps the one it has while that is listed.
+
+Every step takes one source's word and gives the difference to the view before, in the number of boxes that it
+speaks of and not of all (a whole list speaks of all). Versions of the view are persistent maps: a reader that
+has one sees all of it, whatever comes next.
+
+Invariants, after every step (tests/test_membership.py evaluates them):
+    1. A box that the box list drains or knows to be gone is not ready, whatever SRV says.
+    2. The box list's serving boxes are there as it says.
+    3. Every other box is there if, and only if, a name lists it; no box is there twice.
+    4. The differences told, added up, are the view.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+from typing import TypeVar
+
+from immutables import Map
+
+from hazelbend.decisions.interface import WorkerState
+from hazelbend.membership.rule import ListSays, SrvSays, Verdict, decide
+from hazelbend.names.answers import BoxKey, Rank, canonical
+from hazelbend.routing.ports import ServiceEntry, ServiceList
+
+
+@dataclass(slots=True, frozen=True)
+class Claim:
+    """What an SRV name says of a box."""
+
+    rank: Rank
+    addresses: tuple[str, ...]
+    zone: int
+    kind: int
+    cell: int
+    weight: float
+
+    def dials(self, port: int) -> tuple[str, ...]:
+        return tuple(f"[{each}]:{port}" if ":" in each else f"{each}:{port}" for each in self.addresses)
+
+
+@dataclass(slots=True, frozen=True)
+class Gone:
+    """A box that the box list took off."""
+
+    at: int
+    key: BoxKey | None
+    dial: str
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    entry: ServiceEntry
+    sources: tuple[str, ...]  # "box list", "stomp", or SRV names
+    key: BoxKey | None = None
+    spare: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class View:
+    version: int = 0
+    members: Map[str, Member] = Map()
+
+
+LIST, STOMP = "box list", "stomp"
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class Membership:
+    def __init__(self, gone_for: int) -> None:
+        self.gone_for = gone_for  # microseconds
+        self.view = View()
+        self.list_failed = False
+        self._listed: Map[str, ServiceEntry] = Map()
+        self._by_key: Map[BoxKey, str] = Map()  # of what is listed
+        self._by_dial: Map[str, str] = Map()
+        self.gone: Map[str, Gone] = Map()
+        self._gone_keys: Map[BoxKey, str] = Map()
+        self._gone_dials: Map[str, str] = Map()
+        self._claims: Map[BoxKey, Map[str, Claim]] = Map()
+        self._names: Map[str, Map[BoxKey, Claim]] = Map()
+        self._claimed_dials: Map[str, frozenset[BoxKey]] = Map()
+        self._open: dict[str, int] = {}  # of an SRV name: the worst priority that is open
+        self._started: dict[str, int] = {}  # remembered from before a start
+        self.renamed: list[tuple[str, str]] = []  # boxes known by another name now; whoever reads clears it
+
+    # --- what sources say ---
+
+    def hear_list(self, news: ServiceList, now: int) -> ServiceList:
+        """The box list's word; what the table is to be told instead of it."""
+        if news.failed:
+            self.list_failed = True
+            return news
+        self.list_failed = False
+        before, touched = self.view.members, set[str]()
+        keys: set[BoxKey] = set()
+        if news.whole:
+            named = {entry.host for entry in news.entries}
+            for host in [each for each in self._listed if each not in named]:
+                keys |= self._unlist(host, now)
+                touched.add(host)
+        for entry in news.entries:
+            touched.add(entry.host)
+            if entry.state is WorkerState.GONE:
+                keys |= self._unlist(entry.host, now)
+            else:
+                keys |= self._list(entry)
+        self._renew(touched, keys, now)
+        if news.whole:
+            return ServiceList(self.entries(), whole=True, seq=news.seq)
+        return ServiceList(self._difference(before, touched, keys), seq=news.seq)
+
+    def hear_name(self, name: str, boxes: Mapping[BoxKey, Claim], now: int) -> ServiceList:
+        """The boxes that an SRV name lists now, and no others; the changes."""
+        before, old = self.view.members, self._names.get(name, Map())
+        keys = {key for key in old if key not in boxes}
+        keys |= {key for key, claim in boxes.items() if old.get(key) != claim}
+        hosts = {host for host in map(self._list_host, keys) if host is not None}
+        for key in keys:
+            claims = self._claims.get(key, Map())
+            self._forget_dials(key, claims)
+            if (claim := boxes.get(key)) is not None:
+                claims, old = claims.set(name, claim), old.set(key, claim)
+            else:
+                claims, old = claims.delete(name), old.delete(key)
+            self._claims = self._claims.set(key, claims) if claims else self._claims.delete(key)
+            for dial in {dial for each in claims.values() for dial in each.dials(key.port)}:
+                held = self._claimed_dials.get(dial, frozenset())
+                self._claimed_dials = self._claimed_dials.set(dial, held | {key})
+        self._names = self._names.set(name, old) if old else _without(self._names, name)
+        self._renew(hosts, keys, now)
+        return ServiceList(self._difference(before, hosts, keys))
+
+    def hear_guest(self, entry: ServiceEntry) -> None:
+        """A box that connected by itself, or left. It is the proof of itself: no other source has a say."""
+        members = self.view.members
+        if entry.state is WorkerState.GONE:
+            members = _without(members, entry.host)
+        else:
+            members = members.set(entry.host, Member(entry, (STOMP,)))
+        self._publish(members)
+
+    def open_to(self, name: str, priority: int | None, now: int) -> ServiceList:
+        """A name's boxes up to this priority are open, the rest is spare; the changes."""
+        if self._open.get(name) == priority:
+            return ServiceList()
+        before, was = self.view.members, self._open.get(name)
+        if priority is None:
+            self._open.pop(name, None)
+        else:
+            self._open[name] = priority
+        low, high = sorted((-1 if was is None else was, -1 if priority is None else priority))
+        keys = {key for key, claim in self._names.get(name, Map()).items()
+                if low < claim.rank.priority <= high or was is None or priority is None}  # fmt: skip
+        self._renew((), keys, now)
+        return ServiceList(self._difference(before, (), keys))
+
+    def forget_gone(self, now: int) -> ServiceList:
+        """Boxes that the list took off long ago may come by SRV again, unless the list cannot be heard."""
+        if self.list_failed:
+            return ServiceList()
+        before, keys = self.view.members, set[BoxKey]()
+        for host, gone in list(self.gone.items()):
+            if gone.at + self.gone_for <= now:
+                named = self._unmark(host, gone)
+                self.renamed.extend((host, str(key)) for key in named)
+                keys |= named
+        self._renew((), keys, now)
+        return ServiceList(self._difference(before, (), keys))
+
+    def restore(self, gone: Mapping[str, Gone], started: Mapping[str, int]) -> None:
+        """From before a start: what the list took off, and since when boxes of SRV run."""
+        for host, each in gone.items():
+            if host not in self._listed:
+                self._mark(host, each)
+        self._started.update(started)
+
+    # --- what readers ask ---
+
+    def entries(self) -> tuple[ServiceEntry, ...]:
+        """All but the boxes that connected by themselves, which the table has from their connections."""
+        return tuple(each.entry for each in self.view.members.values() if each.sources != (STOMP,))
+
+    def listed(self) -> tuple[ServiceEntry, ...]:
+        return tuple(self._listed.values())
+
+    def by_srv(self) -> dict[str, int]:
+        """Boxes that SRV alone names, and since when they run."""
+        return {
+            host: each.entry.started_at
+            for host, each in self.view.members.items()
+            if LIST not in each.sources and each.key is not None
+        }
+
+    def list_says(self, key: BoxKey) -> ListSays:
+        host = self._list_host(key)
+        if host is not None:
+            state = self._listed[host].state
+            return ListSays.SERVING if state is WorkerState.READY else ListSays.DRAINING
+        return ListSays.GONE if self._gone_host(key) is not None else ListSays.NEVER
+
+    def member_name(self, key: BoxKey) -> str | None:
+        """By which name the view has a box of SRV; None if it does not."""
+        host = self._list_host(key) or str(key)
+        return host if host in self.view.members else None
+
+    def priorities(self, name: str) -> dict[str, int]:
+        """The boxes of an SRV name that are in the view, and their priorities."""
+        found = {}
+        for key, claim in self._names.get(name, Map()).items():
+            if (host := self.member_name(key)) is not None:
+                found[host] = claim.rank.priority
+        return found
+
+    # --- steps ---
+
+    def _list(self, entry: ServiceEntry) -> set[BoxKey]:
+        """Take an entry of the box list; the boxes of SRV that this may concern."""
+        old = self._listed.get(entry.host)
+        if old is not None and old.dial == entry.dial:
+            self._listed = self._listed.set(entry.host, entry)
+            return self._related(_key(entry), entry.dial)
+        keys = self._unindex(old) if old is not None else set()
+        if (gone := self.gone.get(entry.host)) is not None:
+            keys |= self._unmark(entry.host, gone)
+        self._listed = self._listed.set(entry.host, entry)
+        key = _key(entry)
+        if key is not None:
+            self._by_key = self._by_key.set(key, entry.host)
+        self._by_dial = self._by_dial.set(entry.dial, entry.host)
+        # Another box by the same address was taken off: this one stands there now.
+        for mark in {self._gone_dials.get(entry.dial), self._gone_keys.get(key) if key else None}:
+            if mark is not None:
+                keys |= self._unmark(mark, self.gone[mark])
+        return keys | self._related(key, entry.dial)
+
+    def _unlist(self, host: str, now: int) -> set[BoxKey]:
+        """The list has taken it off. One that it never had, and says is gone, is gone as well."""
+        entry = self._listed.get(host)
+        if entry is None:
+            return set()
+        keys = self._unindex(entry)
+        self._listed = self._listed.delete(host)
+        self._mark(host, Gone(now, _key(entry), entry.dial))
+        return keys
+
+    def _unindex(self, entry: ServiceEntry) -> set[BoxKey]:
+        key = _key(entry)
+        if key is not None and self._by_key.get(key) == entry.host:
+            self._by_key = self._by_key.delete(key)
+        if self._by_dial.get(entry.dial) == entry.host:
+            self._by_dial = self._by_dial.delete(entry.dial)
+        return self._related(key, entry.dial)
+
+    def _mark(self, host: str, gone: Gone) -> None:
+        self.gone = self.gone.set(host, gone)
+        if gone.key is not None:
+            self._gone_keys = self._gone_keys.set(gone.key, host)
+        self._gone_dials = self._gone_dials.set(gone.dial, host)
+
+    def _unmark(self, host: str, gone: Gone) -> set[BoxKey]:
+        self.gone = _without(self.gone, host)
+        if gone.key is not None and self._gone_keys.get(gone.key) == host:
+            self._gone_keys = self._gone_keys.delete(gone.key)
+        if self._gone_dials.get(gone.dial) == host:
+            self._gone_dials = self._gone_dials.delete(gone.dial)
+        return self._related(gone.key, gone.dial)
+
+    def _related(self, key: BoxKey | None, dial: str) -> set[BoxKey]:
+        found = set(self._claimed_dials.get(dial, frozenset()))
+        if key is not None and key in self._claims:
+            found.add(key)
+        return found
+
+    def _forget_dials(self, key: BoxKey, claims: Map[str, Claim]) -> None:
+        for dial in {dial for each in claims.values() for dial in each.dials(key.port)}:
+            held = self._claimed_dials.get(dial, frozenset()) - {key}
+            self._claimed_dials = (
+                self._claimed_dials.set(dial, held) if held else _without(self._claimed_dials, dial)
+            )
+
+    def _dials(self, key: BoxKey) -> Iterable[str]:
+        for claim in self._claims.get(key, Map()).values():
+            yield from claim.dials(key.port)
+
+    def _list_host(self, key: BoxKey) -> str | None:
+        if (host := self._by_key.get(key)) is not None:
+            return host
+        return next((self._by_dial[each] for each in self._dials(key) if each in self._by_dial), None)
+
+    def _gone_host(self, key: BoxKey) -> str | None:
+        if (host := self._gone_keys.get(key)) is not None:
+            return host
+        return next((self._gone_dials[each] for each in self._dials(key) if each in self._gone_dials), None)
+
+    def _renew(self, hosts: Iterable[str], keys: Iterable[BoxKey], now: int) -> None:
+        """Work these boxes out anew."""
+        members, hosts, keys = self.view.members, set(hosts), set(keys)
+        hosts |= {found for found in map(self._list_host, keys) if found is not None}
+        by_host: dict[str, set[str]] = {}
+        for host in hosts:
+            if (entry := self._listed.get(host)) is not None:
+                for key in self._related(_key(entry), entry.dial):
+                    by_host.setdefault(host, set()).update(self._claims.get(key, Map()))
+        with members.mutate() as change:
+            for host in hosts:
+                if (entry := self._listed.get(host)) is not None:
+                    names = tuple(sorted(by_host.get(host, ())))
+                    change[host] = Member(entry, (LIST, *names), _key(entry))
+                elif host in change and LIST in change[host].sources:
+                    del change[host]
+            for key in keys:
+                listed = SrvSays.LISTED if key in self._claims else SrvSays.NOT_LISTED
+                name, verdict = str(key), decide(self.list_says(key), listed)
+                old, as_listed = members.get(name), self._list_host(key)
+                if as_listed not in (None, name) and old is not None and LIST not in old.sources:
+                    self.renamed.append((name, str(as_listed)))
+                if verdict is Verdict.BY_SRV:
+                    change[name] = self._srv_member(key, old, now)
+                elif name in change and LIST not in change[name].sources:
+                    del change[name]
+            members = change.finish()
+        self._publish(members)
+
+    def _srv_member(self, key: BoxKey, old: Member | None, now: int) -> Member:
+        claims = self._claims[key]
+        names = tuple(sorted(claims))
+        claim = claims[names[0]]
+        spare = all(claims[each].rank.priority > self._open.get(each, 65_536) for each in names)
+        dials = claim.dials(key.port)
+        name, dial = str(key), dials[0]
+        started_at = self._started.pop(name, now)
+        if old is not None and old.key == key and LIST not in old.sources:
+            moved = old.entry.dial not in dials
+            dial = dial if moved else old.entry.dial
+            started_at = now if moved else old.entry.started_at
+        entry = ServiceEntry(
+            name,
+            dial,
+            claim.zone,
+            claim.kind,
+            claim.cell,
+            WorkerState.DRAINING if spare else WorkerState.READY,
+            claim.weight,
+            started_at,
+        )
+        return Member(entry, names, key, spare)
+
+    def _difference(
+        self, before: Map[str, Member], hosts: Iterable[str], keys: Iterable[BoxKey]
+    ) -> tuple[ServiceEntry, ...]:
+        """What has changed of these, as changes of a list: what left is gone."""
+        names = dict.fromkeys(hosts) | dict.fromkeys(map(str, keys))
+        left, others = [], []
+        for name in names:
+            old, new = before.get(name), self.view.members.get(name)
+            if new is None and old is not None:
+                left.append(replace(old.entry, state=WorkerState.GONE))
+            elif new is not None and (old is None or old.entry != new.entry):
+                others.append(new.entry)
+        return (*left, *others)
+
+    def _publish(self, members: Map[str, Member]) -> None:
+        if members is not self.view.members:
+            self.view = View(self.view.version + 1, members)
+
+
+def _key(entry: ServiceEntry) -> BoxKey | None:
+    """What SRV would call this box."""
+    host, _, port = entry.dial.rpartition(":")
+    if not port.isdecimal():
+        return None
+    try:
+        return BoxKey(canonical(entry.host.removesuffix(f":{port}")), int(port))
+    except ValueError:
+        return None
+
+
+def _without(values: Map[K, V], key: K) -> Map[K, V]:
+    return values.delete(key) if key in values else values
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -8,17 +8,18 @@
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import fields, replace
-from typing import Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from hazelbend.decisions.brain import Dispatcher
 from hazelbend.decisions.memory import recall, remember
 from hazelbend.program import config
 from hazelbend.program.console_server import ConsoleServer
 from hazelbend.program.drain import KEPT, Drain
-from hazelbend.program.log import RecentLines, set_up
+from hazelbend.program.log import RecentLines, Sparing, set_up
 from hazelbend.protocol.handover import State
 from hazelbend.routing.clock import Clock
 from hazelbend.routing.overview import Figures, Overview, take_figures, take_overview
+from hazelbend.routing.ports import ServiceList
 from hazelbend.routing.router import Router
 from hazelbend.routing.table import RealServer, ServerTable
 from hazelbend.transport.discovery_watch import DiscoveryWatch
@@ -30,6 +31,10 @@
 from hazelbend.transport.stomp_boxes import Boxes
 from hazelbend.transport.stomp_listener import StompListener
 
+if TYPE_CHECKING:
+    from hazelbend.names.settings import SrvSettings
+    from hazelbend.program.sources import Sources
+
 log = logging.getLogger("hazelbend")
 
 # Seconds from SIGTERM. New connections come for up to 0.4 s. SIGKILL comes no sooner than the longest
@@ -64,7 +69,10 @@
         self.module = Dispatcher(conf.settings, conf.seed)
         self.router = Router(self.module, Clock(), table)
         self.watch = DiscoveryWatch(conf.discovery, conf.reader, conf.settings.fleet_size)
-        self.router.discovery = self.watch
+        self.router.discovery = self
+        self.sources: Sources | None = None  # imported only where srv.toml is enabled
+        self._closing: set[asyncio.Task[None]] = set()
+        self._server_lines = Sparing(log, 200)
         self.edge = Edge(self.router, conf.catalogue, _half(conf))
         self.boxes = Boxes(self.router, conf.catalogue, conf.load_fields)
         self.stomp: StompListener | None = None
@@ -100,7 +108,8 @@
         return self.edge.takes_clients
 
     def figures(self) -> Figures:
-        return take_figures(self.router, self._class_names)
+        figures = take_figures(self.router, self._class_names)
+        return replace(figures, further=self.sources.counts()) if self.sources is not None else figures
 
     def drain(self) -> None:
         self._drain.start()
@@ -132,8 +141,14 @@
     def _class_names(self) -> list[str]:
         return [row.name for row in self.conf.catalogue.classes]
 
+    def subscribe(self, tell: Callable[[ServiceList], None]) -> None:
+        """Discovery, as the router asks it: the watch, merged with other sources where there are any."""
+        self.watch.subscribe(lambda news: tell(self.sources.hear_list(news) if self.sources else news))
+
     def _server_changed(self, server: RealServer, takes_work: bool) -> None:
-        log.info("server %s: %s", server.entry.host, "up" if takes_work else "down")
+        self._server_lines.info("server %s: %s", server.entry.host, "up" if takes_work else "down")
+        if self.sources is not None:
+            self.sources.servers_changed()
         if self.agent is not None:
             self.agent.server_changed(server, takes_work)
 
@@ -162,10 +177,14 @@
 
     def _begin(self, state: State | None) -> None:
         """From the configuration; or from where the process before this one stands."""
+        known = state.known if state is not None and state.known.entries else self.conf.known
+        if self.conf.srv is not None:
+            known = self._open_sources(known, state.names if state is not None else {})
+        self.router.begin(known)
+        if self.sources is not None:
+            self.sources.start()
         if state is None:
-            self.router.begin(self.conf.known)
             return
-        self.router.begin(state.known if state.known.entries else self.conf.known)
         for host in state.held_back:
             self.router.hold_back(host, True)
         if list(state.classes) != self._class_names:
@@ -177,15 +196,41 @@
         else:
             log.info("going on from the process before: %d servers", len(state.known.entries))
 
+    def _open_sources(self, known: ServiceList, handed_over: dict[str, Any]) -> ServiceList:
+        """Follow SRV names beside the box list, which is as given now; the merged list."""
+        from hazelbend.program.sources import Sources
+
+        assert self.conf.srv is not None
+        self.sources = Sources(self.conf.srv, self)
+        self.router.guest_watcher = self.sources.hear_guest
+        return self.sources.begin(known, handed_over)
+
+    def _apply_sources(self, srv: SrvSettings | None) -> None:
+        """What srv.toml says has changed."""
+        if srv is None and self.sources is not None:
+            before, self.sources = self.sources, None
+            self.router.guest_watcher = lambda entry: None
+            self.router.hear_list(ServiceList(before.membership.listed(), whole=True))
+            task = asyncio.create_task(before.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+        elif srv is not None and self.sources is None:
+            self.router.hear_list(self._open_sources(self.router.table.listed(), {}))
+            assert self.sources is not None
+            self.sources.start()
+        elif srv is not None and self.sources is not None:
+            self.sources.change(srv)
+
     def state(self) -> State:
         """Where this process stands, for the next one."""
         table, now = self.router.table, self.router.clock.now()
         return State(
             tuple(self._class_names),
-            table.listed(),
+            ServiceList(self.sources.membership.listed(), whole=True) if self.sources else table.listed(),
             table.held_back(),
             self.router.open_ids,
             recall(self.module, now),
+            self.sources.state() if self.sources else {},
         )
 
     def siblings_changed(self, count: int) -> None:
@@ -265,6 +310,8 @@
             self.watch.fleet = conf.settings.fleet_size
         if (conf.discovery, conf.reader) != (old.discovery, old.reader):
             self.watch.move(conf.discovery, conf.reader)
+        if conf.srv != old.srv or (self.sources is not None and conf.reader != old.reader):
+            self._apply_sources(conf.srv)
         if conf.ops != self._door_at:
             self._moving = asyncio.create_task(self._move_door_later())
         log.info("reloaded: %s", ", ".join(changed) or "nothing has changed")
@@ -311,6 +358,9 @@
         if self.stomp is not None:
             await self.stomp.close()
         await self.watch.close()
+        if self.sources is not None:
+            await self.sources.close()
+        await asyncio.gather(*self._closing, return_exceptions=True)
         if self.console is not None:
             await self.console.close()
         if self.agent is not None:
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -1,7 +1,8 @@
 """The one place where configuration is read, checked and given defaults. Errors name the faulty key.
 
 Two sources: the platform's JSON, which RELAY_CONFIG names, and our own files under deploy/, each of which
-turns one thing on: stomp.toml, snmp.toml, console.toml. What no file enables is neither opened nor imported.
+turns one thing on: stomp.toml, snmp.toml, console.toml, srv.toml. What no file enables is neither opened nor
+imported.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -26,6 +27,9 @@
 from hazelbend.transport.stomp_clients import Bounds
 from hazelbend.transport.stomp_listener import ClientAccount, StompSettings
 
+if TYPE_CHECKING:
+    from hazelbend.names.settings import SrvSettings
+
 PASSED_SOCKET = "RELAY_PASSED_SOCKET"
 DEPLOY_VARIABLE = "HAZELBEND_DEPLOY"  # another folder in place of deploy/
 
@@ -62,6 +66,7 @@
     stomp: StompSettings | None = None
     snmp: SnmpSettings | None = None
     console: Path | None = None
+    srv: SrvSettings | None = None
 
 
 class Keys:
@@ -70,15 +75,15 @@
     def __init__(self, table: object, where: str) -> None:
         if not isinstance(table, dict):
             raise ConfigError(f"{where.rstrip('.')}: no table")
-        self._table, self._where, self._read = table, where, set[str]()
+        self.table, self.where, self._read = table, where, set[str]()
 
     def fault(self, key: str, text: str) -> ConfigError:
-        return ConfigError(f"{self._where}{key}: {text}")
+        return ConfigError(f"{self.where}{key}: {text}")
 
     def get(self, key: str, kind: type, default: Any = None) -> Any:
         """A value of that type; without a default it must be there."""
         self._read.add(key)
-        value = self._table.get(key, default)
+        value = self.table.get(key, default)
         if value is None:
             raise self.fault(key, "missing")
         if kind is float and isinstance(value, int) and not isinstance(value, bool):
@@ -116,15 +121,15 @@
         return tuple(values)
 
     def sub(self, key: str) -> Keys:
-        return Keys(self.get(key, dict, {}), f"{self._where}{key}.")
+        return Keys(self.get(key, dict, {}), f"{self.where}{key}.")
 
     def rows(self, key: str) -> Iterator[Keys]:
         for index, row in enumerate(self.get(key, list, [])):
-            yield Keys(row, f"{self._where}{key}[{index}].")
+            yield Keys(row, f"{self.where}{key}[{index}].")
 
     def done(self) -> None:
         """Of our own files every key must be known: one misspelt would be passed over in silence."""
-        for key in self._table:
+        for key in self.table:
             if key not in self._read:
                 raise self.fault(key, "unknown key")
 
@@ -248,9 +253,22 @@
     if (keys := _enabled(folder / "console.toml")) is not None:
         config = replace(config, console=Path(keys.get("socket", str)))
         keys.done()
+    if (keys := _enabled(folder / "srv.toml")) is not None:
+        config = replace(config, srv=_srv(keys, zones, kinds))
     return config
 
 
+def _srv(keys: Keys, zones: tuple[str, ...], kinds: tuple[str, ...]) -> SrvSettings:
+    try:
+        from hazelbend.names.settings import read_settings
+    except ImportError as error:
+        raise keys.fault("enabled", f"needs requirements-srv.txt ({error.name} is missing)") from None
+    try:
+        return read_settings(keys.table, zones, kinds)
+    except ValueError as error:
+        raise ConfigError(f"{keys.where}{error}") from None
+
+
 def console_socket(environment: Mapping[str, str] = os.environ) -> Path:
     """Where the console finds the program, by the same file."""
     keys = _enabled(Path(environment.get(DEPLOY_VARIABLE, "deploy")) / "console.toml")
--- a/hazelbend/program/console_server.py
+++ b/hazelbend/program/console_server.py
@@ -29,6 +29,8 @@
 show servers           the table of real servers
 show flows             the requests that are open
 show fronts            connections by front
+show sources           where servers come from, and what each says
+show names [NAME]      SRV names that are followed; of one, its records
 show log [LINES]       the last lines of the log
 drain SERVER           send nothing new to a server
 undrain SERVER         take a drain by hand back
@@ -59,6 +61,12 @@
                 return HELP
             case ["show", "log", *rest] if len(rest) < 2:
                 return self._log(*rest)
+            case ["show", "sources"]:
+                return self._sources()
+            case ["show", "names"]:
+                return self._names()
+            case ["show", "names", name]:
+                return self._records(name)
             case ["show", what] if what in self._shows:
                 return self._shows[what](self._app.overview())
             case ["drain" | "undrain" as verb, host]:
@@ -112,6 +120,65 @@
     def _fronts(self, view: Overview) -> str:
         return table([("FRONT", "CONNECTIONS"), *view.fronts.items()])
 
+    def _sources(self) -> str:
+        sources, view = self._app.sources, self._app.overview()
+        if sources is None:
+            rows = [
+                ("box list", "heard" if self._app.router.listed.is_set() else "as known", len(view.servers))
+            ]
+            return table([("SOURCE", "STATE", "BOXES"), *rows])
+        from hazelbend.membership.merge import LIST, STOMP
+
+        membership = sources.membership
+        members = membership.view.members.values()
+        heard = "heard" if self._app.router.listed.is_set() else "as known"
+        named = [each for each in members if each.key is not None and LIST not in each.sources]
+        rows = [
+            ("box list", "failed" if membership.list_failed else heard, len(membership.listed())),
+            ("SRV names", f"{len(sources.resolver.roots)} followed", len(named)),
+            ("stomp", "connected", sum(each.sources == (STOMP,) for each in members)),
+            ("gone", "taken off by the box list", len(membership.gone)),
+        ]
+        more = f"version {membership.view.version} of the view"
+        if sources.snapshot_error:
+            more += f"; snapshot: {sources.snapshot_error}"
+        servers = [("NAMESERVER", "STATE", "ASKED", "FAILED", "LAST ERROR")]
+        now = self._app.router.clock.now()
+        for conf, each in zip(sources.settings.nameserver, sources.resolver.servers.all, strict=True):
+            state = "rests" if each.rests(now) else "serves"
+            servers.append((conf.address, state, str(each.asked), str(each.failed), each.last_error or "-"))
+        return "\n".join([table([("SOURCE", "STATE", "BOXES"), *rows]), "", table(servers), "", more])
+
+    def _names(self) -> str:
+        if (sources := self._app.sources) is None:
+            raise CommandError("no SRV names are followed; see deploy/srv.toml")
+        head = ("NAME", "STATE", "BOXES", "OPEN", "PRIORITY", "LIFETIME", "UNKNOWN FOR", "LAST ERROR")
+        rows = [
+            (
+                row.name,
+                row.state,
+                row.boxes,
+                row.open,
+                "-" if row.level is None else f"to {row.level}",
+                f"{row.lifetime:.0f} s",
+                f"{row.unknown_for:.0f} s" if row.unknown_for else "-",
+                row.error or "-",
+            )
+            for row in sources.rows()
+        ]
+        return table([head, *rows])
+
+    def _records(self, name: str) -> str:
+        sources = self._app.sources
+        if sources is None or name not in sources.resolver.roots:
+            raise CommandError(f"{name!r} is not followed; see: show names")
+        head = ("TARGET", "PORT", "PRIORITY", "WEIGHT", "ADDRESSES", "BOX LIST SAYS")
+        rows = [
+            (key.target, key.port, priority, weight, addresses, by_list)
+            for key, priority, weight, addresses, by_list in sources.records(name)
+        ]
+        return table([head, *rows])
+
     def _log(self, count: str = "20") -> str:
         if not count.isascii() or not count.isdecimal() or int(count) < 1:
             raise CommandError(f"{count!r} is no number of lines")
--- /dev/null
+++ b/hazelbend/program/sources.py
@@ -0,0 +1,364 @@
+"""Where real servers come from when deploy/srv.toml is enabled: the box list and SRV names, merged.
+
+Imported only then. Between the watch on discovery and the router: what the watch tells goes through
+`hear_list`, what names tell goes to the router as changes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from hazelbend.decisions.interface import WorkerState
+from hazelbend.membership.merge import LIST, Claim, Gone, Membership
+from hazelbend.membership.pool import Pool
+from hazelbend.membership.rule import SrvSays, srv_says
+from hazelbend.names import snapshot
+from hazelbend.names.answers import BoxKey, Kind, Question, canonical
+from hazelbend.names.resolver import Followed, Resolver
+from hazelbend.names.settings import Name, SrvSettings
+from hazelbend.program.log import Sparing
+from hazelbend.routing.ports import ServiceEntry, ServiceList
+from hazelbend.transport.name_source import NameSource
+
+if TYPE_CHECKING:
+    from hazelbend.program.app import App
+
+log = logging.getLogger("hazelbend.names")
+
+LOG_EVERY = 1_000_000  # microseconds between looks at what is unknown, and at what left long ago
+LEAST_WEIGHT = 0.1  # an SRV weight of 0 is "a very small chance" (RFC 2782), not none
+
+
+@dataclass(slots=True, frozen=True)
+class NameRow:
+    """What operators see of one SRV name."""
+
+    name: str
+    state: str  # a SrvSays, or "not asked yet"
+    boxes: int
+    open: int  # of those, the ones that are not spare
+    level: int | None
+    lifetime: float  # seconds left; under 0: it ended so long ago
+    unknown_for: float  # seconds; 0: its last round of questions was answered
+    error: str
+
+
+class Sources:
+    def __init__(self, settings: SrvSettings, app: App) -> None:
+        self.settings, self._app = settings, app
+        self._clock, self._router = app.router.clock, app.router
+        self.membership = Membership(round(settings.lifetimes.gone_s * 1e6))
+        self.resolver = Resolver(settings, app.conf.name)
+        self._names: dict[str, Name] = {canonical(each.name): each for each in settings.name}
+        self._pools: dict[str, Pool] = {}
+        self._source = NameSource(self.resolver, self._clock.now, self._names_changed)
+        self._tiered: set[str] = set()  # names whose boxes have several priorities
+        self._looking = self._closed = False
+        self._told_at = 0
+        self._look_timer: asyncio.TimerHandle | None = None
+        self._save_timer: asyncio.TimerHandle | None = None
+        self._saving: asyncio.Task[None] | None = None
+        self._log = Sparing(log)
+        self._was_unknown: set[str] = set()
+        self.snapshot_error = ""
+
+    # --- life ---
+
+    def begin(self, known: ServiceList, handed_over: dict[str, Any]) -> ServiceList:
+        """The list to begin with: as known, and what was last known of the names."""
+        now = self._clock.now()
+        body = self._last_known(handed_over)
+        if body is not None:
+            gone = {each.host: Gone(each.at, _box_key(each), each.dial) for each in body.gone}
+            self.membership.restore(gone, body.started)
+        self.membership.hear_list(ServiceList(known.entries, whole=True, seq=known.seq), now)
+        self.resolver.begin(now, self._names)
+        if body is not None:
+            snapshot.restore(self.resolver, body, now)
+            names, self.resolver.changed = self.resolver.changed, set()
+            for name in sorted(names):
+                self._hear_boxes(name, now)
+            self._look(now)
+        for server in self._router.table.guests():
+            self.membership.hear_guest(server.entry)
+        return ServiceList(self.membership.entries(), whole=True, seq=known.seq)
+
+    def start(self) -> None:
+        self._source.pump()
+        self._look_later()
+
+    def change(self, settings: SrvSettings) -> None:
+        """SIGHUP: names come and go, bounds and budgets apply, what is known stays."""
+        now, before = self._clock.now(), self.settings
+        self.settings = settings
+        self._names = {canonical(each.name): each for each in settings.name}
+        self.membership.gone_for = round(settings.lifetimes.gone_s * 1e6)
+        self.resolver.change(settings, now)
+        self.resolver.begin(now, self._names)
+        self.resolver.changed |= self._names.keys()  # zone, kind or scale may be others
+        if (settings.nameserver, settings.budgets.timeout_s) != (before.nameserver, before.budgets.timeout_s):
+            self._source.reconnect()
+        else:
+            self._source.pump()
+
+    async def close(self) -> None:
+        self._closed = True
+        for timer in (self._look_timer, self._save_timer):
+            if timer is not None:
+                timer.cancel()
+        await self._source.close()
+        if self._saving is not None:
+            await asyncio.gather(self._saving, return_exceptions=True)
+        if self.settings.snapshot is not None:
+            self._write(Path(self.settings.snapshot.path), self._encoded())
+
+    # --- what sources say ---
+
+    def hear_list(self, news: ServiceList) -> ServiceList:
+        """The box list's news; what the table is to be told instead."""
+        told = self.membership.hear_list(news, self._clock.now())
+        self._follow_renames()
+        self._save_later()
+        self._look_soon()  # when the table has it
+        return told
+
+    def hear_guest(self, entry: ServiceEntry) -> None:
+        self.membership.hear_guest(entry)
+
+    def servers_changed(self) -> None:
+        """A server takes work again, or none: a pool's last may have gone."""
+        self._look_soon()
+
+    def _names_changed(self, names: Iterable[str]) -> None:
+        now = self._clock.now()
+        for name in sorted(names):
+            before = len(self.membership.priorities(name))
+            self._tell(self._hear_boxes(name, now))
+            if before != (boxes := len(self.membership.priorities(name))):
+                self._log.info("%s: %d boxes (%d before)", name, boxes, before)
+        self._look(now)
+        self._save_later()
+
+    def _hear_boxes(self, name: str, now: int) -> ServiceList:
+        conf = self._names.get(name)
+        if conf is None:
+            self._pools.pop(name, None)
+            self._tiered.discard(name)
+            told = self.membership.hear_name(name, {}, now)
+            self.membership.open_to(name, None, now)
+            return told
+        zone, kind = self._app.conf.reader.place(conf.zone, conf.kind)
+        claims = {
+            key: Claim(
+                rank, addresses, zone, kind, conf.cell, max(rank.weight, LEAST_WEIGHT) * conf.weight_scale
+            )
+            for key, (rank, addresses) in self.resolver.boxes(name).items()
+        }
+        several = len({each.rank.priority for each in claims.values()}) > 1
+        (self._tiered.add if several else self._tiered.discard)(name)
+        pool, opened = self._pools.setdefault(name, Pool()), ServiceList()
+        if not several:
+            # All open; and where further priorities come, they are spare from the start.
+            level = next((each.rank.priority for each in claims.values()), None)
+            pool.level = level
+            opened = self.membership.open_to(name, level, now)
+        elif pool.level is None:
+            able = {each.rank.priority: True for each in claims.values()}
+            opened = self.membership.open_to(name, pool.look(able, now, 0), now)
+        told = self.membership.hear_name(name, claims, now)
+        return ServiceList(opened.entries + told.entries)
+
+    def _tell(self, changes: ServiceList) -> None:
+        self._follow_renames()
+        if changes.entries:
+            self._router.hear_changes(changes)
+
+    def _follow_renames(self) -> None:
+        renamed, self.membership.renamed = self.membership.renamed, []
+        for old, new in renamed:
+            self._router.table.hold_back_as(old, new)
+
+    # --- pools ---
+
+    def _look(self, now: int) -> None:
+        """Which priorities can take work, and so which boxes are open."""
+        if not self._tiered:
+            return
+        avoided, servers = self._router.decider.avoided(now), self._router.table.by_host
+        members = self.membership.view.members
+        for name in sorted(self._tiered):
+            able: dict[int, bool] = {}
+            for host, priority in self.membership.priorities(name).items():
+                member, server = members[host], servers(host)
+                ready = member.spare or member.entry.state is WorkerState.READY
+                held = server is not None and (server.held_back or server.id in avoided)
+                able[priority] = able.get(priority, False) or (ready and not held)
+            pool = self._pools[name]
+            was = pool.level
+            level = pool.look(able, now, round(self.settings.pools.return_s * 1e6))
+            if level != was:
+                self._log.info("%s: open up to priority %s (%s before)", name, level, was)
+            self._tell(self.membership.open_to(name, level, now))
+
+    def _look_soon(self) -> None:
+        """Not from within the table, which may be telling of a change in the middle of a list."""
+        if not self._looking and not self._closed:
+            self._looking = True
+            asyncio.get_running_loop().call_soon(self._look_now)
+
+    def _look_now(self) -> None:
+        self._looking = False
+        if not self._closed:
+            self._look(self._clock.now())
+
+    def _look_later(self) -> None:
+        """Health is the module's, which tells nobody: it is looked at."""
+        now = self._clock.now()
+        self._look(now)
+        if now >= self._told_at + LOG_EVERY:
+            self._told_at = now
+            self._tell(self.membership.forget_gone(now))
+            self._log_unknown()
+        self._look_timer = asyncio.get_running_loop().call_later(self.settings.pools.look_s, self._look_later)
+
+    # --- snapshots ---
+
+    def state(self) -> dict[str, Any]:
+        """What the next process of an upgrade begins with."""
+        return dict(msgspec.to_builtins(self._body()))
+
+    def _body(self) -> snapshot.Body:
+        gone = [
+            snapshot.GoneBox(
+                host, each.at, each.dial, *((each.key.target, each.key.port) if each.key else ())
+            )
+            for host, each in self.membership.gone.items()
+        ]
+        return snapshot.take(self.resolver, gone, self.membership.by_srv(), self._clock.now())
+
+    def _encoded(self) -> bytes:
+        return snapshot.encode(self._body())
+
+    def _last_known(self, handed_over: dict[str, Any]) -> snapshot.Body | None:
+        try:
+            if handed_over:
+                return snapshot.from_object(handed_over)
+            if self.settings.snapshot is not None:
+                return snapshot.read(Path(self.settings.snapshot.path))
+        except snapshot.SnapshotError as error:
+            self.snapshot_error = str(error)
+            log.warning("snapshot: %s; it is not used", error)
+        return None
+
+    def _save_later(self) -> None:
+        if self.settings.snapshot is not None and self._save_timer is None:
+            wait = self.settings.snapshot.every_s
+            self._save_timer = asyncio.get_running_loop().call_later(wait, self._save)
+
+    def _save(self) -> None:
+        self._save_timer = None
+        if self.settings.snapshot is None:
+            return
+        if self._saving is not None and not self._saving.done():
+            self._save_later()
+            return
+        path, data = Path(self.settings.snapshot.path), self._encoded()
+        self._saving = asyncio.create_task(asyncio.to_thread(self._write, path, data))
+
+    def _write(self, path: Path, data: bytes) -> None:
+        try:
+            snapshot.write(path, data)
+        except OSError as error:
+            if self.snapshot_error != str(error):
+                log.warning("snapshot: cannot be written: %s", error)
+            self.snapshot_error = str(error)
+        else:
+            self.snapshot_error = ""
+
+    # --- what operators see ---
+
+    def rows(self) -> list[NameRow]:
+        now, members = self._clock.now(), self.membership.view.members
+        rows = []
+        for name, followed in sorted(self.resolver.roots.items()):
+            hosts = self.membership.priorities(name)
+            rows.append(
+                NameRow(
+                    name,
+                    self._state(followed, now),
+                    len(hosts),
+                    sum(not members[host].spare for host in hosts),
+                    self._pools[name].level if name in self._pools else None,
+                    (self._good_until(followed) - now) / 1e6 if followed.good_until else 0.0,
+                    (now - followed.unknown_since) / 1e6 if followed.unknown_since else 0.0,
+                    followed.error,
+                )
+            )
+        return rows
+
+    def records(self, name: str) -> list[tuple[BoxKey, int, int, str, str]]:
+        """Of one name: target and port, priority, weight, addresses, and how it stands with the box list."""
+        followed = self.resolver.roots[name]
+        return [
+            (
+                key,
+                rank.priority,
+                rank.weight,
+                " ".join(self.resolver.addresses(key.target)) or "-",
+                self.membership.list_says(key).value,
+            )
+            for key, rank in sorted(followed.ballot.items.items())
+        ]
+
+    def counts(self) -> dict[str, int]:
+        """Figures for the operators' door."""
+        totals, states = self.resolver.totals, [row.state for row in self.rows()]
+        members = self.membership.view.members.values()
+        return {
+            "names.followed": len(states),
+            "names.unknown": states.count(SrvSays.UNKNOWN.value),
+            "names.stale": states.count(SrvSays.STALE.value),
+            "names.boxes": sum(LIST not in each.sources and each.key is not None for each in members),
+            "names.spare": sum(each.spare for each in members),
+            "names.queries": totals.queries,
+            "names.retries": totals.retries,
+            "names.answers": totals.answers,
+            "names.failures": totals.unknown,
+        }
+
+    def _state(self, followed: Followed, now: int) -> str:
+        if not followed.good_until:
+            return "not asked yet" if not followed.unknown_since else SrvSays.UNKNOWN.value
+        listed = bool(followed.ballot.held)
+        return srv_says(listed, followed.unknown_since > 0, followed.good_until <= now).value
+
+    def _good_until(self, followed: Followed) -> int:
+        """The least of the name's own lifetime and those of its targets' addresses."""
+        times = [followed.good_until]
+        for key in followed.ballot.held:
+            for kind in (Kind.A, Kind.AAAA):
+                each = self.resolver.followed.get(Question(key.target, kind))
+                if each is not None and each.ballot.held:
+                    times.append(each.good_until)
+        return min(times)
+
+    def _log_unknown(self) -> None:
+        """A line when a name becomes unknown, and when it is answered again."""
+        now_unknown = {name for name, each in self.resolver.roots.items() if each.unknown_since}
+        for name in sorted(now_unknown - self._was_unknown):
+            self._log.warning("%s: unknown: %s", name, self.resolver.roots[name].error)
+        for name in sorted(self._was_unknown - now_unknown):
+            self._log.info("%s: answered again", name)
+        self._was_unknown = now_unknown
+        self._log.flush()
+
+
+def _box_key(each: snapshot.GoneBox) -> BoxKey | None:
+    return BoxKey(each.target, each.port) if each.target else None
--- a/hazelbend/protocol/discovery.py
+++ b/hazelbend/protocol/discovery.py
@@ -59,6 +59,10 @@
         self._zones, self._kinds = zones, kinds
         return True
 
+    def place(self, zone: str, kind: str) -> tuple[int, int]:
+        """The numbers of a zone and a kind, as entries of lists have them."""
+        return self._zones.number(zone), self._kinds.number(kind)
+
     def read(self, text: bytes) -> ServiceList:
         try:
             return self.from_object(orjson.loads(text))
--- a/hazelbend/routing/overview.py
+++ b/hazelbend/routing/overview.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from hazelbend.decisions.interface import Outcome, WorkerState
@@ -50,6 +50,7 @@
     outstanding: int  # jobs taken and not yet answered
     discovered: int  # servers on the list
     ejected: int  # of those, the ones that are avoided now: shut out by the module, or drained by hand
+    further: Mapping[str, int] = field(default_factory=dict)  # of parts that are not always on
 
     def named(self) -> dict[str, int]:
         """Each by the name that the operators know it by."""
@@ -60,7 +61,7 @@
             found[f"aborted.{each.name}"] = each.aborted
         for name in ("forwards", "outstanding", "discovered", "ejected"):
             found[name] = getattr(self, name)
-        return found
+        return {**found, **self.further}
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -118,6 +118,7 @@
         # Another process of this dispatcher, in an upgrade: what it holds, and who tells it what is open.
         self.held_elsewhere: Callable[[str], bool] = lambda job_id: False
         self.id_watcher: Callable[[str, bool], None] = lambda job_id, taken: None
+        self.guest_watcher: Callable[[ServiceEntry], None] = lambda entry: None
         self.tally = Tally()
         self.last_known = ServiceList()
         self.started_at = clock.now()
@@ -166,12 +167,24 @@
     def open_ids(self) -> tuple[str, ...]:
         return tuple(self._ids)
 
+    def hear_changes(self, changes: ServiceList) -> None:
+        """Changes that discovery did not tell: another source of servers has."""
+        self._ask(self.table.apply(changes))
+
+    def hear_list(self, news: ServiceList) -> None:
+        """A whole list that nobody asked for: the sources of servers are others now."""
+        self._ask(self.table.apply(news))
+
     def add_guest(self, entry: ServiceEntry, link: Link) -> None:
         """A server has come by itself, not by a list."""
         self._ask(self.table.add_guest(entry, link))
+        self.guest_watcher(entry)
 
     def change_guest(self, host: str, state: face.WorkerState) -> None:
+        server = self.table.by_host(host)
         self._ask(self.table.change_guest(host, state))
+        if server is not None:
+            self.guest_watcher(server.entry)
 
     def hold_back(self, host: str, held: bool) -> bool:
         """Drain or undrain a server by hand; False if none of that name is listed."""
--- a/hazelbend/routing/table.py
+++ b/hazelbend/routing/table.py
@@ -87,6 +87,19 @@
         self._notice(server, before)
         return MembershipUpdate(ListKind.DELTA, (server.told(),))
 
+    def hold_back_as(self, old: str, new: str) -> None:
+        """A server will be known by another name: a drain by hand goes along."""
+        if stable_id(old) in self._held_back:
+            self._held_back.discard(stable_id(old))
+            self._held_back.add(stable_id(new))
+
+    def by_host(self, host: str) -> RealServer | None:
+        return self.servers.get(stable_id(host))
+
+    def guests(self) -> tuple[RealServer, ...]:
+        """The servers that came by themselves."""
+        return tuple(self.servers[each] for each in sorted(self._guests))
+
     def listed(self) -> ServiceList:
         """The servers that lists have named, as they stand now."""
         entries = (each.entry for number, each in self.servers.items() if number not in self._guests)
--- /dev/null
+++ b/tests/srv_kit.py
@@ -0,0 +1,92 @@
+"""Zones, settings and whole sites with SRV names, on loopback, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+from site_kit import ToyServer, site
+
+from hazelbend.names.settings import SrvSettings, read_settings
+from hazelbend.program.app import App
+from hazelbend.standins.dns import StandInNameserver
+
+NAME = "_arama._tcp.konya-1.example.org"
+SECOND = 1_000_000
+SOA = "@ 5 IN SOA ns host 1 3600 600 86400 5\n@ 300 IN NS ns\nns 300 IN A 127.0.0.1\n"
+
+
+def zone(*boxes: tuple[str, int] | tuple[str, int, int] | tuple[str, int, int, int], ttl: int = 5) -> str:
+    """A zone of (target's first label, port, priority, weight)."""
+    text = SOA
+    for label, port, *rank in boxes:
+        priority, weight = (*rank, *(0, 1)[len(rank) :])
+        text += f"_arama._tcp.konya-1 {ttl} IN SRV {priority} {weight} {port} {label}.konya-1\n"
+    for label in dict.fromkeys(each[0] for each in boxes):
+        text += f"{label}.konya-1 {ttl} IN A 127.0.0.1\n"
+    return text
+
+
+def settings(count: int = 1, **more: Any) -> SrvSettings:
+    table = {
+        "nameserver": [{"address": f"127.0.0.1:{5300 + number}"} for number in range(count)],
+        "name": [{"name": NAME, "zone": "konya-1", "kind": "big-box"}],
+    }
+    more["budgets"] = {"start_spread_s": 0.0} | more.get("budgets", {})
+    return read_settings(table | more, ("konya-1",), ("big-box",))
+
+
+def srv_toml(addresses: list[str], names: tuple[str, ...] = (NAME,), **more: str) -> str:
+    text = "enabled = true\n"
+    for address in addresses:
+        text += f'[[nameserver]]\naddress = "{address}"\n'
+    for name in names:
+        text += f'[[name]]\nname = "{name}"\nzone = "konya-1"\nkind = "big-box"\n'
+    tables = {
+        "lifetimes": "least_s = 0.2",
+        "budgets": "start_spread_s = 0.0\ntimeout_s = 0.2\nrest_s = 0.1\nlongest_rest_s = 0.4\nper_s = 2000",
+        "pools": "return_s = 0.3\nlook_s = 0.02",
+    }
+    for key, lines in (tables | more).items():
+        text += f"[{key}]\n{lines}\n"
+    return text
+
+
+@asynccontextmanager
+async def nameservers(count: int, text: str) -> AsyncIterator[list[StandInNameserver]]:
+    servers = [StandInNameserver() for _ in range(count)]
+    for each in servers:
+        each.serve_zone(text)
+        await each.start()
+    try:
+        yield servers
+    finally:
+        for each in servers:
+            await each.stop()
+
+
+@asynccontextmanager
+async def srv_site(
+    folder: Path, toys: int = 2, count: int = 1, stomp: str = "", listed: int = 0, ttl: int = 1, **more: Any
+) -> AsyncIterator[tuple[App, list[ToyServer], list[StandInNameserver]]]:
+    """Toys that SRV names (`toy-0`, ... of NAME), further ones that the box list names, and nameservers."""
+    toml = {key: more.pop(key) for key in ("lifetimes", "budgets", "pools", "snapshot") if key in more}
+    boxes = [ToyServer(f"toy-{number}") for number in range(toys)]
+    ports = [int((await each.listen()).rpartition(":")[2]) for each in boxes]
+    rows = [(each.name, port) for each, port in zip(boxes, ports, strict=True)]
+    async with nameservers(count, zone(*rows, ttl=ttl)) as servers:
+        (folder / "srv.toml").write_text(srv_toml([each.address for each in servers], **toml))
+        async with site(folder, toys=listed, stomp=stomp, **more) as (app, _):
+            try:
+                yield app, boxes, servers
+            finally:
+                for each in boxes:
+                    await each.close()
+
+
+async def boxes_of(app: App) -> set[str]:
+    await asyncio.sleep(0)
+    return {each.entry.host for each in app.router.table.servers.values() if each.takes_work}
--- /dev/null
+++ b/tests/test_dns_client.py
@@ -0,0 +1,158 @@
+"""The resolver's sockets against a nameserver that goes wrong in every way that it knows."""
+
+import asyncio
+
+import pytest
+from srv_kit import NAME, nameservers, zone
+
+from hazelbend.names.answers import Alias, BoxKey, Good, Kind, Nothing, Question, Rank, Truncated, Unknown
+from hazelbend.names.resolver import Ask
+from hazelbend.standins.dns import FAULTS, Fault
+from hazelbend.transport.dns_client import DnsClient
+
+BOXES = {
+    BoxKey("b1.konya-1.example.org", 7101): Rank(0, 1),
+    BoxKey("b2.konya-1.example.org", 7102): Rank(1, 5),
+}
+ZONE = zone(("b1", 7101), ("b2", 7102, 1, 5))
+MEANT = {
+    "truncated": Truncated,
+    "truncated-always": Truncated,
+    "servfail": "SERVFAIL",
+    "refused": "REFUSED",
+    "formerr": "FORMERR",
+    "formerr-edns": "FORMERR",
+    "nxdomain": Nothing,
+    "empty": Nothing,
+    "lame": "lame",
+    "referral": "lame",
+    "alias-loop": "loop of aliases",
+    "alias-away": Alias,
+    "silent": "no answer in time",
+    "slow": "no answer in time",
+    "wrong-id": "no answer in time",
+    "wrong-question": "no answer in time",
+    "wrong-case": "no answer in time",
+    "garbage": "",
+    "cut": "malformed",
+    "compression-loop": "malformed",
+    "half-tcp": Truncated,
+    "close-tcp": Truncated,
+    "oversized": Truncated,
+}
+OVER_TCP = {
+    "truncated": Good,
+    "truncated-always": "truncated over TCP",
+    "half-tcp": "closed",
+    "close-tcp": "closed",
+    "oversized": Good,
+    "wrong-id": "no answer in time",
+    "wrong-question": "wrong question",
+    "cut": "malformed",
+}
+
+
+def ask(what, tcp=False, name=NAME, kind=Kind.SRV, timeout=0.3):
+    async def run():
+        async with nameservers(1, ZONE) as [server]:
+            if what:
+                server.faults = [Fault(what, delay=5.0)]
+            host, _, port = server.address.rpartition(":")
+            client = DnsClient(((host, int(port)),), timeout)
+            meaning = await client.ask(Ask(1, 0, Question(name, kind), name, tcp, True))
+            client.close()
+            return meaning, server.queries
+
+    return asyncio.run(run())
+
+
+def check(meaning, wanted):
+    if isinstance(wanted, str):
+        assert isinstance(meaning, Unknown) and wanted in meaning.why, meaning
+    else:
+        assert isinstance(meaning, wanted), meaning
+
+
+def test_every_fault_has_its_meaning():
+    assert set(MEANT) == set(FAULTS)
+
+
+@pytest.mark.parametrize("what", FAULTS)
+def test_what_goes_wrong_over_udp(what):
+    check(ask(what)[0], MEANT[what])
+
+
+@pytest.mark.parametrize("what", OVER_TCP)
+def test_what_goes_wrong_over_tcp(what):
+    check(ask(what, tcp=True)[0], OVER_TCP[what])
+
+
+@pytest.mark.parametrize("tcp", [False, True])
+def test_a_good_answer_with_addresses_beside_it(tcp):
+    meaning, [query] = ask("", tcp)
+    assert meaning.items == BOXES and meaning.lifetime == 5 and query.tcp is tcp
+    addresses = {question.name: good.items for question, good in meaning.extra.items()}
+    assert addresses == {key.target: {"127.0.0.1": None} for key in BOXES}
+
+
+def test_what_is_not_there():
+    for name, kind, why in (("_arama._tcp.adana-1.example.org", Kind.SRV, "NXDOMAIN"),
+                            ("b1.konya-1.example.org", Kind.AAAA, "NODATA")):  # fmt: skip
+        assert ask("", name=name, kind=kind)[0] == Nothing(why, 5)
+
+
+def test_an_answer_that_is_none_does_not_end_the_query():
+    """Guards against forged answers (RFC 5452): the true one is waited for, and counts."""
+
+    async def run():
+        async with nameservers(1, ZONE) as [server]:
+            server.faults = [Fault("slow", delay=0.2)]
+            client = DnsClient((("127.0.0.1", int(server.address.rpartition(":")[2])),), 3.0)
+            asking = asyncio.create_task(client.ask(Ask(1, 0, Question(NAME, Kind.SRV), NAME, False, True)))
+            while not server.queries:
+                await asyncio.sleep(0.005)
+            [query] = server.queries
+            forged = (query.id ^ 1).to_bytes(2) + b"\x84\x00" + bytes(8)
+            server._udp.sendto(forged, ("127.0.0.1", query.port))
+            return await asking
+
+    assert asyncio.run(run()).items == BOXES
+
+
+def test_ids_ports_and_case_are_drawn_anew():
+    async def run():
+        async with nameservers(1, ZONE) as [server]:
+            client = DnsClient((("127.0.0.1", int(server.address.rpartition(":")[2])),), 3.0)
+            for number in range(20):
+                await client.ask(Ask(number, 0, Question(NAME, Kind.SRV), NAME, False, True))
+            return server.queries
+
+    queries = asyncio.run(run())
+    assert len({each.id for each in queries}) > 15 and len({each.port for each in queries}) > 15
+
+
+def test_a_tcp_connection_is_kept_and_carries_several():
+    async def run():
+        async with nameservers(1, ZONE) as [server]:
+            client = DnsClient((("127.0.0.1", int(server.address.rpartition(":")[2])),), 3.0)
+            asks = [Ask(number, 0, Question(NAME, Kind.SRV), NAME, True, True) for number in range(50)]
+            meanings = await asyncio.gather(*map(client.ask, asks))
+            meanings.append(await client.ask(asks[0]))
+            client.close()
+            return meanings, server.queries
+
+    meanings, queries = asyncio.run(run())
+    assert all(isinstance(each, Good) for each in meanings) and len(queries) == 51
+    assert len({each.port for each in queries}) == 1
+
+
+def test_nobody_there_is_known_at_once():
+    async def run():
+        async with nameservers(1, ZONE) as [server]:
+            port = int(server.address.rpartition(":")[2])
+        client = DnsClient((("127.0.0.1", port),), 5.0)
+        question = Question(NAME, Kind.SRV)
+        return [await client.ask(Ask(1, 0, question, NAME, tcp, True)) for tcp in (False, True)]
+
+    for meaning in asyncio.run(run()):
+        assert isinstance(meaning, Unknown) and meaning.unreachable, meaning
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,11 +11,15 @@
 ALLOWED = {
     "decisions": set(),
     "routing": {"decisions"},
-    "protocol": {"decisions", "routing"},
-    "transport": {"decisions", "routing", "protocol"},
-    "program": {"decisions", "routing", "protocol", "transport"},
+    "names": set(),
+    "membership": {"decisions", "routing", "names"},
+    "protocol": {"decisions", "routing", "names"},
+    "transport": {"decisions", "routing", "names", "membership", "protocol"},
+    "program": {"decisions", "routing", "names", "membership", "protocol", "transport"},
     "console": {"program"},
     "benchlink": {"decisions"},
+    "standins": set(),
+    "cli": {"names", "protocol", "transport", "program", "standins"},
 }
 WIRES = {"aiohttp", "yarl", "orjson", "socket", "pysnmp", "prompt_toolkit", "json", "struct"}
 
@@ -41,7 +45,7 @@
         assert own <= ALLOWED[layer] | {layer}, path
 
 
-@pytest.mark.parametrize("layer", ["decisions", "routing"])
+@pytest.mark.parametrize("layer", ["decisions", "routing", "membership"])
 def test_the_core_imports_no_wire(layer):
     for path in (PACKAGE / layer).glob("*.py"):
         assert not {name.split(".")[0] for name in imports(path)} & WIRES, path
@@ -52,7 +56,10 @@
 
 
 def test_what_is_not_enabled_is_not_imported():
-    """The platform pays neither memory nor start-up time for the agent and the prompt."""
-    code = "import sys, hazelbend.program.app; print({'pysnmp', 'prompt_toolkit'} & set(sys.modules))"
+    """The platform pays neither memory nor start-up time for what its `run` does not use."""
+    code = "import sys, hazelbend.program.app; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, cwd=PACKAGE.parent)
-    assert done.stdout == b"set()\n"
+    loaded = done.stdout.decode().split()
+    assert not {"pysnmp", "prompt_toolkit", "dns", "msgspec", "immutables", "click"} & set(loaded)
+    off = ("hazelbend.names", "hazelbend.membership", "hazelbend.standins", "hazelbend.cli")
+    assert not [each for each in loaded if each.startswith(off) or each == "hazelbend.program.sources"]
