Let jobs wait on other jobs, on a clock and on admission, with ageing, on both fronts

A reserve makes sense only after several nearby results, and some reservations should start at a given time. Operators also want what is in service bounded, and no waiting job starved by a flood of station-detail.

waiting/engine.py is a pure engine: the graph, the clock, admission by class and tenant, and ageing by places of its own; its tables and invariants stand at its head. A gate before the core holds waiting jobs; STOMP and HTTP headers name the terms, the latter read only where deploy/waiting.toml says so. A job that cannot run is refused at once, and the reason names the parent. SIGTERM, SIGHUP, cancel, show waiting, figures. Off by default and then neither imported nor asked.

Checked: all orders of events of five small graphs, and hypothesis with the invariants after every event: one end for each job.

--- a/benchmarks/cpu_per_job.py
+++ b/benchmarks/cpu_per_job.py
@@ -1,6 +1,6 @@
 """CPU of the dispatcher per job, at rising rates: the program on one core, toy servers and load beside it.
 
-    python benchmarks/cpu_per_job.py --rates 200 400 600 --seconds 10
+    python -m benchmarks.cpu_per_job --rates 200 400 600 --seconds 10
 
 Open loop: jobs go out at their times whatever the answers do, and an answer's delay counts from the intended
 time. Two trees are compared in one run by `--tree OTHER`, in turns, as machines are noisy.
@@ -96,7 +96,9 @@
     return {"jobs": len(tasks), **counts, "p50_ms": cuts[49] * 1e3, "p99_ms": cuts[98] * 1e3}
 
 
-def play(tree: Path, options: argparse.Namespace) -> list[dict[str, float]]:
+def play(
+    tree: Path, options: argparse.Namespace, deploy: dict[str, str] | None = None
+) -> list[dict[str, float]]:
     """One program and its servers, from the lowest rate to the highest."""
     rows, started = [], []
     with tempfile.TemporaryDirectory() as folder:
@@ -115,6 +117,8 @@
             conf["limits"] = {"sockets": 8192}
             path = Path(folder, "config.json")
             path.write_text(json.dumps(conf))
+            for name, text in (deploy or {}).items():
+                Path(folder, name).write_text(text)
             environment = os.environ | {"RELAY_CONFIG": str(path), "HAZELBEND_DEPLOY": folder}
             command = [sys.executable, "-m", "hazelbend"]
             program = subprocess.Popen(command, cwd=tree, env=environment, stderr=subprocess.DEVNULL)
--- a/benchmarks/srv_names.py
+++ b/benchmarks/srv_names.py
@@ -1,17 +1,18 @@
 """What following SRV names costs: three measurements, each against stand-ins on loopback.
 
-python benchmarks/srv_names.py refresh --names 100 1000 10000 --seconds 90
-python benchmarks/srv_names.py merge --servers 100 1000 10000
-python benchmarks/srv_names.py herd --dispatchers 100
+python -m benchmarks.srv_names refresh --names 100 1000 10000 --seconds 90
+python -m benchmarks.srv_names merge --servers 100 1000 10000
+python -m benchmarks.srv_names herd --dispatchers 100
 """
 
 from __future__ import annotations
 
 import argparse
 import asyncio
+import heapq
+import itertools
 import json
 import os
-import resource
 import statistics
 import subprocess
 import sys
@@ -21,12 +22,11 @@
 
 from hazelbend.decisions.interface import WorkerState
 from hazelbend.membership.merge import Claim, Membership
-from hazelbend.names.answers import BoxKey, Rank
-from hazelbend.names.resolver import Resolver
+from hazelbend.names.answers import BoxKey, Good, Kind, Question, Rank
+from hazelbend.names.resolver import Ask, Resolver
 from hazelbend.names.settings import SrvSettings, read_settings
 from hazelbend.routing.clock import Clock
 from hazelbend.routing.ports import ServiceEntry, ServiceList
-from hazelbend.standins.dns import StandInNameserver
 from hazelbend.transport.name_source import NameSource
 
 LIFETIME = 30
@@ -152,45 +152,51 @@
         print(json.dumps({"servers": count, **row}), flush=True)
 
 
-async def start_together(count: int, spread: float, seconds: float) -> dict[str, float]:
-    """Dispatchers that follow ten names each, and start in one second."""
+def start_together(count: int, jitter: bool, together: float, seconds: float) -> dict[str, float]:
+    """Dispatchers that follow ten names each and start within `together` seconds, on a clock of their own: a
+    process has not the CPU to send for a hundred. An answer takes 1 ms."""
     names = names_of(10)
-    server = StandInNameserver()
-    rows = [f"_arama._tcp.n{n} 5 IN SRV 0 1 7101 box.n{n}\nbox.n{n} 5 IN A 127.0.0.1" for n in range(10)]
-    server.serve_zone(SOA + "\n".join(rows) + "\n")
-    clock, sources = Clock(), []
-    settings = settings_of(await server.start(), names, start_spread_s=spread, timeout_s=5.0)
-    loop = asyncio.get_running_loop()
-    for number in range(count):
-        resolver = Resolver(settings, f"d-{number}" if spread else "d")
-        sources.append(NameSource(resolver, clock.now, lambda changed: None))
+    settings = settings_of("127.0.0.1:53", names, start_spread_s=LIFETIME / 2 if jitter else 0.0)
+    events: list[tuple[int, int, Resolver, int]] = []
+    turns, asked, began = itertools.count(), [], 10**15
 
-        def begin(source: NameSource = sources[-1]) -> None:
-            source.resolver.begin(clock.now(), names)
-            source.pump()
+    def run(resolver: Resolver, now: int, asks: list[Ask]) -> None:
+        for ask in [*asks, *resolver.due(now)]:
+            asked.append(now - began)
+            heapq.heappush(events, (now + 1_000, next(turns), resolver, ask.number))
+        if (at := resolver.next_at(now)) is not None:
+            heapq.heappush(events, (max(at, now + 1), next(turns), resolver, 0))
 
-        loop.call_later(number / count if spread else 0.0, begin)
-    began = loop.time()
-    await asyncio.sleep(seconds)
-    for source in sources:
-        await source.close()
-    await server.stop()
-    slots = [0] * (round(seconds * 10) + 10)
-    for query in server.queries:
-        slots[int((query.at - began) * 10)] += 1
+    for number in range(count):
+        resolver, now = Resolver(settings, f"d-{number}" if jitter else "d"), began
+        now += round(together * 1e6 * number / count)
+        resolver.begin(now, names)
+        run(resolver, now, [])
+    while events and events[0][0] < began + seconds * 1e6:
+        now, _, resolver, number = heapq.heappop(events)
+        asks = []
+        if number:
+            key = BoxKey("box.example.org", 7101)
+            beside = {Question(key.target, Kind.A): Good({"127.0.0.1": None}, LIFETIME)}
+            asks = resolver.heard(number, Good({key: Rank(0, 1)}, LIFETIME, beside), now)
+        run(resolver, now, asks)
+    slots = [0] * (round(seconds * 10) + 1)
+    for at in asked:
+        slots[at // 100_000] += 1
     return {
         "dispatchers": count,
-        "spread_s": spread,
-        "queries": len(server.queries),
+        "start_within_s": together,
+        "jitter": jitter,
+        "queries": len(asked),
         "peak_in_100_ms": max(slots),
-        "peak_after_the_start_in_100_ms": max(slots[20:]),
+        "peak_after_the_first_lifetime": max(slots[LIFETIME * 8 :]),
     }
 
 
 def herd(options: argparse.Namespace) -> None:
-    resource.setrlimit(resource.RLIMIT_NOFILE, (8192, 8192))
-    for spread in (0.0, 1.0, 5.0):
-        print(json.dumps(asyncio.run(start_together(options.dispatchers, spread, 14.0))), flush=True)
+    for together in (0.0, 1.0):
+        for jitter in (False, True):
+            print(json.dumps(start_together(options.dispatchers, jitter, together, 8 * LIFETIME)), flush=True)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/waiting.py
@@ -0,0 +1,242 @@
+"""What waiting jobs cost, and what ageing does.
+
+    python -m benchmarks.waiting events --jobs 1000 30000 1000000
+    python -m benchmarks.waiting mix --seconds 600 --plot mix.svg
+    python -m benchmarks.waiting path --rate 300 --seconds 10
+
+`events`: the engine alone. `mix`: a flood of `station-detail` beside `reserve` and route plans on real
+sockets, by the engine's rule, without ageing, and first come, first served. `path`: CPU per ordinary job.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import resource
+import time
+from collections import Counter, defaultdict
+from pathlib import Path
+
+from benchmarks import cpu_per_job
+from hazelbend.waiting.engine import Engine
+from hazelbend.waiting.terms import After, Bounds, End, Request, Terms
+
+
+def resident_mb() -> float:
+    return int(Path("/proc/self/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 2**20
+
+
+def measure(count: int) -> dict[str, float]:
+    """So many jobs wait for the clock or a parent; then events among them."""
+    drawn, large = random.Random(1), 10**9
+    engine = Engine(Bounds(waiting=large, waiting_bytes=1 << 50, by_client=large, remember=10_000))
+    before, wall = resident_mb(), 10**15
+
+    def submit(number: int) -> None:
+        after = (After(str(number - 1)),) if number % 10 in (1, 2) else ()
+        at = wall + drawn.randrange(1, 10**9) if not after else None
+        terms = Terms(after, at)
+        engine.submit(Request((f"c{number % 100}", str(number)), number % 3, 0, 10**12, 100, terms), 0, wall)
+
+    began = time.perf_counter()
+    for number in range(count):
+        submit(number)
+    filled = time.perf_counter() - began
+    row = {
+        "jobs": count,
+        "submit_us": 1e6 * filled / count,
+        "bytes_a_job": (resident_mb() - before) * 2**20 / count,
+    }
+    sample = min(2_000, count // 2)
+    began = time.perf_counter()
+    for number in range(count, count + sample):
+        submit(number)
+    row["one_more_us"] = 1e6 * (time.perf_counter() - began) / sample
+    keys = drawn.sample(list(engine.nodes), sample)
+    began = time.perf_counter()
+    for key in keys:
+        engine.cancel(key, End.CANCELLED, 1)
+    row["cancel_us"] = 1e6 * (time.perf_counter() - began) / sample
+    released, began, sample = 0, time.perf_counter(), min(sample, count // 4)
+    while released < sample:
+        wall = engine._clock[0][0]
+        for effect in engine.tick(1, wall):
+            released += 1
+            engine.ended(effect.key, End.SERVED, b"", 2)
+    row["due_run_end_us"] = 1e6 * (time.perf_counter() - began) / released
+    return {key: round(value, 1) for key, value in row.items()}
+
+
+def events(options: argparse.Namespace) -> None:
+    for count in options.jobs:
+        pid = os.fork()
+        if pid == 0:
+            print(json.dumps(measure(count)), flush=True)
+            os._exit(0)
+        os.waitpid(pid, 0)
+
+
+# --- the mix ---
+
+RULES = {
+    "by the rule": "in_service = 16\naged = 2\nordinary = true",
+    "without ageing": "in_service = 16\naged = 0\nordinary = true",
+    "first come, first served": "",
+}
+
+
+async def play(seconds: float, rule: str, folder: Path) -> dict[str, object]:
+    """A flood over HTTP, plans over both fronts. Wanted times as the classes have them."""
+    import sys
+
+    sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+    from site_kit import STOMP, StandIn, site
+
+    lanes = [
+        {"name": "station-detail", "deadline_us": 3_000_000, "objective_us": 300_000,
+         "semantics": "read_like"},
+        {"name": "nearby", "deadline_us": 5_000_000, "objective_us": 2_000_000, "semantics": "read_like",
+         "late_worth": 0.3},
+        {"name": "reserve", "deadline_us": 7_500_000, "objective_us": 1_000_000, "late_worth": 0.3,
+         "semantics": "idempotency_key", "group": "zone", "repeat_window_us": 12_000_000},
+    ]  # fmt: skip
+    text = "enabled = true\nhttp_headers = true\n"
+    if rule != "first come, first served":
+        text += f"[admission]\n{RULES[rule]}\n"
+    (folder / "waiting.toml").write_text(text)
+    drawn, waits, counts = random.Random(7), defaultdict(list), Counter()
+    async with site(folder, toys=4, stomp=STOMP, lanes=lanes, tick_us=4_000) as (app, _):
+        loop, tasks = asyncio.get_running_loop(), set()
+
+        async def post(name: str, job_id: str, body: bytes, more: str = "") -> int:
+            began = loop.time()
+            reader, writer = await asyncio.open_connection("127.0.0.1", app.edge.port)
+            head = (
+                f"POST /{name}/1 HTTP/1.1\r\nHost: x\r\nX-Request-ID: {job_id}\r\nX-Tenant-Id: ege-volt\r\n"
+                f"Idempotency-Key: {job_id}\r\n{more}Connection: close\r\nContent-Length: {len(body)}\r\n\r\n"
+            )
+            writer.write(head.encode() + body)
+            answer = await reader.read()
+            writer.close()
+            counts["asked", name] += 1
+            counts[int(answer.split()[1]) if answer else "none", name] += 1
+            waits[name].append(loop.time() - began)
+            return int(answer.split()[1]) if answer else 0
+
+        async def plan(number: int) -> None:
+            near = [post("nearby", f"n{number}-{each}", b"30") for each in range(3)]
+            after = f"X-After: {', '.join(f'n{number}-{each}' for each in range(3))}\r\n"
+            await asyncio.gather(*near, post("reserve", f"r{number}", b"60", after))
+
+        peer = await StandIn.connect(app.stomp.port)
+        peer.send("SUBSCRIBE", id="a", destination="/hazelbend/answers", ack="auto")
+        sent, began, number = 0, loop.time(), 0
+        while loop.time() < began + seconds:
+            number += 1
+            # The flood comes in waves: for a third of the time more than there is room for.
+            rate = 400 if int(loop.time() - began) % 15 < 5 else 120
+            await asyncio.sleep(drawn.expovariate(rate))
+            work = (
+                plan(number)
+                if number % 25 == 0
+                else post("station-detail", f"d{number}", b"%d" % drawn.choice([10, 20, 30, 60]))
+            )
+            if number % 40 == 1:
+                sent += 2
+                peer.job(f"s{number}", b"60", "reserve", after=f"p{number};ended", key="k")
+                peer.job(f"p{number}", b"30", "nearby")
+            task = asyncio.create_task(work)
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        await asyncio.gather(*tasks)
+        async with asyncio.timeout(20):
+            while len(peer.answers()) < sent:
+                await asyncio.sleep(0.05)
+        engine = app.waiting.gate.engine
+        names, longest = [row["name"] for row in lanes], engine.totals.longest
+        return {
+            "rule": rule,
+            "jobs": sum(count for (what, _), count in counts.items() if what == "asked") + sent,
+            "without_an_answer": sum(count for (what, _), count in counts.items() if what == "none"),
+            "longest_wait_ms": {names[index]: each // 1_000 for index, each in longest.items()},
+            "refused_by_the_engine": engine.totals.refused[End.REFUSED],
+            "longest_answer_ms": {name: round(1e3 * max(each)) for name, each in waits.items()},
+            "served": {name: round(counts[200, name] / counts["asked", name], 3) for name in waits},
+            "in_time": {
+                row["name"]: round(
+                    sum(each <= row["objective_us"] / 1e6 for each in waits[row["name"]])
+                    / len(waits[row["name"]]), 3
+                )
+                for row in lanes
+            },
+            "waits": {name: sorted(each) for name, each in waits.items()},
+        }  # fmt: skip
+
+
+def mix(options: argparse.Namespace) -> None:
+    import tempfile
+
+    resource.setrlimit(resource.RLIMIT_NOFILE, (16_384, 16_384))
+    rows = []
+    for rule in RULES:
+        with tempfile.TemporaryDirectory() as folder:
+            row = asyncio.run(play(options.seconds, rule, Path(folder)))
+            rows.append(row)
+            print(json.dumps({key: value for key, value in row.items() if key != "waits"}), flush=True)
+    if options.plot:
+        plot(rows, options.plot)
+
+
+def plot(rows: list[dict[str, object]], path: str) -> None:
+    import matplotlib
+
+    matplotlib.use("svg")
+    import matplotlib.pyplot as plt
+
+    figure, axes = plt.subplots(1, 3, figsize=(12, 4), sharey=True)
+    for axis, name in zip(axes, ("station-detail", "nearby", "reserve"), strict=True):
+        for row in rows:
+            waits = row["waits"][name]  # type: ignore[index]
+            axis.plot(waits, [(at + 1) / len(waits) for at in range(len(waits))], label=row["rule"])
+        axis.set(title=name, xlabel="seconds to the answer", xscale="log")
+    axes[0].set_ylabel("part of the jobs")
+    axes[-1].legend()
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def path(options: argparse.Namespace) -> None:
+    """The same load without the file, with it, and with admission for all, in turns."""
+    texts = {
+        "off": "enabled = false\n",
+        "on": "enabled = true\nhttp_headers = true\n",
+        "admission": "enabled = true\nhttp_headers = true\n[admission]\nin_service = 64\nordinary = true\n",
+    }
+    options.rates, options.servers, options.run_ms, options.patience_ms = [options.rate], 4, 5, 1_000
+    for turn in range(options.rounds):
+        for name, text in texts.items():
+            row = cpu_per_job.play(cpu_per_job.ROOT, options, {"waiting.toml": text})[0]
+            shown = {key: row[key] for key in ("cpu_ms_per_job", "served", "p50_ms", "p99_ms")}
+            print(json.dumps({"round": turn, "waiting": name, **shown}), flush=True)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    commands = parser.add_subparsers(required=True)
+    one = commands.add_parser("events")
+    one.add_argument("--jobs", type=int, nargs="+", default=[1_000, 30_000, 1_000_000])
+    one.set_defaults(run=events)
+    two = commands.add_parser("mix")
+    two.add_argument("--seconds", type=float, default=600.0)
+    two.add_argument("--plot")
+    two.set_defaults(run=mix)
+    three = commands.add_parser("path")
+    three.add_argument("--rate", type=float, default=300.0)
+    three.add_argument("--seconds", type=float, default=8.0)
+    three.add_argument("--rounds", type=int, default=2)
+    three.set_defaults(run=path)
+    chosen = parser.parse_args()
+    chosen.run(chosen)
--- a/hazelbend/console/client.py
+++ b/hazelbend/console/client.py
@@ -66,9 +66,9 @@
     from prompt_toolkit.shortcuts import confirm
 
     shows: dict[str, None] = dict.fromkeys(
-        ["status", "figures", "servers", "flows", "fronts", "sources", "names", "log"]
+        ["status", "figures", "servers", "flows", "fronts", "sources", "names", "waiting", "log"]
     )
-    words = {"show": shows, **dict.fromkeys(["drain", "undrain", "shutdown", "help", "quit"])}
+    words = {"show": shows, **dict.fromkeys(["drain", "undrain", "cancel", "shutdown", "help", "quit"])}
     session: PromptSession[str] = PromptSession(
         completer=NestedCompleter.from_nested_dict(words), bottom_toolbar="help: the commands   quit: leave"
     )
--- a/hazelbend/membership/merge.py
+++ b/hazelbend/membership/merge.py
@@ -24,7 +24,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
-from typing import TypeVar
+from typing import TypeAlias, TypeVar
 
 from immutables import Map
 
@@ -75,6 +75,8 @@
 LIST, STOMP = "box list", "stomp"
 K = TypeVar("K")
 V = TypeVar("V")
+Index: TypeAlias = Map[K, frozenset[str]]  # to the names of boxes
+NONE: frozenset[str] = frozenset()
 
 
 class Membership:
@@ -83,11 +85,11 @@
         self.view = View()
         self.list_failed = False
         self._listed: Map[str, ServiceEntry] = Map()
-        self._by_key: Map[BoxKey, str] = Map()  # of what is listed
-        self._by_dial: Map[str, str] = Map()
+        self._by_key: Index[BoxKey] = Map()  # of what is listed
+        self._by_dial: Index[str] = Map()
         self.gone: Map[str, Gone] = Map()
-        self._gone_keys: Map[BoxKey, str] = Map()
-        self._gone_dials: Map[str, str] = Map()
+        self._gone_keys: Index[BoxKey] = Map()
+        self._gone_dials: Index[str] = Map()
         self._claims: Map[BoxKey, Map[str, Claim]] = Map()
         self._names: Map[str, Map[BoxKey, Claim]] = Map()
         self._claimed_dials: Map[str, frozenset[BoxKey]] = Map()
@@ -111,6 +113,8 @@
                 keys |= self._unlist(host, now)
                 touched.add(host)
         for entry in news.entries:
+            if self._listed.get(entry.host) == entry:
+                continue  # a whole list is mostly what was known
             touched.add(entry.host)
             if entry.state is WorkerState.GONE:
                 keys |= self._unlist(entry.host, now)
@@ -237,12 +241,12 @@
         self._listed = self._listed.set(entry.host, entry)
         key = _key(entry)
         if key is not None:
-            self._by_key = self._by_key.set(key, entry.host)
-        self._by_dial = self._by_dial.set(entry.dial, entry.host)
+            self._by_key = _with(self._by_key, key, entry.host)
+        self._by_dial = _with(self._by_dial, entry.dial, entry.host)
         # Another box by the same address was taken off: this one stands there now.
-        for mark in {self._gone_dials.get(entry.dial), self._gone_keys.get(key) if key else None}:
-            if mark is not None:
-                keys |= self._unmark(mark, self.gone[mark])
+        marks = self._gone_dials.get(entry.dial, NONE) | (self._gone_keys.get(key, NONE) if key else NONE)
+        for mark in marks:
+            keys |= self._unmark(mark, self.gone[mark])
         return keys | self._related(key, entry.dial)
 
     def _unlist(self, host: str, now: int) -> set[BoxKey]:
@@ -257,24 +261,22 @@
 
     def _unindex(self, entry: ServiceEntry) -> set[BoxKey]:
         key = _key(entry)
-        if key is not None and self._by_key.get(key) == entry.host:
-            self._by_key = self._by_key.delete(key)
-        if self._by_dial.get(entry.dial) == entry.host:
-            self._by_dial = self._by_dial.delete(entry.dial)
+        if key is not None:
+            self._by_key = _less(self._by_key, key, entry.host)
+        self._by_dial = _less(self._by_dial, entry.dial, entry.host)
         return self._related(key, entry.dial)
 
     def _mark(self, host: str, gone: Gone) -> None:
         self.gone = self.gone.set(host, gone)
         if gone.key is not None:
-            self._gone_keys = self._gone_keys.set(gone.key, host)
-        self._gone_dials = self._gone_dials.set(gone.dial, host)
+            self._gone_keys = _with(self._gone_keys, gone.key, host)
+        self._gone_dials = _with(self._gone_dials, gone.dial, host)
 
     def _unmark(self, host: str, gone: Gone) -> set[BoxKey]:
         self.gone = _without(self.gone, host)
-        if gone.key is not None and self._gone_keys.get(gone.key) == host:
-            self._gone_keys = self._gone_keys.delete(gone.key)
-        if self._gone_dials.get(gone.dial) == host:
-            self._gone_dials = self._gone_dials.delete(gone.dial)
+        if gone.key is not None:
+            self._gone_keys = _less(self._gone_keys, gone.key, host)
+        self._gone_dials = _less(self._gone_dials, gone.dial, host)
         return self._related(gone.key, gone.dial)
 
     def _related(self, key: BoxKey | None, dial: str) -> set[BoxKey]:
@@ -295,14 +297,18 @@
             yield from claim.dials(key.port)
 
     def _list_host(self, key: BoxKey) -> str | None:
-        if (host := self._by_key.get(key)) is not None:
-            return host
-        return next((self._by_dial[each] for each in self._dials(key) if each in self._by_dial), None)
+        """Of several that it may be, the first by name: alike at all dispatchers."""
+        if hosts := self._by_key.get(key):
+            return min(hosts)
+        return min(
+            (min(self._by_dial[each]) for each in self._dials(key) if each in self._by_dial), default=None
+        )
 
     def _gone_host(self, key: BoxKey) -> str | None:
-        if (host := self._gone_keys.get(key)) is not None:
-            return host
-        return next((self._gone_dials[each] for each in self._dials(key) if each in self._gone_dials), None)
+        if hosts := self._gone_keys.get(key):
+            return min(hosts)
+        dials = (each for each in self._dials(key) if each in self._gone_dials)
+        return min((min(self._gone_dials[each]) for each in dials), default=None)
 
     def _renew(self, hosts: Iterable[str], keys: Iterable[BoxKey], now: int) -> None:
         """Work these boxes out anew."""
@@ -387,5 +393,14 @@
         return None
 
 
+def _with(index: Index[K], key: K, host: str) -> Index[K]:
+    return index.set(key, index.get(key, NONE) | {host})
+
+
+def _less(index: Index[K], key: K, host: str) -> Index[K]:
+    hosts = index.get(key, NONE) - {host}
+    return index.set(key, hosts) if hosts else _without(index, key)
+
+
 def _without(values: Map[K, V], key: K) -> Map[K, V]:
     return values.delete(key) if key in values else values
--- a/hazelbend/names/answers.py
+++ b/hazelbend/names/answers.py
@@ -16,6 +16,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import lru_cache
 from typing import TypeAlias
 
 import dns.exception
@@ -28,6 +29,7 @@
     AAAA = 28
 
 
+@lru_cache(65_536)
 def canonical(name: str) -> str:
     """Lower case, without the last dot. ValueError if it is no name."""
     try:
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -34,6 +34,8 @@
 if TYPE_CHECKING:
     from hazelbend.names.settings import SrvSettings
     from hazelbend.program.sources import Sources
+    from hazelbend.program.waiting import Waiting
+    from hazelbend.waiting.settings import WaitingSettings
 
 log = logging.getLogger("hazelbend")
 
@@ -41,6 +43,7 @@
 # deadline, or 3 s where that is longer, and 0.7 s; what came in the first 0.7 s may be cut off by it.
 NEW_CONNECTIONS, FIRST_REQUESTS, LONGEST, BEFORE_KILL = 0.5, 0.6, 3.0, 0.6
 LAST_JOBS = 1.6  # kept of that for the jobs that came last
+LAST_WORD = 0.6  # of these: what still waits is refused so long before the end
 FIRST_LIST = 3.0  # seconds that a start on a passed listener waits for discovery; it is due within 6
 HELD_PAUSE = 0.2  # seconds between tries for an address that the process before still holds
 RESERVED = 64  # descriptors for the operators' door, discovery, listeners, the log and the interpreter
@@ -72,6 +75,7 @@
         self.router.discovery = self
         self.sources: Sources | None = None  # imported only where srv.toml is enabled
         self._closing: set[asyncio.Task[None]] = set()
+        self.waiting: Waiting | None = None  # imported only where waiting.toml is enabled
         self._server_lines = Sparing(log, 200)
         self.edge = Edge(self.router, conf.catalogue, _half(conf))
         self.boxes = Boxes(self.router, conf.catalogue, conf.load_fields)
@@ -88,6 +92,7 @@
             snmp = conf.snmp
             self.agent = SnmpAgent(snmp.host, snmp.port, snmp.community, snmp.notify, self.overview)
         table.watcher = self._server_changed
+        self._apply_waiting(conf.waiting)
         self._drain = Drain(self)
         self._ends: dict[str, int] = {}  # by when what comes must be over, and why
         self.door: OpsDoor | None = None
@@ -108,8 +113,10 @@
         return self.edge.takes_clients
 
     def figures(self) -> Figures:
-        figures = take_figures(self.router, self._class_names)
-        return replace(figures, further=self.sources.counts()) if self.sources is not None else figures
+        further = self.sources.counts() if self.sources is not None else {}
+        if self.waiting is not None:
+            further |= self.waiting.gate.counts(self._class_names)
+        return replace(take_figures(self.router, self._class_names), further=further)
 
     def drain(self) -> None:
         self._drain.start()
@@ -221,6 +228,18 @@
         elif srv is not None and self.sources is not None:
             self.sources.change(srv)
 
+    def _apply_waiting(self, waiting: WaitingSettings | None) -> None:
+        """What waiting.toml says has changed."""
+        if waiting is None and self.waiting is not None:
+            self.waiting.stop()
+            self.waiting = None
+        elif waiting is not None and self.waiting is None:
+            from hazelbend.program.waiting import Waiting
+
+            self.waiting = Waiting(waiting, self)
+        elif waiting is not None and self.waiting is not None:
+            self.waiting.change(waiting)
+
     def state(self) -> State:
         """Where this process stands, for the next one."""
         table, now = self.router.table, self.router.clock.now()
@@ -312,6 +331,8 @@
             self.watch.move(conf.discovery, conf.reader)
         if conf.srv != old.srv or (self.sources is not None and conf.reader != old.reader):
             self._apply_sources(conf.srv)
+        if (conf.waiting, conf.catalogue) != (old.waiting, old.catalogue):
+            self._apply_waiting(conf.waiting)
         if conf.ops != self._door_at:
             self._moving = asyncio.create_task(self._move_door_later())
         log.info("reloaded: %s", ", ".join(changed) or "nothing has changed")
@@ -334,6 +355,8 @@
                 self.stomp.stop_accepting()
             now = asyncio.get_running_loop().time()
             self.edge.empty(now + KEPT, now + end)
+        if self.waiting is not None:
+            self.waiting.leave(end)
         await asyncio.sleep(FIRST_REQUESTS)
         self.end_by("leave", self.router.clock.now() + round((end - FIRST_REQUESTS) * 1e6))
         await asyncio.sleep(max(NEW_CONNECTIONS, end - LAST_JOBS) - FIRST_REQUESTS)
@@ -341,6 +364,8 @@
         self.edge.stop_accepting()
         if self.stomp is not None:
             self.stomp.stop_accepting()
+        if self.waiting is not None:
+            await self.waiting.finish(LAST_JOBS - LAST_WORD)
         await self.router.drained()
         await self.close()
         log.info("left")
@@ -350,6 +375,8 @@
         self._drain.close()
         for task in (*self._opening, *filter(None, [self._moving])):
             task.cancel()
+        if self.waiting is not None:
+            self.waiting.gate.close()
         await self.edge.close()
         if self.door is not None:
             await self.door.close()
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -1,8 +1,8 @@
 """The one place where configuration is read, checked and given defaults. Errors name the faulty key.
 
 Two sources: the platform's JSON, which RELAY_CONFIG names, and our own files under deploy/, each of which
-turns one thing on: stomp.toml, snmp.toml, console.toml, srv.toml. What no file enables is neither opened nor
-imported.
+turns one thing on: stomp.toml, snmp.toml, console.toml, srv.toml, waiting.toml. What no file enables is
+neither opened nor imported.
 """
 
 from __future__ import annotations
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from hazelbend.names.settings import SrvSettings
+    from hazelbend.waiting.settings import WaitingSettings
 
 PASSED_SOCKET = "RELAY_PASSED_SOCKET"
 DEPLOY_VARIABLE = "HAZELBEND_DEPLOY"  # another folder in place of deploy/
@@ -67,6 +68,7 @@
     snmp: SnmpSettings | None = None
     console: Path | None = None
     srv: SrvSettings | None = None
+    waiting: WaitingSettings | None = None
 
 
 class Keys:
@@ -255,6 +257,8 @@
         keys.done()
     if (keys := _enabled(folder / "srv.toml")) is not None:
         config = replace(config, srv=_srv(keys, zones, kinds))
+    if (keys := _enabled(folder / "waiting.toml")) is not None:
+        config = replace(config, waiting=_waiting(keys, config.catalogue))
     return config
 
 
@@ -269,6 +273,17 @@
         raise ConfigError(f"{keys.where}{error}") from None
 
 
+def _waiting(keys: Keys, catalogue: Catalogue) -> WaitingSettings:
+    try:
+        from hazelbend.waiting.settings import read_settings
+    except ImportError as error:
+        raise keys.fault("enabled", f"needs requirements-waiting.txt ({error.name} is missing)") from None
+    try:
+        return read_settings(keys.table, tuple(row.name for row in catalogue.classes), catalogue.tenants)
+    except ValueError as error:
+        raise ConfigError(f"{keys.where}{error}") from None
+
+
 def console_socket(environment: Mapping[str, str] = os.environ) -> Path:
     """Where the console finds the program, by the same file."""
     keys = _enabled(Path(environment.get(DEPLOY_VARIABLE, "deploy")) / "console.toml")
--- a/hazelbend/program/console_server.py
+++ b/hazelbend/program/console_server.py
@@ -9,6 +9,7 @@
 import contextlib
 import os
 import socket
+from collections import Counter
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -21,6 +22,7 @@
     from hazelbend.program.app import App
 
 LINE_LIMIT = 4_096
+MOST_ROWS = 200  # of waiting jobs
 IDLE = 3_600.0  # seconds after which a silent console is closed
 
 HELP = """\
@@ -31,6 +33,8 @@
 show fronts            connections by front
 show sources           where servers come from, and what each says
 show names [NAME]      SRV names that are followed; of one, its records
+show waiting           jobs that wait, the oldest first, and for what
+cancel CLIENT ID       refuse a job that waits
 show log [LINES]       the last lines of the log
 drain SERVER           send nothing new to a server
 undrain SERVER         take a drain by hand back
@@ -61,6 +65,10 @@
                 return HELP
             case ["show", "log", *rest] if len(rest) < 2:
                 return self._log(*rest)
+            case ["show", "waiting"]:
+                return self._waiting()
+            case ["cancel", client, own_id]:
+                return self._cancel(client, own_id)
             case ["show", "sources"]:
                 return self._sources()
             case ["show", "names"]:
@@ -120,6 +128,33 @@
     def _fronts(self, view: Overview) -> str:
         return table([("FRONT", "CONNECTIONS"), *view.fronts.items()])
 
+    def _waiting(self) -> str:
+        if (waiting := self._app.waiting) is None:
+            raise CommandError("jobs do not wait here; see deploy/waiting.toml")
+        catalogue, rows = self._app.conf.catalogue, waiting.gate.rows()
+        counts = Counter(catalogue.classes[row.class_index].name for row in rows)
+        head = ("CLIENT", "ID", "CLASS", "TENANT", "WAITS", "LEFT", "FOR")
+        lines = [
+            (
+                row.client or "-",
+                row.id,
+                catalogue.classes[row.class_index].name,
+                catalogue.tenants[row.tenant] if catalogue.tenants else "-",
+                f"{row.age / 1e6:.1f} s",
+                f"{row.left / 1e6:.1f} s",
+                row.why,
+            )
+            for row in rows[:MOST_ROWS]
+        ]
+        more = f"{len(rows)} wait" + "".join(f", {name} {count}" for name, count in counts.most_common())
+        return "\n".join([table([head, *lines]), more])
+
+    def _cancel(self, client: str, own_id: str) -> str:
+        waiting = self._app.waiting
+        if waiting is None or not waiting.gate.cancel(("" if client == "-" else client, own_id)):
+            raise CommandError(f"no job {own_id!r} of {client!r} waits; see: show waiting")
+        return f"{own_id}: refused"
+
     def _sources(self) -> str:
         sources, view = self._app.sources, self._app.overview()
         if sources is None:
--- a/hazelbend/protocol/stomp_jobs.py
+++ b/hazelbend/protocol/stomp_jobs.py
@@ -13,6 +13,7 @@
 JOBS = "/hazelbend/jobs"  # clients SEND their jobs here
 ANSWERS = "/hazelbend/answers"  # and SUBSCRIBE here for the final answers
 WORK = "/hazelbend/work"  # boxes SUBSCRIBE here for jobs
+CANCEL = "/hazelbend/cancel"  # and SEND here, by request-id, to take a waiting job back
 NEWS = "/hazelbend/news"  # and SEND here what becomes of them
 
 
@@ -51,6 +52,8 @@
         headers["retry-after"] = f"{math.ceil(answer.retry_after / 1_000) / 1_000:.3f}"
     if answer.verdict is Verdict.FAILED and answer.overdue:
         headers["reason"] = "deadline"
+    if answer.reason:
+        headers["reason"] = answer.reason
     return headers
 
 
--- a/hazelbend/routing/ports.py
+++ b/hazelbend/routing/ports.py
@@ -41,6 +41,7 @@
     result: bytes = b""
     retry_after: int = 0  # microseconds
     overdue: bool = False  # failed because time ran out
+    reason: str = ""  # for the client, where there is more to say
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -153,11 +153,25 @@
         flow.task.add_done_callback(lambda task: self._over(flow))
         return flow
 
-    def refuse(self, job: Job, retry_after: int) -> Answer:
+    def refuse(self, job: Job, retry_after: int, reason: str = "") -> Answer:
         """A front has no room for this job: it is counted like any other, and was never taken up."""
         self.tally.taken += 1
         self.tally.answers[job.class_index, Verdict.REFUSED] += 1
-        return Answer(Verdict.REFUSED, retry_after=retry_after)
+        return Answer(Verdict.REFUSED, retry_after=retry_after, reason=reason)
+
+    def abandon(self) -> None:
+        """A job that was never taken up, and whose client has left: counted like any other."""
+        self.tally.taken += 1
+        self.tally.abandoned += 1
+
+    def hold_id(self, job_id: str) -> None:
+        """A job of this id is open, though not taken up yet."""
+        self._ids.add(job_id)
+        self.id_watcher(job_id, True)
+
+    def free_id(self, job_id: str) -> None:
+        self._ids.discard(job_id)
+        self.id_watcher(job_id, False)
 
     def holds(self, job_id: str) -> bool:
         """Whether a flow of this id is open: servers know a job by it, so there must not be two."""
--- a/hazelbend/transport/edge.py
+++ b/hazelbend/transport/edge.py
@@ -5,13 +5,16 @@
 import asyncio
 import logging
 import math
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Protocol, TypeAlias
+from urllib.parse import quote
 
 from aiohttp import http_exceptions, web
 from aiohttp.web_protocol import RequestPayloadError
+from multidict import MultiMapping
 
 from hazelbend.protocol.http_fields import BadRequest, Catalogue, read_job
-from hazelbend.routing.ports import Answer, Verdict
+from hazelbend.routing.ports import Answer, Job, Verdict
 from hazelbend.routing.router import Router
 from hazelbend.transport.http_listener import HttpConnection, HttpListener
 
@@ -22,6 +25,18 @@
 BAD_PAUSE, LONGEST_PAUSE = 0.05, 0.5
 
 
+class Open(Protocol):
+    """A job that was taken: a flow, or one that waits to be one."""
+
+    @property
+    def answered(self) -> asyncio.Future[Answer]: ...
+
+    def leave(self) -> None: ...
+
+
+HttpGate: TypeAlias = Callable[[Job, MultiMapping[str]], Open]
+
+
 class Edge(HttpListener):
     """The clients' address.
 
@@ -32,6 +47,7 @@
     def __init__(self, router: Router, catalogue: Catalogue, limit: int) -> None:
         super().__init__(limit)
         self._router, self.catalogue = router, catalogue
+        self.gate: HttpGate | None = None  # where jobs may wait
         self.leaving = False
         self.emptying = False
         self.idle_until = self.part_until = math.inf  # loop time from which such connections are closed
@@ -113,13 +129,19 @@
             return web.Response(status=400, text=f"{error}\n")
         if self._router.holds(job.id):
             return web.Response(status=409, text="a request of this id is open\n")
-        flow = self._router.take(job)
+        try:
+            flow = self._take(job, request)
+        except BadRequest as error:
+            return web.Response(status=400, text=f"{error}\n")
         try:
             return to_response(await asyncio.shield(flow.answered))
         except asyncio.CancelledError:
             flow.leave()  # the client closed its connection
             raise
 
+    def _take(self, job: Job, request: web.BaseRequest) -> Open:
+        return self._router.take(job) if self.gate is None else self.gate(job, request.headers)
+
 
 def _closing(status: int, text: str) -> web.Response:
     response = web.Response(status=status, text=f"{text}\n")
@@ -138,5 +160,7 @@
     if answer.verdict is Verdict.REFUSED:
         if answer.retry_after > 0:
             headers["Retry-After"] = f"{math.ceil(answer.retry_after / 1_000) / 1_000:.3f}"
+        if answer.reason:
+            headers["X-Reason"] = quote(answer.reason, safe=" ,:;")
         return web.Response(status=503, headers=headers, text="refused; trying again is harmless\n")
     return web.Response(status=504 if answer.overdue else 502, text="failed\n")
--- a/hazelbend/transport/stomp_clients.py
+++ b/hazelbend/transport/stomp_clients.py
@@ -7,12 +7,12 @@
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import Protocol, TypeAlias
 
 from hazelbend.protocol import stomp_jobs
 from hazelbend.protocol.http_fields import BadRequest, Catalogue
 from hazelbend.protocol.stomp import Frame
-from hazelbend.routing.ports import Answer
+from hazelbend.routing.ports import Answer, Job
 from hazelbend.routing.router import Router
 
 log = logging.getLogger("hazelbend.stomp")
@@ -26,6 +26,16 @@
     def cut(self, text: str) -> None: ...
 
 
+class Open(Protocol):
+    """A job that was taken: a flow, or one that waits to be one."""
+
+    @property
+    def answered(self) -> asyncio.Future[Answer]: ...
+
+
+StompGate: TypeAlias = Callable[[Job, str, Frame], Open]
+
+
 @dataclass(slots=True)
 class Bounds:
     """What is kept for clients that are not there."""
@@ -85,6 +95,7 @@
         self._bounds, self._router, self.catalogue = bounds, router, catalogue
         self._entries: dict[str, Entry] = {}
         self._subscriptions: list[Subscription] = []
+        self.gate: StompGate | None = None  # where jobs may wait
         self.connections = 0  # whose client this is; one that has sent nothing yet may still do so
 
     @property
@@ -118,7 +129,11 @@
             return
         self._entries[request_id] = entry
         self._hold(entry, len(frame.body))
-        flow = self._router.take(job)
+        try:
+            flow = self._router.take(job) if self.gate is None else self.gate(job, self.identity, frame)
+        except BadRequest:
+            self._drop(entry)
+            raise
         flow.answered.add_done_callback(lambda done: self._answered(entry, done.result()))
 
     def subscribe(self, subscription: Subscription) -> None:
--- a/hazelbend/transport/stomp_listener.py
+++ b/hazelbend/transport/stomp_listener.py
@@ -6,7 +6,7 @@
 import contextlib
 import hmac
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from hashlib import sha256
 
@@ -23,7 +23,7 @@
 )
 from hazelbend.routing.router import Router
 from hazelbend.transport.stomp_boxes import BoxAccount, Boxes, BoxLink
-from hazelbend.transport.stomp_clients import Bounds, Mailbox, Subscription, Usage
+from hazelbend.transport.stomp_clients import Bounds, Mailbox, StompGate, Subscription, Usage
 
 log = logging.getLogger("hazelbend.stomp")
 
@@ -70,6 +70,19 @@
         self._usage = Usage()
         self._sessions: dict[Session, None] = {}  # in the order in which they came
         self._listener: asyncio.Server | None = None
+        self._gate: StompGate | None = None
+        self.cancel: Callable[[str, str], bool] | None = None  # a waiting job: client, request-id
+
+    @property
+    def gate(self) -> StompGate | None:
+        """Where jobs may wait; the same for all clients."""
+        return self._gate
+
+    @gate.setter
+    def gate(self, gate: StompGate | None) -> None:
+        self._gate = gate
+        for mailbox in self._mailboxes.values():
+            mailbox.gate = gate
 
     @property
     def connections(self) -> int:
@@ -119,6 +132,7 @@
                 self._usage,
                 self._make_room,
             )
+            self._mailboxes[identity].gate = self._gate
         return self._mailboxes[identity]
 
     def _make_room(self) -> None:
@@ -350,6 +364,9 @@
         if destination == stomp_jobs.JOBS and isinstance(self._account, ClientAccount):
             assert self._mailbox is not None
             self._mailbox.send(frame, self._account.tenants)
+        elif destination == stomp_jobs.CANCEL and self._mailbox is not None and self._front.cancel:
+            # One that runs, or is not known, goes on: its answer says how it ended.
+            self._front.cancel(self._mailbox.identity, stomp_jobs.request_id(frame))
         elif destination == stomp_jobs.NEWS and isinstance(self._account, BoxAccount):
             if self._link is not None:
                 self._link.news(frame)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -111,9 +111,9 @@
 def test_what_the_repository_deploys_is_off():
     """The platform has neither our UDP nor our sockets."""
     conf = config.with_deploy(config.from_object(CONF), ROOT / "deploy", CONF)
-    assert (conf.stomp, conf.snmp, conf.console, conf.srv) == (None, None, None, None)
+    assert (conf.stomp, conf.snmp, conf.console, conf.srv, conf.waiting) == (None,) * 5
     assert {path.name for path in (ROOT / "deploy").iterdir()} == {
-        "balancer.toml", "stomp.toml", "snmp.toml", "console.toml", "srv.toml"
+        "balancer.toml", "stomp.toml", "snmp.toml", "console.toml", "srv.toml", "waiting.toml"
     }  # fmt: skip
 
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,9 +13,10 @@
     "routing": {"decisions"},
     "names": set(),
     "membership": {"decisions", "routing", "names"},
-    "protocol": {"decisions", "routing", "names"},
+    "waiting": {"decisions", "routing"},
+    "protocol": {"decisions", "routing", "names", "waiting"},
     "transport": {"decisions", "routing", "names", "membership", "protocol"},
-    "program": {"decisions", "routing", "names", "membership", "protocol", "transport"},
+    "program": {"decisions", "routing", "names", "membership", "waiting", "protocol", "transport"},
     "console": {"program"},
     "benchlink": {"decisions"},
     "standins": set(),
@@ -62,4 +63,5 @@
     loaded = done.stdout.decode().split()
     assert not {"pysnmp", "prompt_toolkit", "dns", "msgspec", "immutables", "click"} & set(loaded)
     off = ("hazelbend.names", "hazelbend.membership", "hazelbend.standins", "hazelbend.cli")
-    assert not [each for each in loaded if each.startswith(off) or each == "hazelbend.program.sources"]
+    off += ("hazelbend.waiting", "hazelbend.program.waiting", "hazelbend.program.sources")
+    assert not [each for each in loaded if each.startswith(off)]
