--- a/tests/test_dns_client.py
+++ b/tests/test_dns_client.py
@@ -52,11 +52,11 @@
 }
 
 
-def ask(what, tcp=False, name=NAME, kind=Kind.SRV, timeout=0.3):
+def ask(what, tcp=False, name=NAME, kind=Kind.SRV, timeout=20.0):
     async def run():
         async with nameservers(1, ZONE) as [server]:
             if what:
-                server.faults = [Fault(what, delay=5.0)]
+                server.faults = [Fault(what, delay=60.0)]
             host, _, port = server.address.rpartition(":")
             client = DnsClient(((host, int(port)),), timeout)
             meaning = await client.ask(Ask(1, 0, Question(name, kind), name, tcp, True))
@@ -66,6 +66,11 @@
     return asyncio.run(run())
 
 
+def patience(wanted):
+    """Short only where no answer is to come: a busy machine may be slow with the others."""
+    return 0.3 if wanted in ("no answer in time", "") else 20.0
+
+
 def check(meaning, wanted):
     if isinstance(wanted, str):
         assert isinstance(meaning, Unknown) and wanted in meaning.why, meaning
@@ -79,12 +84,12 @@
 
 @pytest.mark.parametrize("what", FAULTS)
 def test_what_goes_wrong_over_udp(what):
-    check(ask(what)[0], MEANT[what])
+    check(ask(what, timeout=patience(MEANT[what]))[0], MEANT[what])
 
 
 @pytest.mark.parametrize("what", OVER_TCP)
 def test_what_goes_wrong_over_tcp(what):
-    check(ask(what, tcp=True)[0], OVER_TCP[what])
+    check(ask(what, tcp=True, timeout=patience(OVER_TCP[what]))[0], OVER_TCP[what])
 
 
 @pytest.mark.parametrize("tcp", [False, True])
