Say once what the SRV and waiting parts said twice

Both schemas turned msgspec's faults into ours by the same lines, and config.py caught them by the same lines: now schema.convert and one context manager. Parameters, a constant and a logger that nothing used are gone. No behaviour, bound or assertion changes.

--- a/hazelbend/cli/resolve.py
+++ b/hazelbend/cli/resolve.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from hazelbend.names.answers import (
+    MOST_ALIASES,
     Alias,
     Good,
     Kind,
@@ -23,7 +24,7 @@
     Unknown,
     canonical,
 )
-from hazelbend.names.resolver import MOST_ALIASES, Ask
+from hazelbend.names.resolver import Ask
 from hazelbend.names.settings import Nameserver
 from hazelbend.program.config import DEPLOY_VARIABLE
 from hazelbend.program.console_server import table
--- a/hazelbend/names/answers.py
+++ b/hazelbend/names/answers.py
@@ -22,6 +22,8 @@
 import dns.exception
 import dns.name
 
+MOST_ALIASES = 8  # of a chain
+
 
 class Kind(Enum):
     SRV = 33
--- a/hazelbend/names/resolver.py
+++ b/hazelbend/names/resolver.py
@@ -24,6 +24,7 @@
 from typing import Any
 
 from hazelbend.names.answers import (
+    MOST_ALIASES,
     Alias,
     BoxKey,
     Good,
@@ -42,7 +43,6 @@
 
 EARLIEST, SPAN = 0.90, 0.08  # of a lifetime: when a question is asked again
 BESIDE = 0.995  # and one whose answer came beside another's, which will come again before that
-MOST_ALIASES = 8
 ADDRESSES = (Kind.A, Kind.AAAA)
 
 
@@ -167,7 +167,7 @@
             followed.ballot.expire(now, self.stale)
             self._watch(followed)
             followed.good_until = max((until for _, until in items.values()), default=0)
-            self._changed(followed, now)
+            self._changed(followed)
             self._ask_addresses(now)
 
     def boxes(self, name: str) -> dict[BoxKey, tuple[Rank, tuple[str, ...]]]:
@@ -303,7 +303,7 @@
         followed.lifetime = min(max(lifetime * 1_000_000, self._least), self._most)
         followed.good_until = now + followed.lifetime
         if followed.ballot.cast(server, items, followed.good_until, now):
-            self._changed(followed, now)
+            self._changed(followed)
         self._watch(followed)
 
     def _take_extra(self, question: Question, server: int, extra: Good, now: int) -> None:
@@ -324,7 +324,7 @@
         """All that this round could ask has been heard: the question rests."""
         if followed.heard:
             if followed.confirming and followed.ballot.count(now, final=True):
-                self._changed(followed, now)
+                self._changed(followed)
             if followed.confirming and not followed.ballot.disputed(now):
                 for server in followed.ballot.outvoted:
                     if isinstance(server, int) and server < len(self.servers.all):
@@ -378,20 +378,20 @@
             followed.watched = False
             if followed.alive:
                 if followed.ballot.expire(now, self.stale):
-                    self._changed(followed, now)
+                    self._changed(followed)
                 self._watch(followed)
         self._ask_addresses(now)
 
-    def _changed(self, followed: Followed, now: int) -> None:
+    def _changed(self, followed: Followed) -> None:
         question = followed.question
         if question.kind is Kind.SRV:
             self.changed.add(question.name)
-            self._need_targets(question.name, now)
+            self._need_targets(question.name)
         else:
             self.changed |= self._needed_by.get(question.name, set())
             self._bare.add(question.name)
 
-    def _need_targets(self, name: str, now: int) -> None:
+    def _need_targets(self, name: str) -> None:
         """Follow the addresses of the targets that are listed, and of no others."""
         before = self._targets[name]
         wanted = {key.target for key in self.roots[name].ballot.held}
--- a/hazelbend/names/settings.py
+++ b/hazelbend/names/settings.py
@@ -10,6 +10,7 @@
 from msgspec import Meta
 
 from hazelbend.names.answers import canonical
+from hazelbend.schema import convert
 
 Seconds = Annotated[float, Meta(gt=0, le=31_536_000)]
 Whole = Annotated[int, Meta(ge=1, le=1_000_000)]
@@ -75,12 +76,7 @@
 
 def read_settings(table: dict[str, Any], zones: tuple[str, ...], kinds: tuple[str, ...]) -> SrvSettings:
     """A decoded TOML table; zones and kinds are the names that the site's settings have."""
-    try:
-        settings = msgspec.convert(table, SrvSettings)
-    except msgspec.ValidationError as error:
-        text, _, path = str(error).partition(" - at `$")
-        path = path.rstrip("`").lstrip(".")
-        raise ValueError(f"{path}: {text}" if path else text) from None
+    settings = convert(table, SrvSettings)
     _check(settings, zones, kinds)
     return settings
 
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -222,12 +222,12 @@
         if srv is None and self.sources is not None:
             before, self.sources = self.sources, None
             self.router.guest_watcher = lambda entry: None
-            self.router.hear_list(ServiceList(before.membership.listed(), whole=True))
+            self.router.hear(ServiceList(before.membership.listed(), whole=True))
             task = asyncio.create_task(before.close())
             self._closing.add(task)
             task.add_done_callback(self._closing.discard)
         elif srv is not None and self.sources is None:
-            self.router.hear_list(self._open_sources(self.router.table.listed(), {}))
+            self.router.hear(self._open_sources(self.router.table.listed(), {}))
             assert self.sources is not None
             self.sources.start()
         elif srv is not None and self.sources is not None:
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -10,6 +10,7 @@
 import os
 import tomllib
 from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from hashlib import blake2b
 from pathlib import Path
@@ -263,23 +264,26 @@
 
 
 def _srv(keys: Keys, zones: tuple[str, ...], kinds: tuple[str, ...]) -> SrvSettings:
-    try:
+    with _named(keys, "requirements-srv.txt"):
         from hazelbend.names.settings import read_settings
-    except ImportError as error:
-        raise keys.fault("enabled", f"needs requirements-srv.txt ({error.name} is missing)") from None
-    try:
+
         return read_settings(keys.table, zones, kinds)
-    except ValueError as error:
-        raise ConfigError(f"{keys.where}{error}") from None
 
 
 def _waiting(keys: Keys, catalogue: Catalogue) -> WaitingSettings:
-    try:
+    with _named(keys, "requirements-waiting.txt"):
         from hazelbend.waiting.settings import read_settings
-    except ImportError as error:
-        raise keys.fault("enabled", f"needs requirements-waiting.txt ({error.name} is missing)") from None
-    try:
+
         return read_settings(keys.table, tuple(row.name for row in catalogue.classes), catalogue.tenants)
+
+
+@contextmanager
+def _named(keys: Keys, requirements: str) -> Iterator[None]:
+    """The faults of a file that is read by its schema, and of a part that is not installed."""
+    try:
+        yield
+    except ImportError as error:
+        raise keys.fault("enabled", f"needs {requirements} ({error.name} is missing)") from None
     except ValueError as error:
         raise ConfigError(f"{keys.where}{error}") from None
 
--- a/hazelbend/program/sources.py
+++ b/hazelbend/program/sources.py
@@ -178,7 +178,7 @@
     def _tell(self, changes: ServiceList) -> None:
         self._follow_renames()
         if changes.entries:
-            self._router.hear_changes(changes)
+            self._router.hear(changes)
 
     def _follow_renames(self) -> None:
         renamed, self.membership.renamed = self.membership.renamed, []
--- a/hazelbend/protocol/dns.py
+++ b/hazelbend/protocol/dns.py
@@ -18,6 +18,7 @@
 import dns.rrset
 
 from hazelbend.names.answers import (
+    MOST_ALIASES,
     Alias,
     BoxKey,
     Good,
@@ -32,8 +33,6 @@
 )
 
 PAYLOAD = 1_232  # bytes over UDP that are not fragmented on usual paths
-MOST_ALIASES = 8
-MOST_MESSAGE = 65_535
 
 
 class Mismatch(Exception):
--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -181,12 +181,8 @@
     def open_ids(self) -> tuple[str, ...]:
         return tuple(self._ids)
 
-    def hear_changes(self, changes: ServiceList) -> None:
-        """Changes that discovery did not tell: another source of servers has."""
-        self._ask(self.table.apply(changes))
-
-    def hear_list(self, news: ServiceList) -> None:
-        """A whole list that nobody asked for: the sources of servers are others now."""
+    def hear(self, news: ServiceList) -> None:
+        """A list or changes that discovery was not asked for: other sources of servers have them."""
         self._ask(self.table.apply(news))
 
     def add_guest(self, entry: ServiceEntry, link: Link) -> None:
@@ -444,6 +440,6 @@
             asyncio.get_running_loop().call_soon(self._listed, self.last_known)
 
     def _listed(self, news: ServiceList) -> None:
-        self._ask(self.table.apply(news))
+        self.hear(news)
         if not news.failed:
             self.listed.set()
--- a/hazelbend/waiting/engine.py
+++ b/hazelbend/waiting/engine.py
@@ -443,9 +443,9 @@
         """What can no longer be in time, and has to wait on, goes to the other line."""
         for line in self._in_time.values():
             while line and (line[0][0] < now or self._is_void(line[0])):
-                latest, turn, key = line[0]
+                latest, _, key = line[0]
                 node = self.nodes.get(key)
-                if node is None or node.turn != turn:
+                if node is None or self._is_void(line[0]):
                     heapq.heappop(line)
                     continue
                 if self._fits(node):
--- a/hazelbend/waiting/gate.py
+++ b/hazelbend/waiting/gate.py
@@ -6,7 +6,6 @@
 import asyncio
 import base64
 import json
-import logging
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -16,8 +15,6 @@
 from hazelbend.waiting.engine import Engine, Node, State
 from hazelbend.waiting.terms import Bounds, Effect, End, Key, Refusal, Release, Request, Terms, TermsError
 
-log = logging.getLogger("hazelbend.waiting")
-
 LONGEST_SLEEP = 1.0  # seconds between looks at the wall's clock, which may step
 ENDS = {Verdict.SERVED: End.SERVED, Verdict.REFUSED: End.REFUSED, Verdict.FAILED: End.FAILED}
 
--- a/hazelbend/waiting/settings.py
+++ b/hazelbend/waiting/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Meta
 
+from hazelbend.schema import convert
 from hazelbend.waiting.terms import Bounds
 
 Count = Annotated[int, Meta(ge=1, le=10_000_000)]
@@ -86,12 +87,7 @@
     table: dict[str, Any], classes: tuple[str, ...], tenants: tuple[str, ...]
 ) -> WaitingSettings:
     """A decoded TOML table; classes and tenants are the names that the site's settings have."""
-    try:
-        settings = msgspec.convert(table, WaitingSettings)
-    except msgspec.ValidationError as error:
-        text, _, path = str(error).partition(" - at `$")
-        path = path.rstrip("`").lstrip(".")
-        raise ValueError(f"{path}: {text}" if path else text) from None
+    settings = convert(table, WaitingSettings)
     if (admission := settings.admission) is not None:
         for key, named, names in (
             ("class", [each.name for each in admission.job_class], classes),
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,9 +11,10 @@
 ALLOWED = {
     "decisions": set(),
     "routing": {"decisions"},
-    "names": set(),
+    "schema": set(),
+    "names": {"schema"},
     "membership": {"decisions", "routing", "names"},
-    "waiting": {"decisions", "routing"},
+    "waiting": {"decisions", "routing", "schema"},
     "protocol": {"decisions", "routing", "names", "waiting"},
     "transport": {"decisions", "routing", "names", "membership", "protocol"},
     "program": {"decisions", "routing", "names", "membership", "waiting", "protocol", "transport"},
@@ -62,6 +63,12 @@
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, cwd=PACKAGE.parent)
     loaded = done.stdout.decode().split()
     assert not {"pysnmp", "prompt_toolkit", "dns", "msgspec", "immutables", "click"} & set(loaded)
-    off = ("hazelbend.names", "hazelbend.membership", "hazelbend.standins", "hazelbend.cli")
+    off = (
+        "hazelbend.schema",
+        "hazelbend.names",
+        "hazelbend.membership",
+        "hazelbend.standins",
+        "hazelbend.cli",
+    )
     off += ("hazelbend.waiting", "hazelbend.program.waiting", "hazelbend.program.sources")
     assert not [each for each in loaded if each.startswith(off)]
--- a/tests/test_names.py
+++ b/tests/test_names.py
@@ -9,10 +9,21 @@
 from srv_kit import NAME, SECOND, settings
 
 from hazelbend.names import snapshot
-from hazelbend.names.answers import Alias, BoxKey, Good, Kind, Nothing, Question, Rank, Truncated, Unknown
+from hazelbend.names.answers import (
+    MOST_ALIASES,
+    Alias,
+    BoxKey,
+    Good,
+    Kind,
+    Nothing,
+    Question,
+    Rank,
+    Truncated,
+    Unknown,
+)
 from hazelbend.names.ballot import Ballot
 from hazelbend.names.nameservers import Budget
-from hazelbend.names.resolver import MOST_ALIASES, Resolver
+from hazelbend.names.resolver import Resolver
 from hazelbend.names.settings import read_settings
 
 A, B, C = (BoxKey(f"{each}.konya-1.example.org", 7101) for each in "abc")
