--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -192,6 +192,9 @@
         known = state.known if state is not None and state.known.entries else self.conf.known
         if self.conf.srv is not None:
             known = self._open_sources(known, state.names if state is not None else {})
+        if known.whole and known.entries and self.conf.passed_socket is None and self.sources is None:
+            # An upgrade waits for the whole list, and where lists are merged it is what one of them says.
+            self.watch.held = known.seq
         self.router.begin(known)
         if self.sources is not None:
             self.sources.start()
--- a/hazelbend/transport/discovery_watch.py
+++ b/hazelbend/transport/discovery_watch.py
@@ -1,4 +1,9 @@
-"""The watch on discovery: one whole list, then its changes, until a call fails."""
+"""The watch on discovery: what has changed since the list that is held, until a call fails.
+
+Discovery works through the calls of a whole fleet one after another, and each line that it sends takes of its
+time. So the whole list is asked for only where none is held: a start goes on from the version that the
+configuration gave, and a watch that failed from the last that was told.
+"""
 
 from __future__ import annotations
 
@@ -26,6 +31,9 @@
 
     def __init__(self, address: str | None, reader: ListReader, fleet: int = 1) -> None:
         self.address, self._reader, self.fleet = address, reader, fleet
+        self.held: int | None = (
+            None  # the version of the list that is held; None: none, or of another service
+        )
         self._tell: Callable[[ServiceList], None] | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -38,7 +46,7 @@
 
     def move(self, address: str | None, reader: ListReader) -> None:
         """Watch there from now on. It may be another service, so its whole list is asked for."""
-        self.address, self._reader = address, reader
+        self.address, self._reader, self.held = address, reader, None
         if self._tell is not None:
             self.subscribe(self._tell)
 
@@ -51,7 +59,8 @@
         if self.address is None:
             tell(ServiceList())  # a site without discovery stays with the list it has
             return
-        base, query, limit = f"http://{self.address}/v1/servers", "", CALL_LIMIT
+        # The first call is not held for long: a service that does not answer is found out as soon as may be.
+        hold = HOLD_MS
         # Each watch has a connection of its own: one that is dead without a sign ends with its watch.
         async with aiohttp.ClientSession(
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -62,24 +71,38 @@
             session._retry_connection = False
             while True:
                 try:
-                    async with asyncio.timeout(limit):
-                        news = await self._call(session, base + query)
+                    news = await self._call(session, hold)
                 except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as error:
                     log.warning("discovery: call failed: %s", str(error) or type(error).__name__)
                     break
                 tell(news)
                 # The next call must come within 200 ms, or what changes in between is lost to this watch.
                 hold = min(max(HOLD_MS, HOLD_EACH_MS * self.fleet), LONGEST_HOLD_MS)
-                query, limit = f"?from={news.seq}&hold_ms={hold}", hold / 1e3 + HOLD_GRACE
         tell(ServiceList(failed=True))
 
-    async def _call(self, session: aiohttp.ClientSession, url: str) -> ServiceList:
+    async def _call(self, session: aiohttp.ClientSession, hold: int) -> ServiceList:
+        """The whole list, or what is newer than the list that is held, waited for so many milliseconds."""
+        url, limit, held = f"http://{self.address}/v1/servers", CALL_LIMIT, self.held
+        if held is not None:
+            url, limit = f"{url}?from={held}&hold_ms={hold}", hold / 1e3 + HOLD_GRACE
+        async with asyncio.timeout(limit):
+            status, text = await self._get(session, url)
+        if status != 200:
+            if 400 <= status < 500:
+                self.held = None  # it knows nothing of that version
+            raise ValueError(f"status {status}")
+        news = self._reader.read(text)
+        if held is not None and news.seq < held and not news.whole:
+            self.held = None  # it has started anew: what changed since cannot be told
+            raise ValueError(f"changes up to {news.seq}, older than the {held} held")
+        self.held = news.seq
+        return news
+
+    async def _get(self, session: aiohttp.ClientSession, url: str) -> tuple[int, bytes]:
         async with session.get(URL(url, encoded=True), allow_redirects=False) as response:
-            if response.status != 200:
-                raise ValueError(f"status {response.status}")
             text = bytearray()
             async for part in response.content.iter_any():
                 text += part
                 if len(text) > LIST_LIMIT:
                     raise ValueError("a list over the limit")
-        return self._reader.read(bytes(text))
+            return response.status, bytes(text)
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -1,6 +1,7 @@
 """The watch on discovery, against a scripted service."""
 
 import asyncio
+import contextlib
 
 import orjson
 import pytest
@@ -15,7 +16,7 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
-def watch(*answers: bytes | None, subscriptions: int = 1, fleet: int = 1):
+def watch(*answers: bytes | None, subscriptions: int = 1, fleet: int = 1, held: int | None = None):
     """What the watch told, the paths that it asked for, and the times between an answer and the next call."""
 
     async def run():
@@ -40,6 +41,7 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         each = discovery_watch.DiscoveryWatch(address, ListReader(("ankara-1",), ("big-box",)), fleet)
+        each.held = held
         for _ in range(subscriptions):
             each.subscribe(told.append)
         await until(lambda: len(asked) > len(answers) or (told and told[-1].failed))
@@ -84,6 +86,66 @@
         assert len(asked) == 2, "no call is repeated by itself"
 
 
+def test_a_start_goes_on_from_the_version_that_is_held():
+    """Guards discovery, which works through a fleet's calls one after another, a line at a time: of 40
+    dispatchers that asked for 60 lines each nobody got an answer in time, again and again."""
+    told, asked, _ = watch(answer(43, False, "b"), answer(44, False), held=41)
+    assert [(news.seq, news.whole, len(news.entries)) for news in told] == [(43, False, 1), (44, False, 0)]
+    assert asked[0] == f"/v1/servers?from=41&hold_ms={discovery_watch.HOLD_MS}"
+    assert [path.split("&")[0] for path in asked[1:]] == ["/v1/servers?from=43", "/v1/servers?from=44"]
+
+
+def test_version_0_is_a_version():
+    """Guards against a loop: a list of version 0, taken for none, was asked for a thousand times a second."""
+    _, asked, _ = watch(answer(0, True, "a"))
+    assert asked[1].startswith("/v1/servers?from=0&")
+
+
+def subscribe_again(*answers: bytes) -> list[str]:
+    """The paths that were asked for, subscribing again after each failure."""
+
+    async def run():
+        told, asked, left = [], [], list(answers)
+
+        async def serve(reader, writer):
+            with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+                while left:
+                    asked.append((await reader.readuntil(b"\r\n\r\n")).split()[1].decode())
+                    writer.write(left.pop(0))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        each = discovery_watch.DiscoveryWatch(address, ListReader(("ankara-1",), ("big-box",)))
+        while left:
+            each.subscribe(told.append)
+            await until(lambda: told and told[-1].failed)
+            told.clear()
+        await each.close()
+        server.close()
+        return [path.partition("&")[0] for path in asked]
+
+    return asyncio.run(run())
+
+
+def refusal(status: int) -> bytes:
+    return b"HTTP/1.1 %d X\r\nContent-Length: 0\r\n\r\n" % status
+
+
+def test_after_a_failed_call_only_what_has_changed_since_is_asked_for():
+    """Guards an overbooked service: all asked it, again and again, for the most that it can be asked for."""
+    busy = refusal(503)
+    asked = subscribe_again(answer(41, True, "a"), busy, busy, answer(42, False), busy)
+    assert asked == ["/v1/servers", *(f"/v1/servers?from={seq}" for seq in (41, 41, 41, 42))]
+
+
+@pytest.mark.parametrize("bad", [refusal(410), answer(7, False, "a")])
+def test_a_service_that_does_not_know_the_version_is_asked_for_the_whole_list(bad):
+    """Guards against an old list in force for ever, where the service has begun anew."""
+    asked = subscribe_again(answer(41, True, "a"), bad, answer(8, True, "a"), refusal(503))
+    assert asked == ["/v1/servers", "/v1/servers?from=41", "/v1/servers", "/v1/servers?from=8"]
+
+
 def test_a_call_that_hangs_is_bounded(monkeypatch):
     monkeypatch.setattr(discovery_watch, "CALL_LIMIT", 0.05)
     told, _, _ = watch(None)
