--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -22,6 +22,7 @@
 LEVEL_PRIOR, LEVEL_MEMORY = 2.0, 4.0  # reports the kind's level stands for; an own level's: the newest count
 CLASS_PRIOR = 2.0  # samples that the objective stands for as a first guess of a class's run time
 RATE_PRIOR = 8.0  # samples that the listed weight stands for: heavy-tailed run times need that many to speak
+FETCH_PRIOR = 20.0  # runs that the first guess of a fetch, half a mean job, stands for
 RATED = 2_000_000  # after which a rate is set anew for a pick: it costs CPU and changes slowly
 SHORTEST_RATIO = 0.1  # and what a worker does for at least this part: its first may be next to nothing
 LONGEST_RATIO = 10.0  # a run counts as at most so many expected ones: 4 made rates too hopeful in heavy tails
@@ -37,6 +38,7 @@
 SAMPLE = 8  # workers a pick that asks chooses among: more cost CPU, and all dispatchers would ask the same
 LARGE_FLEET = 8  # dispatchers from which own answers bring too few reports: old ones are asked for
 REPORT_OLD, PRICE_OLD = 1_000_000, 0.002  # old by then; part of the result to spend on asking
+ASK_OLD, PRICE_PICK = 400_000, 0.004  # and the same for those that a pick is about to go by
 ASK_PART = 0.1  # part of a mean job that a request waits for probes at most: what they tell is worth no more
 FIRST_UPKEEP, LAST_UPKEEP = 100_000, 500_000  # how often health and held requests are seen to: by job length
 FIRST_LIST = 100_000  # for each dispatcher of a large fleet: the time in which they ask for their first lists
@@ -85,10 +87,14 @@
         self.runs: list[Mean] = []
         self._settle(settings)
         self.work, self.width = Mean(1.0, self.runs[0].value), Mean(1.0, 1.0)  # of what arrives
-        self.runs_with, self.runs_without = Mean(MEMORY, MEMORY), Mean(MEMORY, 2 * MEMORY)
+        self.runs_with, self.runs_without = (
+            Mean(FETCH_PRIOR, FETCH_PRIOR),
+            Mean(FETCH_PRIOR, 1.5 * FETCH_PRIOR),
+        )
         self.share = Mean(MEMORY, MEMORY / settings.fleet_size)  # of all jobs out, the own
         self.levels: dict[int, Mean] = {}  # by machine kind: others' jobs over the rate, by reports
         self.sizes: dict[int, float] = {}  # by machine kind: the highest weight listed
+        self.paces: dict[int, Mean] = {}  # by machine kind: run times over the expected
         self.misses = [0.0] * len(LAGS)
         self.slowness = Mean(CLASS_PRIOR, CLASS_PRIOR)  # run times over the expected
         self.rates, self.weights = Mean(1.0, 1.0), Mean(1.0, 1.0)  # of workers that served, in mean jobs
@@ -108,7 +114,8 @@
         asks = settings.probes_allowed and settings.reports_by_probe
         spoken = settings.probes_allowed and settings.reports_inline and settings.fleet_size >= LARGE_FLEET
         self.asks = PRICE_OLD / max(settings.probe_charge, PRICE_OLD) if spoken else 0.0
-        self.probes = min(MOST_PROBES, int(PROBE_POINTS / max(settings.probe_charge, 1e-6))) if asks else 0
+        points = PROBE_POINTS if asks else PRICE_PICK if spoken else 0.0
+        self.probes = min(MOST_PROBES, int(points / max(settings.probe_charge, 1e-6)))
 
     def _changed(self, event: face.SettingsChanged, now: int) -> None:
         asked = self.settings.list_must_be_asked
@@ -177,7 +184,9 @@
             self._report(worker, face.LoadReport(held, queued, slots - held + queued), now)
 
     def _report(self, worker: Worker, load: face.LoadReport, now: int) -> None:
-        """A report restarts the estimate."""
+        """A report restarts the estimate. One of neither jobs nor free slots was not measured yet."""
+        if not (load.in_flight or load.queued) and load.free_slots == 0:
+            return
         queued, held = load.queued or 0.0, load.in_flight
         held = queued + min(worker.slots, queued) if held is None else held
         if worker.own.times:  # the right age explains most of what reports say by own jobs
@@ -204,6 +213,7 @@
         worker.ratio.add(ratio, MEMORY)
         self.rates.add(worker.most / max(worker.ratio.value, SHORTEST_RATIO))
         self.slowness.add(ratio, MEMORY)
+        self.paces.setdefault(worker.entry.machine_kind, Mean()).add(ratio, MEMORY)
         self.weights.add(worker.weight)
 
     def _set_rate(self, worker: Worker, now: int) -> None:
@@ -212,7 +222,9 @@
         worker.most = max(worker.slots / self.width.value, 1.0)
         listed = worker.most * self.weights.value / (self.rates.value * worker.weight)
         if worker.slots and not self.settings.weights_tell:
-            listed = self.slowness.value  # the list says nothing of sizes, and reports do
+            # The list tells no sizes: reports do, and runs on all of a kind tell how fast its cores are.
+            pace = self.paces.get(worker.entry.machine_kind, Mean())
+            listed = (CLASS_PRIOR * self.slowness.value + pace.total) / (CLASS_PRIOR + pace.count)
         slowness = (RATE_PRIOR * listed + ratio.total) / (RATE_PRIOR + ratio.count)
         worker.rate = worker.most / (slowness * self.work.value)
         prior = LEVEL_PRIOR * kind.value * (not worker.drawn)  # a cold one is not as full as its kind
@@ -230,7 +242,9 @@
         own, others = sum(each.load for each in every), sum(each.crowd * each.rate for each in every)
         self.share.add(own / max(own + others, 1.0), MEMORY)
         budget = COLD_SAFETY * rules.fall_multiple * rules.fall_window
-        self.lots_at, self.part = now, budget * min(self.share.value, MOST_PART / rules.fleet_size, 1.0)
+        # In a large fleet what others have out is a guess from a few old reports: only equal parts add up.
+        most = (1.0 if rules.fleet_size >= LARGE_FLEET else MOST_PART) / rules.fleet_size
+        self.lots_at, self.part = now, budget * min(self.share.value, most, 1.0)
         for worker in every:
             worker.drawn = self.random.random() if self._warmth(worker, now) < 1.0 else 0.0
 
@@ -289,26 +303,34 @@
         return rows
 
     def _ask(self, request: Request, now: int) -> bool:
-        """Where reports must be asked for, those known are old: a pick waits for a few workers' word."""
+        """Where those reports are old that the best workers are thought best by, a pick waits for their word:
+        of many estimates the least is most often one that is wrong, and all of a fleet would go by it."""
         wait = round(self.work.value * ASK_PART)
         if not self.probes or request.deadline - now < 2 * wait:
             return False
         able, near = self._able(request, self.ready, now), self.settings.zone
-        idle = now - self.settings.keepalive  # since when a connection is still open
-        cheap = [each for each in able if each.freed_at > idle and not each.sends and each.entry.zone == near]
-        request.sample = self.random.sample(cheap, min(SAMPLE // 2, len(cheap)))
-        request.sample += self.random.sample(able, min(SAMPLE, len(able)))
-        cold = [worker for worker in able if worker.drawn]
-        request.sample += self.random.sample(cold, min(SAMPLE, len(cold)))
-        rows = self._delays(request, list(dict.fromkeys(request.sample)), now)
-        request.sample = [row[-1] for row in nsmallest(SAMPLE, rows, key=itemgetter(0))]
-        request.asking = min(len(rows), self.probes)
-        for worker in request.sample[: self.probes]:
+        if self.settings.reports_inline:
+            rows = nsmallest(self.probes + 1, self._delays(request, able, now), key=itemgetter(0))
+            request.sample = [row[-1] for row in rows]
+            asked = [each for each in request.sample if now > each.reported_at + ASK_OLD][: self.probes]
+        else:
+            idle = now - self.settings.keepalive  # since when a connection is still open
+            cheap = [w for w in able if w.freed_at > idle and not w.sends and w.entry.zone == near]
+            request.sample = self.random.sample(cheap, min(SAMPLE // 2, len(cheap)))
+            request.sample += self.random.sample(able, min(SAMPLE, len(able)))
+            cold = [worker for worker in able if worker.drawn]
+            request.sample += self.random.sample(cold, min(SAMPLE, len(cold)))
+            rows = self._delays(request, list(dict.fromkeys(request.sample)), now)
+            request.sample = [row[-1] for row in nsmallest(SAMPLE, rows, key=itemgetter(0))]
+            asked = request.sample[: self.probes]
+        request.asking = len(asked)
+        for worker in asked:
             if not worker.askers:
                 self.out.append(face.Probe(worker.entry.worker))
             worker.askers.append(request)
-        self.out.append(face.StartTimer(wait, REQUEST_TIMERS + 2 * request.id + 1))
-        return bool(rows)
+        if asked:
+            self.out.append(face.StartTimer(wait, REQUEST_TIMERS + 2 * request.id + 1))
+        return bool(asked)
 
     def _pick(self, request: Request, now: int) -> Row | None:
         """argmin (E[N] + 1) / mu over the ready workers that can run the job: all, or those it has drawn."""
--- a/hazelbend/decisions/memory.py
+++ b/hazelbend/decisions/memory.py
@@ -23,6 +23,7 @@
         "means": {name: _pair(getattr(dispatcher, name)) for name in MEANS},
         "runs": [_pair(each) for each in dispatcher.runs],
         "levels": [[kind, _pair(each)] for kind, each in dispatcher.levels.items()],
+        "paces": [[kind, _pair(each)] for kind, each in dispatcher.paces.items()],
         "misses": dispatcher.misses,
         "part": dispatcher.part,
         "workers": [
@@ -46,6 +47,7 @@
         means = {name: _mean(memory["means"][name]) for name in MEANS if name in memory["means"]}
         runs = [_mean(each) for each in memory["runs"]]
         levels = {int(kind): _mean(each) for kind, each in memory["levels"]}
+        paces = {int(kind): _mean(each) for kind, each in memory.get("paces", [])}
         misses, part = [_number(each) for each in memory["misses"]], _number(memory["part"])
         named = [(_same(dispatcher, each), each) for each in memory["workers"]]
         workers = [(worker, _worker(values, now)) for worker, values in named if worker is not None]
@@ -56,6 +58,7 @@
     for name, mean in means.items():
         setattr(dispatcher, name, mean)
     dispatcher.runs, dispatcher.levels, dispatcher.misses, dispatcher.part = runs, levels, misses, part
+    dispatcher.paces = paces
     for worker, values in workers:
         for name, value in values.items():
             setattr(worker, name, value)
