--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -5,14 +5,14 @@
 """
 
 import random
-from hashlib import blake2b
 from heapq import nsmallest
 from itertools import takewhile
-from math import exp, log
+from math import exp
 from operator import attrgetter, itemgetter
 from typing import Any
 
 from hazelbend.decisions import interface as face
+from hazelbend.decisions.formulas import drained, key_rank
 from hazelbend.decisions.interface import Effect, Group, Outcome, WorkerState
 from hazelbend.decisions.records import Attempt, Mean, Request, Worker, find
 
@@ -49,17 +49,6 @@
 Row = tuple[float, float, float, Worker]  # what a pick goes by, expected delay, a mean job's run, worker
 
 
-def drained(count: int, load: float) -> float:
-    """E[(n - D)+] for a known n and D ~ Poisson(load), from E[(n - D)+] = E[(n - 1 - D)+] + P(D < n)."""
-    term = below = exp(-load)
-    total = 0.0
-    for n in range(1, count + 1):
-        total += below
-        term *= load / n
-        below += term
-    return total
-
-
 def expected_jobs(worker: Worker, now: int, rate: float) -> float:
     """E[N] in mean jobs. Own unfinished jobs are known not to have left, so they are a floor; departures fall
     on all jobs alike, and free slots let none go. What peers have sent since nears the usual level."""
@@ -69,12 +58,6 @@
     return worker.load + came + drained(worker.others, leaving)
 
 
-def key_rank(worker: int, key: int) -> float:
-    """Weighted rendezvous hashing: of rank over weight, the least comes first for a key, everywhere."""
-    digest = blake2b(b"%d %d" % (key, worker), digest_size=8).digest()
-    return -log((int.from_bytes(digest) + 1) / (2**64 + 1))
-
-
 class Dispatcher:
     def __init__(self, settings: face.Settings, seed: int) -> None:
         self.random, self.born = random.Random(seed), -1
@@ -326,7 +309,7 @@
         request.asking = len(asked)
         for worker in asked:
             if not worker.askers:
-                self.out.append(face.Probe(worker.entry.worker))
+                self._probe(worker, now)
             worker.askers.append(request)
         if asked:
             self.out.append(face.StartTimer(wait, REQUEST_TIMERS + 2 * request.id + 1))
@@ -345,8 +328,7 @@
             old = now - max(worker.reported_at, worker.asked_at) > REPORT_OLD
             if old and worker.shut_until <= now and self.may_ask >= 1:
                 self.may_ask -= 1
-                worker.asked_at = now
-                self.out.append(face.Probe(worker.entry.worker))
+                self._probe(worker, now)
 
     def _too_late(self, request: Request, choice: Row, now: int) -> bool:
         """Work that will be late makes the next late too: it waits here for a free slot, or is refused."""
@@ -382,9 +364,8 @@
         if choice and not self._too_late(request, choice, now):
             self._send(request, choice, now)
         elif not request.is_out and (not allowed or (choice and not request.job.late_worth)):
-            self._close(
-                request, now, choice
-            )  # where a late answer earns nothing, a client that tries again may
+            # Where a late answer earns nothing, a client that tries again may get one in time.
+            self._close(request, now, choice)
         elif not request.is_out:
             if request.id not in self.held:
                 # Where a late answer earns nothing, what is late is given up, and told so at once.
@@ -493,6 +474,8 @@
         for attempt in [each for request in self.requests.values() for each in request.attempts]:
             if attempt.outcome is not None or not self._silent(attempt, now):
                 continue
+            if self._is_asked(attempt, now):
+                continue
             # Where its worker speaks, it is that one connection that is silent.
             speaks = attempt.worker.heard_at > max(attempt.heard_at, attempt.sent_at)
             if not attempt.worker.backoff and not speaks:
@@ -504,6 +487,20 @@
         self._ask_silent(now)
         self._try_held(now)
 
+    def _is_asked(self, attempt: Attempt, now: int) -> bool:
+        """In a large fleet a worker that says nothing here may just be full of others' jobs, and copies of
+        all that wait there fill the next: it is asked first, and silent is who does not answer."""
+        worker = attempt.worker
+        if not self.asks or attempt.started_at or attempt.passed >= OVERTAKEN:
+            return False
+        if worker.asked_at <= max(worker.heard_at, attempt.sent_at):
+            self._probe(worker, now)
+        return now <= worker.asked_at + PAUSE
+
+    def _probe(self, worker: Worker, now: int) -> None:
+        worker.asked_at = now
+        self.out.append(face.Probe(worker.entry.worker))
+
     def _silent(self, attempt: Attempt, now: int) -> bool:
         """A worker that hangs takes jobs and says nothing: no start, no progress, no answer since a send."""
         every, worker = self.settings.progress_interval, attempt.worker
@@ -533,6 +530,8 @@
     def _probed(self, event: face.ProbeEnded, now: int) -> None:
         if not (worker := self.workers.get(event.worker)):
             return
+        if event.outcome is Outcome.SERVED:
+            worker.heard_at = now
         if event.load is not None:
             worker.round_trip = min(worker.round_trip or event.elapsed, event.elapsed)
             self._report(worker, event.load, now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -301,3 +301,39 @@
         model.probes.clear()
         model.arrive(1)
         assert len(model.probes) == asked and bool(model.sends) == (not asked)
+
+
+def waiting_long(answers: bool) -> Model:
+    """A job that has not started after 1.5 s, at one of two servers, in a large fleet."""
+    settings = dy.Settings(
+        fleet_size=40,
+        classes=(SAFE,),
+        probes_allowed=True,
+        reports_inline=True,
+        probe_charge=0.002,
+        tells_start=True,
+        second_copies_allowed=True,
+    )
+    model = Model(settings)
+    model.list_workers(dy.WorkerEntry(1), dy.WorkerEntry(2))
+    model.advance(200_000)
+    answer(model, {})
+    model.arrive(1)
+    [(_, where, _)] = model.sends
+    for _ in range(30):
+        model.advance(50_000)
+        probes, model.probes = model.probes, []
+        for worker in probes:
+            outcome = dy.Outcome.SERVED if answers or worker != where else dy.Outcome.TIMED_OUT
+            model.tell(dy.ProbeEnded(worker, outcome, 1_000))
+    return model
+
+
+def test_a_server_full_of_others_jobs_is_asked_before_it_is_held_to_be_silent():
+    """Guards an overloaded fleet: each hears of a server only by its own few jobs, so those that waited
+    made copies and shut their servers out: a fifth of all attempts, and the rest filled up as well."""
+    model = waiting_long(answers=True)
+    assert len(model.sends) == 1 and not model.dispatcher.avoided(model.now)
+    model = waiting_long(answers=False)
+    assert len(model.sends) == 2, "one that does not answer either is silent"
+    assert model.dispatcher.workers[model.sends[0][1]].backoff
