--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -14,7 +14,7 @@
 from hazelbend.decisions import interface as face
 from hazelbend.decisions.formulas import drained, key_rank
 from hazelbend.decisions.interface import Effect, Group, Outcome, WorkerState
-from hazelbend.decisions.records import Attempt, Mean, Request, Worker, find
+from hazelbend.decisions.records import Attempt, Mean, Refresh, Request, Worker, find
 
 K_MAX = 20  # the paper's truncation of a worker's job count
 LAGS = (0, 100_000, 200_000, 400_000, 800_000, 1_600_000, 3_200_000)  # ages a report may have: by doubling
@@ -78,6 +78,7 @@
         self.levels: dict[int, Mean] = {}  # by machine kind: others' jobs over the rate, by reports
         self.sizes: dict[int, float] = {}  # by machine kind: the highest weight listed
         self.paces: dict[int, Mean] = {}  # by machine kind: run times over the expected
+        self.refresh = Refresh()
         self.misses = [0.0] * len(LAGS)
         self.slowness = Mean(CLASS_PRIOR, CLASS_PRIOR)  # run times over the expected
         self.rates, self.weights = Mean(1.0, 1.0), Mean(1.0, 1.0)  # of workers that served, in mean jobs
@@ -176,8 +177,12 @@
             for index, lag in enumerate(LAGS):
                 miss = (held - worker.own.at(now - lag - worker.round_trip)) ** 2
                 self.misses[index] += (miss - self.misses[index]) / MEMORY
+        age: int | None = LAGS[self.misses.index(min(self.misses))]
+        age = self.refresh.age(worker, load, now) if self.asks else age  # own jobs are too few to explain it
         worker.reported_at = now
-        worker.counted_at = now - LAGS[self.misses.index(min(self.misses))] - worker.round_trip // 2
+        if age is None:
+            return
+        worker.counted_at = now - age - worker.round_trip // 2
         worker.others = max(round(min(held, K_MAX)) - worker.own.at(worker.counted_at), 0)
         seen = held - queued + (load.free_slots or 0.0)
         change = (seen - worker.slots) * (SLOT_RISE if seen > worker.slots else SLOT_FALL)
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -13,6 +13,7 @@
     JobClass,
     JobProgress,
     JobStarted,
+    LoadReport,
     Outcome,
     RequestId,
     StreamStarted,
@@ -20,6 +21,9 @@
 )
 
 LEAST_STEPS = 64  # kept of a count before any is forgotten
+LOOKS = 60.0  # at reports that an estimate of their refreshing rests on
+LONGEST_LOOK = 1_000_000  # apart: within more than a refresh two reports differ, and tell nothing of its time
+LONGEST_SAME = 3_200_000  # an idle server's reports may be alike and yet be new
 
 
 @dataclass(slots=True)
@@ -83,6 +87,8 @@
     most: float = 1.0  # most mean jobs that run at once
     round_trip: int = 0
     reported_at: int = 0
+    said: LoadReport | None = None  # the last report, and since when it is known
+    said_at: int = 0
     asked_at: int = 0
     freed_at: int = -(10**12)  # when an own attempt last left a connection idle
     # Health.
@@ -125,6 +131,34 @@
             del self.keys[next(iter(self.keys))]
 
 
+@dataclass(slots=True, eq=False)
+class Refresh:
+    """How old a report is when it comes, where reports are made anew now and then and are alike in between.
+
+    Of two reports of a server a time g apart the second is another with the chance g / T, T being the time
+    between two that are made: so T is the sum of such times over the number of changes. One that is seen
+    again tells nothing new. A new one was made since the last look, or within T: half of that ago on average.
+    """
+
+    changes: float = 1.0
+    looked: float = 1e6  # microseconds between the looks that they were seen in
+
+    @property
+    def period(self) -> float:
+        return self.looked / max(self.changes, 1e-3)
+
+    def age(self, worker: Worker, load: LoadReport, now: int) -> int | None:
+        """Of this report of a worker, in microseconds; None: it is the one that is known."""
+        gap, same = now - worker.reported_at, load == worker.said
+        if gap <= LONGEST_LOOK:
+            self.changes += (not same) - self.changes / LOOKS
+            self.looked += gap - self.looked / LOOKS
+        if same and now < worker.said_at + LONGEST_SAME:
+            return None
+        worker.said, worker.said_at = load, now
+        return round(min(gap, self.period) / 2)
+
+
 @dataclass(slots=True, eq=False)
 class Request:
     id: RequestId
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,7 +10,7 @@
 
 from hazelbend.decisions import interface as dy
 from hazelbend.decisions.brain import COLD_SAFETY, FIRST_LIST, MEMORY, MOST_PROBES, Dispatcher
-from hazelbend.decisions.records import Mean
+from hazelbend.decisions.records import Mean, Refresh, Worker
 
 SAFE = dy.JobClass(effect=dy.Effect.SAFE, objective=200_000, late_worth=0.5)
 ASKING = dy.Settings(classes=(SAFE,), probes_allowed=True, reports_by_probe=True, tells_start=True)
@@ -337,3 +337,38 @@
     model = waiting_long(answers=False)
     assert len(model.sends) == 2, "one that does not answer either is silent"
     assert model.dispatcher.workers[model.sends[0][1]].backoff
+
+
+@pytest.mark.parametrize("period", [400_000, 1_200_000, 2_000_000])
+def test_the_age_of_reports_is_learnt_from_how_often_they_change(period):
+    """Guards against an age fitted to own jobs, which are one in 40 here: it was anything from 0 to 3.2 s,
+    so that what others had sent since was left out, or more had left than were there."""
+    refresh, chance, errors, now = Refresh(), random.Random(1), [], 10_000_000
+    worker = Worker(dy.WorkerEntry(1), 1.0)
+    for _ in range(800):
+        now += round(chance.expovariate(1 / 500_000))
+        made_at = now - now % period
+        age = refresh.age(worker, dy.LoadReport(float(made_at // period)), now)
+        if age is not None:
+            errors.append(now - made_at - age)
+        worker.reported_at = now
+    assert refresh.period == pytest.approx(period, rel=0.5)
+    assert abs(sum(errors[100:]) / len(errors[100:])) < 0.25 * period
+
+
+def test_a_report_that_is_seen_again_does_not_restart_the_estimate():
+    """Guards a server that looked idle at its last refresh: all that asked it took that for news until the
+    next, and sent to it; 40 dispatchers made 30 jobs of one that each thought the first."""
+    model = list_three(14)
+    model.advance(200_000)
+    answer(model, {})
+    worker = model.dispatcher.workers[1]
+    since = worker.counted_at
+    model.advance(600_000)
+    model.tell(dy.ProbeEnded(1, dy.Outcome.SERVED, 1_000, dy.LoadReport(0, 0, 4)))
+    assert worker.counted_at == since, "what has come since goes on being reckoned with"
+    model.tell(dy.ProbeEnded(1, dy.Outcome.SERVED, 1_000, dy.LoadReport(3, 0, 1)))
+    assert worker.counted_at > since and worker.others == 3
+    model.advance(5_000_000)
+    model.tell(dy.ProbeEnded(1, dy.Outcome.SERVED, 1_000, dy.LoadReport(3, 0, 1)))
+    assert worker.counted_at > model.now - 2_000_000, "an idle server may say the same for long"
