Write the mean beside a guess once, and read a list's answer in one place

Read again, the change of the large fleet held some things twice: - three means that a guess stands beside for so many samples were written out (the kind's pace, a server's rate, its usual level): Mean.beside serves them; - DiscoveryWatch._get was a second step that also read the bodies of refused calls, which nobody looks at; the answer is read in _call, and a refused one is not; - the scripted discovery of the tests stood there twice, and the settings of a large fleet four times.

--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -70,10 +70,8 @@
         self.runs: list[Mean] = []
         self._settle(settings)
         self.work, self.width = Mean(1.0, self.runs[0].value), Mean(1.0, 1.0)  # of what arrives
-        self.runs_with, self.runs_without = (
-            Mean(FETCH_PRIOR, FETCH_PRIOR),
-            Mean(FETCH_PRIOR, 1.5 * FETCH_PRIOR),
-        )
+        self.runs_with = Mean(FETCH_PRIOR, FETCH_PRIOR)
+        self.runs_without = Mean(FETCH_PRIOR, 1.5 * FETCH_PRIOR)
         self.share = Mean(MEMORY, MEMORY / settings.fleet_size)  # of all jobs out, the own
         self.levels: dict[int, Mean] = {}  # by machine kind: others' jobs over the rate, by reports
         self.sizes: dict[int, float] = {}  # by machine kind: the highest weight listed
@@ -177,8 +175,8 @@
             for index, lag in enumerate(LAGS):
                 miss = (held - worker.own.at(now - lag - worker.round_trip)) ** 2
                 self.misses[index] += (miss - self.misses[index]) / MEMORY
-        age: int | None = LAGS[self.misses.index(min(self.misses))]
-        age = self.refresh.age(worker, load, now) if self.asks else age  # own jobs are too few to explain it
+        # In a large fleet own jobs are too few to explain what reports say.
+        age = self.refresh.age(worker, load, now) if self.asks else LAGS[self.misses.index(min(self.misses))]
         worker.reported_at = now
         if age is None:
             return
@@ -212,11 +210,10 @@
         if worker.slots and not self.settings.weights_tell:
             # The list tells no sizes: reports do, and runs on all of a kind tell how fast its cores are.
             pace = self.paces.get(worker.entry.machine_kind, Mean())
-            listed = (CLASS_PRIOR * self.slowness.value + pace.total) / (CLASS_PRIOR + pace.count)
-        slowness = (RATE_PRIOR * listed + ratio.total) / (RATE_PRIOR + ratio.count)
-        worker.rate = worker.most / (slowness * self.work.value)
-        prior = LEVEL_PRIOR * kind.value * (not worker.drawn)  # a cold one is not as full as its kind
-        worker.crowd = (prior + worker.level.total) / (LEVEL_PRIOR + worker.level.count)
+            listed = pace.beside(self.slowness.value, CLASS_PRIOR)
+        worker.rate = worker.most / (ratio.beside(listed, RATE_PRIOR) * self.work.value)
+        usual = kind.value * (not worker.drawn)  # a cold one is not as full as its kind
+        worker.crowd = worker.level.beside(usual, LEVEL_PRIOR)
 
     def _warmth(self, worker: Worker, now: int) -> float:
         """The least part of its capacity that a worker has by now: evenly from the stated start to full."""
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -41,6 +41,10 @@
     def value(self) -> float:
         return self.total / self.count if self.count else 0.0
 
+    def beside(self, guess: float, weight: float) -> float:
+        """The mean together with a guess that stands for so many samples, more than 0."""
+        return (weight * guess + self.total) / (weight + self.count)
+
 
 @dataclass(slots=True, eq=False)
 class Steps:
--- a/hazelbend/transport/discovery_watch.py
+++ b/hazelbend/transport/discovery_watch.py
@@ -31,9 +31,8 @@
 
     def __init__(self, address: str | None, reader: ListReader, fleet: int = 1) -> None:
         self.address, self._reader, self.fleet = address, reader, fleet
-        self.held: int | None = (
-            None  # the version of the list that is held; None: none, or of another service
-        )
+        # The version of the list that is held; None: none is, or one of another service.
+        self.held: int | None = None
         self._tell: Callable[[ServiceList], None] | None = None
         self._task: asyncio.Task[None] | None = None
 
@@ -85,24 +84,22 @@
         url, limit, held = f"http://{self.address}/v1/servers", CALL_LIMIT, self.held
         if held is not None:
             url, limit = f"{url}?from={held}&hold_ms={hold}", hold / 1e3 + HOLD_GRACE
-        async with asyncio.timeout(limit):
-            status, text = await self._get(session, url)
-        if status != 200:
-            if 400 <= status < 500:
+        text = bytearray()
+        async with (
+            asyncio.timeout(limit),
+            session.get(URL(url, encoded=True), allow_redirects=False) as response,
+        ):
+            if 400 <= response.status < 500:
                 self.held = None  # it knows nothing of that version
-            raise ValueError(f"status {status}")
-        news = self._reader.read(text)
+            if response.status != 200:
+                raise ValueError(f"status {response.status}")
+            async for part in response.content.iter_any():
+                text += part
+                if len(text) > LIST_LIMIT:
+                    raise ValueError("a list over the limit")
+        news = self._reader.read(bytes(text))
         if held is not None and news.seq < held and not news.whole:
             self.held = None  # it has started anew: what changed since cannot be told
             raise ValueError(f"changes up to {news.seq}, older than the {held} held")
         self.held = news.seq
         return news
-
-    async def _get(self, session: aiohttp.ClientSession, url: str) -> tuple[int, bytes]:
-        async with session.get(URL(url, encoded=True), allow_redirects=False) as response:
-            text = bytearray()
-            async for part in response.content.iter_any():
-                text += part
-                if len(text) > LIST_LIMIT:
-                    raise ValueError("a list over the limit")
-            return response.status, bytes(text)
--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -1,7 +1,6 @@
 """The watch on discovery, against a scripted service."""
 
 import asyncio
-import contextlib
 
 import orjson
 import pytest
@@ -16,7 +15,13 @@
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
-def watch(*answers: bytes | None, subscriptions: int = 1, fleet: int = 1, held: int | None = None):
+def watch(
+    *answers: bytes | None,
+    subscriptions: int = 1,
+    fleet: int = 1,
+    held: int | None = None,
+    again: bool = False,
+):
     """What the watch told, the paths that it asked for, and the times between an answer and the next call."""
 
     async def run():
@@ -45,6 +50,10 @@
         for _ in range(subscriptions):
             each.subscribe(told.append)
         await until(lambda: len(asked) > len(answers) or (told and told[-1].failed))
+        while again and left:
+            told.clear()
+            each.subscribe(told.append)
+            await until(lambda: told and told[-1].failed)
         await each.close()
         server.close()
         return told, asked, gaps
@@ -103,29 +112,8 @@
 
 def subscribe_again(*answers: bytes) -> list[str]:
     """The paths that were asked for, subscribing again after each failure."""
-
-    async def run():
-        told, asked, left = [], [], list(answers)
-
-        async def serve(reader, writer):
-            with contextlib.suppress(asyncio.IncompleteReadError, OSError):
-                while left:
-                    asked.append((await reader.readuntil(b"\r\n\r\n")).split()[1].decode())
-                    writer.write(left.pop(0))
-            writer.close()
-
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
-        each = discovery_watch.DiscoveryWatch(address, ListReader(("ankara-1",), ("big-box",)))
-        while left:
-            each.subscribe(told.append)
-            await until(lambda: told and told[-1].failed)
-            told.clear()
-        await each.close()
-        server.close()
-        return [path.partition("&")[0] for path in asked]
-
-    return asyncio.run(run())
+    _, asked, _ = watch(*answers, again=True)
+    return [path.partition("&")[0] for path in asked]
 
 
 def refusal(status: int) -> bytes:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -119,11 +119,20 @@
         assert sent <= 3.0 * share * rate * 1_500_000
 
 
-def list_three(fleet: int) -> Model:
-    settings = dy.Settings(
-        fleet_size=fleet, classes=(SAFE,), probes_allowed=True, reports_inline=True, probe_charge=0.002
+def spoken(fleet: int, charge: float = 0.002, **more: bool) -> dy.Settings:
+    """Reports come with answers, and a probe has its price."""
+    return dy.Settings(
+        fleet_size=fleet,
+        classes=(SAFE,),
+        probes_allowed=True,
+        reports_inline=True,
+        probe_charge=charge,
+        **more,
     )
-    model = Model(settings)
+
+
+def list_three(fleet: int) -> Model:
+    model = Model(spoken(fleet))
     model.list_workers(*(dy.WorkerEntry(worker) for worker in (1, 2, 3)))
     return model
 
@@ -271,10 +280,7 @@
 def test_the_best_are_asked_before_a_pick_goes_by_their_old_reports():
     """Guards against the least of many old estimates, which is the most wrong: servers that all of 40 thought
     nearly empty held 13 jobs on average when they were picked, three times what an average server did."""
-    settings = dy.Settings(
-        fleet_size=40, classes=(SAFE,), probes_allowed=True, reports_inline=True, probe_charge=0.002
-    )
-    model = Model(settings)
+    model = Model(spoken(40))
     model.list_workers(*(dy.WorkerEntry(worker) for worker in range(1, 9)))
     model.advance(200_000)
     answer(model, dict.fromkeys(range(3, 9), 8))
@@ -292,10 +298,7 @@
 
 def test_a_pick_asks_no_more_than_its_price_allows():
     for charge, asked in ((0.002, 2), (0.004, 1), (0.05, 0)):
-        settings = dy.Settings(
-            fleet_size=40, classes=(SAFE,), probes_allowed=True, reports_inline=True, probe_charge=charge
-        )
-        model = Model(settings)
+        model = Model(spoken(40, charge))
         model.list_workers(*(dy.WorkerEntry(worker) for worker in range(1, 9)))
         model.advance(3_000_000)
         model.probes.clear()
@@ -305,16 +308,7 @@
 
 def waiting_long(answers: bool) -> Model:
     """A job that has not started after 1.5 s, at one of two servers, in a large fleet."""
-    settings = dy.Settings(
-        fleet_size=40,
-        classes=(SAFE,),
-        probes_allowed=True,
-        reports_inline=True,
-        probe_charge=0.002,
-        tells_start=True,
-        second_copies_allowed=True,
-    )
-    model = Model(settings)
+    model = Model(spoken(40, tells_start=True, second_copies_allowed=True))
     model.list_workers(dy.WorkerEntry(1), dy.WorkerEntry(2))
     model.advance(200_000)
     answer(model, {})
