--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+import tomllib
 
 import orjson
 import pytest
@@ -188,3 +189,55 @@
         [sys.executable, "-c", code], capture_output=True, check=True, cwd=ROOT, env=environment
     )
     assert done.stdout == b"True None False\n"
+
+
+WATCHED = (
+    "import os, runpy, socket, sys\n"
+    "seen = open(sys.argv[1], 'a', buffering=1)\n"
+    "SPAWN = {'subprocess.Popen', 'os.system', 'os.fork', 'os.forkpty', 'os.exec'}\n"
+    "SPAWN |= {'os.posix_spawn', 'os.spawn'}\n"
+    "def inside_a_pair():\n"
+    "    frame = sys._getframe(2)\n"
+    "    while frame is not None and frame.f_code.co_name != 'socketpair':\n"
+    "        frame = frame.f_back\n"
+    "    return frame is not None\n"
+    "def hook(event, args):\n"
+    "    if event in SPAWN:\n"
+    "        seen.write(f'{event}\\n')\n"
+    "    elif event == 'socket.__new__' and args[1] not in (socket.AF_INET, -1) and not inside_a_pair():\n"
+    "        seen.write(f'socket of family {args[1]}\\n')\n"
+    "    elif event in ('socket.bind', 'socket.connect') and not isinstance(args[1], tuple):\n"
+    "        seen.write(f'{event} {args[1]!r}\\n')\n"
+    "def refused(*args):\n"
+    "    seen.write('copy between descriptors\\n')\n"
+    "    raise OSError(38, 'refused')\n"
+    "os.sendfile = os.splice = refused\n"
+    "sys.addaudithook(hook)\n"
+    "sys.argv[1:] = []\n"
+    "runpy.run_module('hazelbend', run_name='__main__', alter_sys=True)\n"
+)
+
+
+def test_run_keeps_to_one_process_and_to_ip_sockets(start, tmp_path):
+    """Guards the standing days, where each dispatcher runs in a filter: `run` ends by `exec` in one
+    process, which starts no other program, never forks, copies nothing between descriptors in the kernel,
+    and opens only IPv4 sockets (a Unix socket has nobody behind it there); the pair that wakes the event
+    loop has no address, and a family of -1 wraps a descriptor that was made, and seen, before."""
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    assert run.startswith("exec ") and not re.search(r"[;&|`$(]", run)
+    toy, port = free_port(), free_port()
+    conf = {
+        "listen": f"127.0.0.1:{port}",
+        "settings": SETTINGS,
+        "known": {"seq": 1, "whole": True, "hosts": [host_entry("toy", f"127.0.0.1:{toy}")]},
+    }
+    (tmp_path / "config.json").write_bytes(orjson.dumps(conf))
+    start(str(ROOT / "example/toy_server.py"), f"127.0.0.1:{toy}")
+    program = start("-c", WATCHED, str(tmp_path / "seen"), RELAY_CONFIG=str(tmp_path / "config.json"))
+    wait_for(lambda: answers(port) and answers(toy))
+    assert [ask(port)[0] for _ in range(3)] == [200] * 3
+    program.send_signal(signal.SIGHUP)
+    assert ask(port)[0] == 200
+    program.send_signal(signal.SIGTERM)
+    assert program.wait(20) == 0
+    assert (tmp_path / "seen").read_text() == ""
