Count socket calls, loop waits and bytes per job beside a bare pass-through

Change: benchmarks/counts_per_job.py wraps the socket class and the epoll selector in the process before the program loads, and counts per job, over one kept-alive connection to one toy server, the socket calls, the waits of the event loop and the bytes moved; the same for aiohttp's server handing each request to aiohttp's client.

--- /dev/null
+++ b/benchmarks/counts_per_job.py
@@ -0,0 +1,216 @@
+"""What one job costs the dispatcher in counts, beside a bare pass-through in the same run.
+
+    python -m benchmarks.counts_per_job --jobs 500
+    python -m benchmarks.counts_per_job --jobs 200 --check benchmarks/counts.json
+
+Counts, not times, so that a busy machine gives the same figures: per job, the socket calls that reach the
+kernel (`recv`, `send` and their kin), the waits of the event loop on its selector, and the bytes that the
+socket calls moved, counted in the process itself by wrapping the socket class and the selector before the
+program is loaded (the kernel's `/proc/PID/io` does not count socket calls). CPU per job is printed beside
+them and is not checked. Jobs go one after another on one kept-alive connection to one toy server that
+answers after 1 ms, after a warm-up that fills the pools.
+
+The bare pass-through is aiohttp's low-level server handing each request to aiohttp's client and its answer
+back: what any dispatcher on these libraries pays, and the floor that issue 13 measures against.
+
+`--check FILE` compares with the ceilings in FILE and exits 1 when a count goes above its ceiling; the
+ceilings are a tenth above the highest of three runs when the file was written, so that a change that adds
+a system call or a copy to every job fails.
+"""
+
+from __future__ import annotations
+
+import argparse
+import ast
+import http.client
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from benchmarks.cpu_per_job import ROOT, SETTINGS, cpu_seconds, free_port
+
+COUNTS = ("socket_calls", "waits", "bytes")
+COUNTED = """
+import os, runpy, selectors, signal, socket, sys
+counts = {"socket_calls": 0, "waits": 0, "bytes": 0}
+
+def counted(method, moved):
+    def call(self, *args, **kwargs):
+        counts["socket_calls"] += 1
+        done = method(self, *args, **kwargs)
+        counts["bytes"] += moved(done, args)
+        return done
+    return call
+
+for name, moved in (
+    ("recv", lambda done, args: len(done)),
+    ("recv_into", lambda done, args: done),
+    ("recvfrom", lambda done, args: len(done[0])),
+    ("send", lambda done, args: done),
+    ("sendto", lambda done, args: done),
+    ("sendmsg", lambda done, args: done),
+):
+    setattr(socket.socket, name, counted(getattr(socket.socket, name), moved))
+select = selectors.EpollSelector.select
+
+def waited(self, timeout=None):
+    counts["waits"] += 1
+    return select(self, timeout)
+
+selectors.EpollSelector.select = waited
+out = sys.argv.pop(1)
+
+def tell(number, frame):
+    with open(out, "w") as file:
+        file.write(repr(counts))
+
+signal.signal(signal.SIGUSR1, tell)
+if sys.argv[1:2] == ["-m"]:
+    sys.argv[:] = [sys.argv[0]]
+    runpy.run_module("hazelbend", run_name="__main__", alter_sys=True)
+else:
+    code = sys.argv.pop(1)
+    exec(compile(code, "bare", "exec"), {"__name__": "__main__"})
+"""
+BARE = """
+import sys
+import aiohttp
+from aiohttp import web
+
+async def main(listen, toy):
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0), auto_decompress=False)
+
+    async def relay(request):
+        body = await request.read()
+        async with session.post(f"http://{toy}{request.path}", data=body, headers=request.headers) as answer:
+            return web.Response(status=answer.status, body=await answer.read())
+
+    server = web.Server(relay, access_log=None)
+    runner = web.ServerRunner(server)
+    await runner.setup()
+    host, _, port = listen.partition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    await asyncio.Event().wait()
+
+import asyncio
+asyncio.run(main(sys.argv[-2], sys.argv[-1]))
+"""
+
+
+def io_counts(pid: int, out: Path) -> dict[str, int]:
+    """What the process has counted so far: it writes them to OUT on SIGUSR1."""
+    out.unlink(missing_ok=True)
+    os.kill(pid, signal.SIGUSR1)
+    end = time.monotonic() + 10
+    while not out.exists() or not out.read_text():
+        if time.monotonic() > end:
+            raise RuntimeError("the counts did not come")
+        time.sleep(0.01)
+    return dict(ast.literal_eval(out.read_text()))
+
+
+def wait_until_up(port: int) -> None:
+    end = time.monotonic() + 20
+    while time.monotonic() < end:
+        try:
+            probe = http.client.HTTPConnection("127.0.0.1", port, timeout=2)
+            probe.request("GET", "/healthz")
+            probe.getresponse().read()
+            probe.close()
+            return
+        except OSError:
+            time.sleep(0.05)
+    raise RuntimeError(f"nothing answers on port {port}")
+
+
+def jobs_in_a_row(port: int, count: int, tag: str) -> None:
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+    for number in range(count):
+        headers = {"X-Request-ID": f"{tag}-{number}", "X-Tenant-Id": "partner", "X-Timeout-Ms": "5000"}
+        connection.request("POST", f"/nearby/{number}", "1", headers)
+        answer = connection.getresponse()
+        answer.read()
+        if answer.status != 200:
+            raise RuntimeError(f"job {tag}-{number} ended {answer.status}")
+    connection.close()
+
+
+def per_job(pid: int, port: int, jobs: int, out: Path) -> dict[str, float]:
+    tag = out.name
+    jobs_in_a_row(port, 50, f"{tag}-warm")
+    before, cpu = io_counts(pid, out), cpu_seconds(pid)
+    jobs_in_a_row(port, jobs, tag)
+    after, used = io_counts(pid, out), cpu_seconds(pid) - cpu
+    row: dict[str, float] = {name: (after[name] - before[name]) / jobs for name in COUNTS}
+    return row | {"cpu_ms": round(1e3 * used / jobs, 3)}
+
+
+def measure(jobs: int) -> dict[str, dict[str, float]]:
+    """Both, against one toy server each, in this run."""
+    started: list[subprocess.Popen[bytes]] = []
+    quiet = subprocess.DEVNULL
+    try:
+        with tempfile.TemporaryDirectory() as folder:
+            toy = f"127.0.0.1:{free_port()}"
+            started.append(
+                subprocess.Popen([sys.executable, str(ROOT / "example/toy_server.py"), toy], stdout=quiet)
+            )
+            port = free_port()
+            place = {"site": "here", "class": "box", "block": 0, "health": "SERVING"}
+            conf = {"listen": f"127.0.0.1:{port}", "settings": SETTINGS}
+            conf["known"] = {"seq": 1, "whole": True, "hosts": [{"host": "toy-0", "dial": toy, **place}]}
+            Path(folder, "config.json").write_text(json.dumps(conf))
+            environment = os.environ | {
+                "RELAY_CONFIG": str(Path(folder, "config.json")),
+                "PYTHONPATH": str(ROOT),
+            }
+            environment.pop("HAZELBEND_DEPLOY", None)
+            counting = [sys.executable, "-c", COUNTED]
+            mine, theirs = Path(folder, "dispatcher"), Path(folder, "bare")
+            program = subprocess.Popen([*counting, str(mine), "-m"], env=environment, stderr=quiet)
+            started.append(program)
+            bare_port = free_port()
+            words = [*counting, str(theirs), BARE, f"127.0.0.1:{bare_port}", toy]
+            bare = subprocess.Popen(words, stderr=quiet)
+            started.append(bare)
+            for each in (int(toy.rpartition(":")[2]), port, bare_port):
+                wait_until_up(each)
+            return {
+                "dispatcher": per_job(program.pid, port, jobs, mine),
+                "bare": per_job(bare.pid, bare_port, jobs, theirs),
+            }
+    finally:
+        for each in started:
+            each.kill()
+            each.wait()
+
+
+def over_ceilings(measured: dict[str, float], ceilings: dict[str, float]) -> list[str]:
+    return [
+        f"{name} {measured[name]:.1f} > {ceilings[name]:.1f}"
+        for name in COUNTS
+        if measured[name] > ceilings[name]
+    ]
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--jobs", type=int, default=500)
+    parser.add_argument("--check", type=Path, help="a file of ceilings; exit 1 above them")
+    parser.add_argument("--write", type=Path, help="write ceilings: a tenth above the highest of three runs")
+    options = parser.parse_args()
+    rows = measure(options.jobs)
+    print(json.dumps(rows), flush=True)
+    if options.write:
+        runs = [rows["dispatcher"]] + [measure(options.jobs)["dispatcher"] for _ in range(2)]
+        ceilings = {name: round(max(run[name] for run in runs) * 1.1, 1) for name in COUNTS}
+        options.write.write_text(json.dumps(ceilings, indent=1) + "\n")
+    if options.check:
+        faults = over_ceilings(rows["dispatcher"], json.loads(options.check.read_text()))
+        print("\n".join(faults) or "within the ceilings")
+        sys.exit(1 if faults else 0)
