Let an attempt tell its own end to its flow, a turn of the event loop sooner

Change: routing/router.py: _run tells Ended itself when the attempt is over and marks the scheduling told; the done callback tells only for a task cancelled before it first ran, which never runs _run.

--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -79,6 +79,7 @@
     began_at: int
     task: asyncio.Task[Ending] | None = None
     over: bool = False
+    told: bool = False  # its end is in the flow's inbox
 
 
 @dataclass(slots=True, eq=False)
@@ -326,14 +327,24 @@
             return
         server.out += 1
         scheduling.task = asyncio.create_task(self._run(flow, number, server, wait))
-        # The end is told by the task's own end: one that is cancelled before it first runs never runs `_run`.
-        scheduling.task.add_done_callback(
-            lambda task: flow.inbox.put_nowait(
-                Ended(number, Ending(Outcome.NOT_SENT) if task.cancelled() else task.result())
-            )
-        )
+        # A task that is cancelled before it first runs never runs `_run`: its end is told by the task's own.
+        scheduling.task.add_done_callback(lambda task: self._untold(flow, number, task))
 
     async def _run(self, flow: Flow, number: int, server: RealServer, wait: int) -> Ending:
+        """The attempt tells its own end: by the task's done callback the flow would hear of it a turn of the
+        loop later, and the client would wait as long for its answer."""
+        ending = await self._attempt(flow, number, server, wait)
+        flow.schedulings[number].told = True
+        flow.inbox.put_nowait(Ended(number, ending))
+        return ending
+
+    @staticmethod
+    def _untold(flow: Flow, number: int, task: asyncio.Task[Ending]) -> None:
+        if not flow.schedulings[number].told:
+            ending = Ending(Outcome.NOT_SENT) if task.cancelled() else task.result()
+            flow.inbox.put_nowait(Ended(number, ending))
+
+    async def _attempt(self, flow: Flow, number: int, server: RealServer, wait: int) -> Ending:
         """Every way out of here is an Ending; cancelled it can only be before it begins."""
         try:
             async with asyncio.timeout(wait / 1e6):
