--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -316,9 +316,9 @@
 
 
 def test_an_attempts_end_reaches_its_flow_in_the_turn_that_it_ends():
-    """Guards CPU and time per job: told by the task's done callback, the end waited a turn of the event loop,
-    which on the standing days is CPU that the client's answer waits for. Turns counted from the take: the flow
-    starts, the attempt starts and ends in its first, and the flow answers in the next."""
+    """Guards CPU and time per job: told by the task's done callback, the end waited a turn of the event
+    loop, which on the standing days is CPU that the client's answer waits for. Turns counted from the take:
+    the flow starts, the attempt starts and ends in its first, and the flow answers in the next."""
 
     async def run():
         router = Router(Module(RequestArrived=send), Clock(), ServerTable(lambda entry: link))
