Let the edge wait for a reply set in the turn of the answer, not a shield of it

Cause: the census of callbacks a job (benchmarks/counts_per_job.py, one toy server, 200 jobs) shows shield.<locals>._inner_done_callback and _outer_done_callback once a job each: the edge awaited asyncio.shield(flow.answered), whose outer future is set only in the turn after the answer, and the handler woke a turn after that. The shield was there so that a client who leaves cancels the edge's wait and not the flow's answer; ruled out awaiting answered itself for that reason (a cancelled answer would read as closed and the module would not hear ClientGone).

Change: Flow.reply() gives a future of the caller's own that Router._answer sets in the same turn as answered; the edge awaits it and may cancel it. The waiting gate's Held keeps a shield behind the same name, as its answers come through the gate a turn later anyway.

A test in tests/test_router.py fails with a shield in reply's place and checks that a cancelled reply still lets the flow hear that its client left.

--- a/hazelbend/routing/router.py
+++ b/hazelbend/routing/router.py
@@ -96,6 +96,7 @@
     )
     client_left: bool = False
     task: asyncio.Task[None] | None = None
+    replies: list[asyncio.Future[Answer]] = field(default_factory=list)
 
     @property
     def deadline(self) -> int:
@@ -109,6 +110,16 @@
         """The client has gone: the flow is given up."""
         self.inbox.put_nowait(Left())
 
+    def reply(self) -> asyncio.Future[Answer]:
+        """The final answer in a future of the caller's own, set in the turn in which it is given (callbacks
+        of `answered` come a turn later): the caller may cancel it as its client leaves, `answered` stays."""
+        reply = asyncio.get_running_loop().create_future()
+        if self.answered.done():
+            reply.set_result(self.answered.result())
+        else:
+            self.replies.append(reply)
+        return reply
+
 
 class Router:
     def __init__(self, decider: Decider, clock: Clock, table: ServerTable) -> None:
@@ -293,6 +304,10 @@
         if flow.answered.done():
             return
         flow.answered.set_result(answer)
+        for reply in flow.replies:
+            if not reply.done():
+                reply.set_result(answer)
+        flow.replies.clear()
         if not flow.client_left:
             self.tally.answers[flow.job.class_index, answer.verdict] += 1
 
--- a/hazelbend/transport/edge.py
+++ b/hazelbend/transport/edge.py
@@ -33,6 +33,8 @@
 
     def leave(self) -> None: ...
 
+    def reply(self) -> asyncio.Future[Answer]: ...
+
 
 HttpGate: TypeAlias = Callable[[Job, MultiMapping[str]], Open]
 
@@ -134,7 +136,7 @@
         except BadRequest as error:
             return web.Response(status=400, text=f"{error}\n")
         try:
-            return to_response(await asyncio.shield(flow.answered))
+            return to_response(await flow.reply())
         except asyncio.CancelledError:
             flow.leave()  # the client closed its connection
             raise
--- a/hazelbend/waiting/gate.py
+++ b/hazelbend/waiting/gate.py
@@ -37,6 +37,10 @@
     flow: Flow | None = None
     left: bool = False
 
+    def reply(self) -> asyncio.Future[Answer]:
+        """The final answer in a future that the caller may cancel; `answered` stays whole."""
+        return asyncio.shield(self.answered)
+
     def leave(self) -> None:
         """The client has gone: what waits is cancelled, what runs is given up."""
         self.left = True
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -331,3 +331,31 @@
 
     link = FakeLink(Ending(Outcome.SERVED, b"r"))
     assert asyncio.run(run()) == 3
+
+
+def test_a_reply_comes_in_the_turn_of_the_answer_and_a_cancelled_one_leaves_the_flow_whole():
+    """Guards a turn of the event loop a job (a shield of `answered` is set a turn after it) and the one
+    answer: a front cancelled as its client leaves cancels its reply, and the flow still hears it left."""
+
+    async def run():
+        router = Router(module, Clock(), ServerTable(lambda entry: link))
+        router.begin(ServiceList((ENTRY,), whole=True))
+        served = router.take(JOB)
+        reply = served.reply()
+        while not served.answered.done():
+            await asyncio.sleep(0)
+        in_the_same_turn = reply.done()
+        link.ending = None
+        hangs = router.take(replace(JOB, id="9c"))
+        left = hangs.reply()
+        await asyncio.sleep(0)
+        left.cancel()
+        hangs.leave()
+        await asyncio.wait_for(router.drained(), 10)
+        return in_the_same_turn, reply.result(), hangs.answered.result()
+
+    module = Module(RequestArrived=send)
+    link = FakeLink(Ending(Outcome.SERVED, b"r"))
+    in_the_same_turn, answer, other = asyncio.run(run())
+    assert in_the_same_turn and answer.verdict is Verdict.SERVED
+    assert other.verdict is Verdict.FAILED and len(module.of(face.ClientGone)) == 1
