Build the benchmarks' configuration in one place, and name the counts by what they are

Need: counts_per_job.py wrote again the host entries and configuration that cpu_per_job.py builds; its reader of the counts kept the name of /proc/PID/io, which it no longer reads; and its docstring said each side had a toy server of its own, where both share one.

Change: cpu_per_job.configuration(port, dials) is used by both; io_counts is counts_of; the docstring says what is so. Nothing measured differs.

--- a/benchmarks/counts_per_job.py
+++ b/benchmarks/counts_per_job.py
@@ -32,7 +32,7 @@
 import time
 from pathlib import Path
 
-from benchmarks.cpu_per_job import ROOT, SETTINGS, cpu_seconds, free_port
+from benchmarks.cpu_per_job import ROOT, configuration, cpu_seconds, free_port
 
 COUNTS = ("socket_calls", "waits", "bytes")
 COUNTED = """
@@ -102,7 +102,7 @@
 """
 
 
-def io_counts(pid: int, out: Path) -> dict[str, int]:
+def counts_of(pid: int, out: Path) -> dict[str, int]:
     """What the process has counted so far: it writes them to OUT on SIGUSR1."""
     out.unlink(missing_ok=True)
     os.kill(pid, signal.SIGUSR1)
@@ -143,15 +143,15 @@
 def per_job(pid: int, port: int, jobs: int, out: Path) -> dict[str, float]:
     tag = out.name
     jobs_in_a_row(port, 50, f"{tag}-warm")
-    before, cpu = io_counts(pid, out), cpu_seconds(pid)
+    before, cpu = counts_of(pid, out), cpu_seconds(pid)
     jobs_in_a_row(port, jobs, tag)
-    after, used = io_counts(pid, out), cpu_seconds(pid) - cpu
+    after, used = counts_of(pid, out), cpu_seconds(pid) - cpu
     row: dict[str, float] = {name: (after[name] - before[name]) / jobs for name in COUNTS}
     return row | {"cpu_ms": round(1e3 * used / jobs, 3)}
 
 
 def measure(jobs: int) -> dict[str, dict[str, float]]:
-    """Both, against one toy server each, in this run."""
+    """Both, in this run, before the same toy server."""
     started: list[subprocess.Popen[bytes]] = []
     quiet = subprocess.DEVNULL
     try:
@@ -161,10 +161,7 @@
                 subprocess.Popen([sys.executable, str(ROOT / "example/toy_server.py"), toy], stdout=quiet)
             )
             port = free_port()
-            place = {"site": "here", "class": "box", "block": 0, "health": "SERVING"}
-            conf = {"listen": f"127.0.0.1:{port}", "settings": SETTINGS}
-            conf["known"] = {"seq": 1, "whole": True, "hosts": [{"host": "toy-0", "dial": toy, **place}]}
-            Path(folder, "config.json").write_text(json.dumps(conf))
+            Path(folder, "config.json").write_text(json.dumps(configuration(port, [toy])))
             environment = os.environ | {
                 "RELAY_CONFIG": str(Path(folder, "config.json")),
                 "PYTHONPATH": str(ROOT),
--- a/benchmarks/cpu_per_job.py
+++ b/benchmarks/cpu_per_job.py
@@ -43,6 +43,14 @@
         return int(listener.getsockname()[1])
 
 
+def configuration(port: int, dials: list[str]) -> dict[str, object]:
+    """The program on PORT before toy servers at DIALS, all in one place and kind."""
+    place = {"site": "here", "class": "box", "block": 0, "health": "SERVING"}
+    hosts = [{"host": f"toy-{number}", "dial": dial, **place} for number, dial in enumerate(dials)]
+    known = {"seq": 1, "whole": True, "hosts": hosts}
+    return {"listen": f"127.0.0.1:{port}", "settings": SETTINGS, "known": known}
+
+
 def cpu_seconds(pid: int) -> float:
     fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
@@ -103,18 +111,13 @@
     rows, started = [], []
     with tempfile.TemporaryDirectory() as folder:
         try:
-            hosts = []
-            for number in range(options.servers):
-                dial = f"127.0.0.1:{free_port()}"
+            dials = [f"127.0.0.1:{free_port()}" for _ in range(options.servers)]
+            for dial in dials:
                 command = [sys.executable, str(ROOT / "example/toy_server.py"), dial]
                 quiet = subprocess.DEVNULL
                 started.append(subprocess.Popen(command, stdout=quiet, stderr=quiet))
-                place = {"site": "here", "class": "box", "block": 0, "health": "SERVING"}
-                hosts.append({"host": f"toy-{number}", "dial": dial, **place})
             port, door = free_port(), free_port()
-            conf = {"listen": f"127.0.0.1:{port}", "ops": f"127.0.0.1:{door}", "settings": SETTINGS}
-            conf["known"] = {"seq": 1, "whole": True, "hosts": hosts}
-            conf["limits"] = {"sockets": 8192}
+            conf = configuration(port, dials) | {"ops": f"127.0.0.1:{door}", "limits": {"sockets": 8192}}
             path = Path(folder, "config.json")
             path.write_text(json.dumps(conf))
             for name, text in (deploy or {}).items():
