Learn each server's chance of failing a job, and price it by what an error loses

With each attempt's end in the log:

[1.34] class 0 n 0 on s- ERROR after 4254 us [1.37] class 0 n 0 on s- ERROR after 5399 us [1.65] class 1 n 0 on s- ERROR after 6861 us <- final, may have run [1.66], [1.68] the same server twice more

All 407 errors came from two of twelve servers (s- 311, s- 96), 4 to 11 ms after the send, from 1 s to 19 s; the ten others gave none. s- got 485 attempts where a like one, s-, got 273: its quick failures make it look empty. Lines at fault: Dispatcher._ended has no branch for ERROR, and Dispatcher._delays knows no price of one.

So a class that may be repeated finds out cheaply whether a server is well again. Only a request's first error speaks of its server: a request that fails everywhere is at fault itself. A fresh process starts anew; an upgrade passes the belief on.

--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -15,6 +15,7 @@
 from hazelbend.decisions.formulas import drained, key_rank
 from hazelbend.decisions.interface import Effect, Group, Outcome, WorkerState
 from hazelbend.decisions.records import Attempt, Mean, Refresh, Request, Worker, find
+from hazelbend.decisions.soundness import Soundness
 
 K_MAX = 20  # the paper's truncation of a worker's job count
 LAGS = (0, 100_000, 200_000, 400_000, 800_000, 1_600_000, 3_200_000)  # ages a report may have: by doubling
@@ -70,15 +71,13 @@
         self.runs: list[Mean] = []
         self._settle(settings)
         self.work, self.width = Mean(1.0, self.runs[0].value), Mean(1.0, 1.0)  # of what arrives
-        self.runs_with = Mean(FETCH_PRIOR, FETCH_PRIOR)
-        self.runs_without = Mean(FETCH_PRIOR, 1.5 * FETCH_PRIOR)
+        self.runs_with, self.runs_without = (Mean(FETCH_PRIOR, FETCH_PRIOR * part) for part in (1.0, 1.5))
         self.share = Mean(MEMORY, MEMORY / settings.fleet_size)  # of all jobs out, the own
         self.levels: dict[int, Mean] = {}  # by machine kind: others' jobs over the rate, by reports
         self.sizes: dict[int, float] = {}  # by machine kind: the highest weight listed
         self.paces: dict[int, Mean] = {}  # by machine kind: run times over the expected
-        self.refresh = Refresh()
-        self.misses = [0.0] * len(LAGS)
-        self.slowness = Mean(CLASS_PRIOR, CLASS_PRIOR)  # run times over the expected
+        self.refresh, self.misses = Refresh(), [0.0] * len(LAGS)
+        self.slowness, self.erring = Mean(CLASS_PRIOR, CLASS_PRIOR), Mean()  # run times; times to an error
         self.rates, self.weights = Mean(1.0, 1.0), Mean(1.0, 1.0)  # of workers that served, in mean jobs
         self.out: list[face.Action] = []
         self.handlers: dict[type, Any] = {
@@ -91,8 +90,8 @@
     def _settle(self, settings: face.Settings) -> None:
         """Go by these settings; what was learnt of a class stays with its place."""
         self.settings = settings
-        for job in settings.classes[len(self.runs) :]:
-            self.runs.append(Mean(CLASS_PRIOR, CLASS_PRIOR * max(job.objective, 1)))
+        new = settings.classes[len(self.runs) :]
+        self.runs += [Mean(CLASS_PRIOR, CLASS_PRIOR * max(job.objective, 1)) for job in new]
         asks = settings.probes_allowed and settings.reports_by_probe
         spoken = settings.probes_allowed and settings.reports_inline and settings.fleet_size >= LARGE_FLEET
         self.asks = PRICE_OLD / max(settings.probe_charge, PRICE_OLD) if spoken else 0.0
@@ -148,7 +147,7 @@
         if (worker := self.workers.get(entry.worker)) is None:
             worker = self.workers[entry.worker] = Worker(entry, 0.0, counted_at=now)
         elif entry.started_at > worker.entry.started_at:  # a fresh process: nothing runs there
-            worker.others, worker.counted_at, worker.keys = 0, now, {}
+            worker.others, worker.counted_at, worker.keys, worker.soundness = 0, now, {}, Soundness()
             self._trust(worker, now)
         worker.entry, worker.weight = entry, max(entry.weight, 1e-6)
         worker.drawn = float(self._warmth(worker, now) < 1.0)
@@ -273,10 +272,14 @@
         worth = (job.objective + job.stretch * request.work) * (1 + job.late_worth)  # about over what is lost
         order = self._order(request, workers) if request.key else {}
         fetch = max(self.runs_without.value - self.runs_with.value, 0.0) * self.work.value
+        last = job.effect is Effect.UNSAFE or len(request.attempts) + 1 >= self.settings.max_attempts
         for worker in workers:
             if now > worker.rated_at + RATED:
                 self._set_rate(worker, now)
-            rate, extra = worker.rate, self._charge(worker, now) * worth
+            # An error loses what can't be tried again; else it takes its time, over and over.
+            risk = worker.soundness.risk(now)
+            lost = risk * worth if last else risk / (1 - risk) * self.erring.value
+            rate, extra = worker.rate, self._charge(worker, now) * worth + lost
             if worker.drawn:
                 rate *= self._warmth(worker, now)
                 if not self._in_budget(worker, request.cost, rate, now):
@@ -301,11 +304,9 @@
         else:
             idle = now - self.settings.keepalive  # since when a connection is still open
             cheap = [w for w in able if w.freed_at > idle and not w.sends and w.entry.zone == near]
-            request.sample = self.random.sample(cheap, min(SAMPLE // 2, len(cheap)))
-            request.sample += self.random.sample(able, min(SAMPLE, len(able)))
-            cold = [worker for worker in able if worker.drawn]
-            request.sample += self.random.sample(cold, min(SAMPLE, len(cold)))
-            rows = self._delays(request, list(dict.fromkeys(request.sample)), now)
+            of = ((cheap, SAMPLE // 2), (able, SAMPLE), ([worker for worker in able if worker.drawn], SAMPLE))
+            drawn = [each for some, most in of for each in self.random.sample(some, min(most, len(some)))]
+            rows = self._delays(request, list(dict.fromkeys(drawn)), now)
             request.sample = [row[-1] for row in nsmallest(SAMPLE, rows, key=itemgetter(0))]
             asked = request.sample[: self.probes]
         request.asking = len(asked)
@@ -399,7 +400,12 @@
         worker.drop(attempt, now, LAGS[-1] + worker.round_trip)
         if event.load is not None:
             self._report(worker, event.load, now)
-        if event.outcome is Outcome.SERVED:
+        if event.outcome is Outcome.ERROR:
+            self.erring.add(now - attempt.sent_at, MEMORY)
+            if all(each.outcome is not Outcome.ERROR for each in request.attempts if each is not attempt):
+                worker.soundness.see(True, now)  # a request that fails everywhere says nothing of them
+        elif event.outcome is Outcome.SERVED:
+            worker.soundness.see(False, now)
             self._trust(worker, now)
             self._learn(attempt, now)
             self._try_held(now, worker)
@@ -408,12 +414,11 @@
         elif event.outcome is Outcome.FULL:  # as good as a report that it holds all that are counted
             self._trust(worker, now)
             worker.others, worker.counted_at = max(K_MAX - len(worker.sends), 0), now
-        elif event.outcome is Outcome.RESET and not event.stale:
-            worker.resets += 1  # one may be the connection's own; a process that died fails the next as well
+        elif event.outcome in (Outcome.RESET, Outcome.CONNECT_FAILED) and not event.stale:
+            # A reset may be the connection's own; a process that died fails the next as well.
+            worker.resets += 1 if event.outcome is Outcome.RESET else 1 + RESETS
             if worker.resets > RESETS or worker.backoff:
                 self._suspect(worker, now)
-        elif event.outcome is Outcome.CONNECT_FAILED and not event.stale:
-            self._suspect(worker, now)
         if event.closed or request.closed:
             self._finish(request)
         elif not request.is_out:
@@ -474,9 +479,7 @@
         pause = round(min(max(self.work.value / 2, FIRST_UPKEEP), LAST_UPKEEP))
         self.out.append(face.StartTimer(pause, UPKEEP_TIMER))
         for attempt in [each for request in self.requests.values() for each in request.attempts]:
-            if attempt.outcome is not None or not self._silent(attempt, now):
-                continue
-            if self._is_asked(attempt, now):
+            if attempt.outcome is not None or not self._silent(attempt, now) or self._is_asked(attempt, now):
                 continue
             # Where its worker speaks, it is that one connection that is silent.
             speaks = attempt.worker.heard_at > max(attempt.heard_at, attempt.sent_at)
--- a/hazelbend/decisions/memory.py
+++ b/hazelbend/decisions/memory.py
@@ -11,10 +11,12 @@
 
 from hazelbend.decisions.brain import K_MAX, LAST_BACKOFF, Dispatcher, expected_jobs
 from hazelbend.decisions.records import Mean, Worker
+from hazelbend.decisions.soundness import Soundness
 
-MEANS = ("work", "width", "runs_with", "runs_without", "share", "rates", "weights", "slowness")
+MEANS = ("work", "width", "runs_with", "runs_without", "share", "rates", "weights", "slowness", "erring")
 WORKER_MEANS = ("level", "ratio")
 WORKER_NUMBERS = ("slots", "crowd", "rate", "most")
+SOUNDNESS = ("failing", "errors", "served", "seen_at")
 WORKER_TIMES = ("rated_at", "heard_at", "shut_until", "backoff", "resets", "round_trip")
 
 
@@ -35,6 +37,7 @@
                 "spent": list(each.spent),
                 **{name: _pair(getattr(each, name)) for name in WORKER_MEANS},
                 **{name: getattr(each, name) for name in WORKER_NUMBERS + WORKER_TIMES},
+                "soundness": [getattr(each.soundness, name) for name in SOUNDNESS],
             }
             for number, each in dispatcher.workers.items()
         ],
@@ -80,11 +83,22 @@
     found["shut_until"] = min(found["shut_until"], now + 2 * LAST_BACKOFF)
     found["backoff"] = min(found["backoff"], LAST_BACKOFF)
     found |= {"others": int(_number(values["others"])), "counted_at": now}
+    found["soundness"] = _soundness(values.get("soundness"), now)
     found["keys"] = {int(_number(key)): None for key in values["keys"]}
     found["spent"] = deque((int(_number(at)), _number(cost)) for at, cost in values["spent"])
     return found
 
 
+def _soundness(value: Any, now: int) -> Soundness:
+    """An earlier version of the program passes none on."""
+    if value is None:
+        return Soundness()
+    failing, errors, served, seen_at = (_number(each) for each in value)
+    if failing > 1:
+        raise ValueError("a chance above one")
+    return Soundness(failing, errors, served, min(int(seen_at), now))
+
+
 def _pair(mean: Mean) -> tuple[float, float]:
     return mean.count, mean.total
 
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -19,6 +19,7 @@
     StreamStarted,
     WorkerEntry,
 )
+from hazelbend.decisions.soundness import Soundness
 
 LEAST_STEPS = 64  # kept of a count before any is forgotten
 LOOKS = 60.0  # at reports that an estimate of their refreshing rests on
@@ -100,6 +101,7 @@
     shut_until: int = 0
     backoff: int = 0
     resets: int = 0  # connections that broke since it was last heard of
+    soundness: Soundness = field(default_factory=Soundness)  # by errors and successes of own jobs
     # Cold start, keys, probes.
     spent: deque[tuple[int, float]] = field(default_factory=deque)  # sends to a cold worker: time, mean jobs
     drawn: float = 0.0  # the lot for this window while it is cold; 0: it is warm
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -43,6 +43,7 @@
                 event = face.AttemptEnded(number, action.worker, 0, outcome, load=loads[action.worker])
                 dispatcher.handle(event, now + 40_000)
     dispatcher._suspect(dispatcher.workers[2], now)
+    dispatcher.workers[2].soundness.see(True, now)
     dispatcher.handle(face.RequestArrived(1_000, 5_000_000), 4_100_000)
     return dispatcher
 
@@ -61,6 +62,7 @@
     assert held[3]
     for number, worker in new.workers.items():
         assert worker.rate == old.workers[number].rate and not worker.sends
+        assert worker.soundness.risk(now) == old.workers[number].soundness.risk(now)
         assert worker.others >= bool(held[number]), "the old one's jobs run there still"
     [sent] = [
         each for each in new.handle(face.RequestArrived(1, 5_000_000), now) if isinstance(each, face.Send)
