Say what the program makes of a site's settings, and ask only servers whose report is old

A new operator can't see what is made of their settings: an unknown word falls back in silence (membership_mode "pull" is read as push), and what nobody reads is skipped.

Line at fault: Dispatcher._ask asks the best of its sample whatever the age of their reports.

The table of settings notes which keys its readers ask for, so what is not used is no list that goes stale.

--- /dev/null
+++ b/benchmarks/deployments.py
@@ -0,0 +1,53 @@
+"""Deployments of every sort, as many as there is time for: `python -m benchmarks.deployments --examples 500`.
+
+tests/test_deployments.py plays a few dozen, the same ones each time. Here they are drawn anew from a seed;
+the first that breaks a rule is printed with what it takes to play it again, and the run ends with status 1.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import logging
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+from hypothesis import HealthCheck, Phase, given, seed, settings
+
+sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
+
+from deployment_kit import deployments, play, summary  # noqa: E402
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
+    parser.add_argument("--examples", type=int, default=200)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--jobs", type=int, default=60, help="of each deployment")
+    options = parser.parse_args()
+    logging.disable(logging.CRITICAL)
+    statuses, began = Counter[int](), time.monotonic()
+
+    @seed(options.seed)
+    @settings(
+        max_examples=options.examples,
+        deadline=None,
+        database=None,
+        phases=(Phase.generate,),
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(deployments())
+    def one(conf: dict[str, object]) -> None:
+        statuses.update(summary(asyncio.run(play(conf, options.seed, options.jobs))))
+
+    one()
+    print(f"{options.examples} deployments in {time.monotonic() - began:.0f} s, the rules kept on all")
+    for status, count in sorted(statuses.items()):
+        print(f"{status}: {count / sum(statuses.values()):.1%}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hazelbend/cli/main.py
+++ b/hazelbend/cli/main.py
@@ -31,3 +31,16 @@
     from hazelbend.cli.resolve import run
 
     raise SystemExit(run(name, nameserver, timeout, as_json))
+
+
+@main.command()
+@click.argument("config", type=click.Path(dir_okay=False))
+@click.option("--json", "as_json", is_flag=True, help="One JSON object instead of a page.")
+def check(config: str, as_json: bool) -> None:
+    """What the program makes of the settings in CONFIG, and of our files under deploy/. Nothing is opened.
+
+    Ends with status 0 if all is understood, 1 if it would start but doubts some settings, 2 if it would not.
+    """
+    from hazelbend.cli.check import run
+
+    raise SystemExit(run(config, as_json))
--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -166,8 +166,8 @@
             return
         queued, held = load.queued or 0.0, load.in_flight
         held = queued + min(worker.slots, queued) if held is None else held
-        # In a large fleet own jobs are too few to explain what reports say.
-        age = self.refresh.age(worker, load, now) if self.asks else self.lag.age(worker, held, now)
+        age, lag = self.refresh.age(worker, load, now), self.lag.age(worker, held, now)
+        age = age if self.asks else lag  # in a large fleet own jobs are too few to explain what reports say
         worker.reported_at = now
         if age is None:
             return
@@ -298,7 +298,8 @@
             drawn = [each for some, most in of for each in self.random.sample(some, min(most, len(some)))]
             rows = self._delays(request, list(dict.fromkeys(drawn)), now)
             request.sample = [row[-1] for row in nsmallest(SAMPLE, rows, key=itemgetter(0))]
-            asked = request.sample[: self.probes]
+            fresh = now - self.refresh.period / 2  # who answered since would hardly say anything else
+            asked = [each for each in request.sample[: self.probes] if each.reported_at < fresh]
         request.asking = len(asked)
         for worker in asked:
             if not worker.askers:
--- a/hazelbend/decisions/settings.py
+++ b/hazelbend/decisions/settings.py
@@ -43,12 +43,12 @@
     return default
 
 
-_EFFECTS = {
+EFFECTS = {
     "read_like": face.Effect.SAFE,
     "idempotency_key": face.Effect.KEYED,
     "non_idempotent": face.Effect.UNSAFE,
 }
-_GROUPS = {"all": face.Group.ALL, "zone": face.Group.ZONE, "cell": face.Group.CELL}
+GROUPS = {"all": face.Group.ALL, "zone": face.Group.ZONE, "cell": face.Group.CELL}
 
 
 def _job_class(lane: dict[str, Any], index: int, domain: dict[str, Any]) -> face.JobClass:
@@ -59,8 +59,8 @@
         stretch=stretch,
         worth=_number(lane, "worth", base.worth),
         late_worth=_number(lane, "late_worth", base.late_worth),
-        effect=_EFFECTS.get(str(lane.get("semantics")), base.effect),
-        group=_GROUPS.get(str(lane.get("group", "all")), face.Group.CELL),
+        effect=EFFECTS.get(str(lane.get("semantics")), base.effect),
+        group=GROUPS.get(str(lane.get("group", "all")), face.Group.CELL),
         repeat_window=_whole(lane, "repeat_window_us", base.repeat_window),
         machine_kind=int(_at(domain.get("class_kind"), index, base.machine_kind)),
     )
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -10,6 +10,8 @@
 from dataclasses import fields, replace
 from typing import TYPE_CHECKING, Any, Protocol
 
+import orjson
+
 from hazelbend.decisions.brain import Dispatcher
 from hazelbend.decisions.memory import recall, remember
 from hazelbend.program import config
@@ -186,6 +188,14 @@
         if self.handover is not None:
             await self.handover.listen()
         log.info("%s: listening on %s:%d", self.conf.name, self.conf.listen[0], self.edge.port)
+        self._tell_understanding()
+
+    def _tell_understanding(self) -> None:
+        """What the settings were taken for, in one line that a program can read too."""
+        if (said := self.conf.understanding) is not None:
+            log.info("understood %s", orjson.dumps(said.plain()).decode())
+            for key, text in said.doubts:
+                log.warning("settings: %s: %s", key, text)
 
     def _begin(self, state: State | None) -> None:
         """From the configuration; or from where the process before this one stands."""
@@ -323,7 +333,8 @@
         """Take over all that differs and can change in a running program: here and nowhere else."""
         old, kept = self.conf, config.fixed(self.conf, conf)
         self.conf = conf = replace(conf, **{name: getattr(old, name) for name in kept})
-        changed = [each.name for each in fields(conf) if getattr(conf, each.name) != getattr(old, each.name)]
+        told = (each.name for each in fields(conf) if each.name != "understanding")
+        changed = [name for name in told if getattr(conf, name) != getattr(old, name)]
         if _link_settings(conf) != _link_settings(old):
             self.pool.change(_link_settings(conf))
         self.edge.catalogue = conf.catalogue
@@ -334,6 +345,7 @@
                 self.stomp.change(conf.catalogue)
         if conf.settings != old.settings:
             self.router.change_settings(conf.settings)
+            self._tell_understanding()
             self.watch.fleet = conf.settings.fleet_size
         if (conf.discovery, conf.reader) != (old.discovery, old.reader):
             self.watch.move(conf.discovery, conf.reader)
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -20,6 +20,7 @@
 
 from hazelbend.decisions.interface import Effect, Settings
 from hazelbend.decisions.settings import SettingsError, report_fields, settings_from
+from hazelbend.program.understanding import Noted, Understanding, understand
 from hazelbend.protocol.discovery import ListReader
 from hazelbend.protocol.http_fields import Catalogue, ClassRow
 from hazelbend.protocol.worker_lines import LoadFields
@@ -70,6 +71,7 @@
     console: Path | None = None
     srv: SrvSettings | None = None
     waiting: WaitingSettings | None = None
+    understanding: Understanding | None = None  # what the settings were taken for
 
 
 class Keys:
@@ -173,6 +175,8 @@
 
 def from_object(conf: dict[str, Any]) -> Config:
     """The platform's object. Keys that are not known are skipped: new ones may appear."""
+    if isinstance(conf.get("settings"), dict):
+        conf = conf | {"settings": Noted(conf["settings"])}
     keys = Keys(conf, "")
     if discovery := keys.get("discovery", str, ""):
         keys.parse_address("discovery", discovery)
@@ -206,6 +210,8 @@
     except ValueError as error:
         raise ConfigError(f"known: {error}") from None
     limits = raw.sub("limits")
+    connect_timeout = limits.number("connect_timeout_us", 250_000, 1_000, 60_000_000) / 1e6
+    keepalive = limits.number("keepalive_us", 60_000_000, 100_000, 3_600_000_000) / 1e6
     return Config(
         name=keys.get("name", str, "hazelbend"),
         listen=keys.address("listen"),
@@ -217,9 +223,10 @@
         catalogue=Catalogue(classes, tenants),
         reader=reader,
         load_fields=LoadFields(names),
-        connect_timeout=limits.number("connect_timeout_us", 250_000, 1_000, 60_000_000) / 1e6,
-        keepalive=limits.number("keepalive_us", 60_000_000, 100_000, 3_600_000_000) / 1e6,
+        connect_timeout=connect_timeout,
+        keepalive=keepalive,
         ops=keys.address("ops") if keys.get("ops", str, "") else None,
+        understanding=understand(table, settings),
     )
 
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -141,8 +141,25 @@
     loads = {each: dy.LoadReport(count, max(count - 2, 0), max(2 - count, 0)) for each, count in held.items()}
     for worker, load in loads.items():
         model.dispatcher._report(model.dispatcher.workers[worker], load, model.now)
+    model.advance(1_000_000)
     model.arrive(1)
     assert model.probes
     for worker in list(model.probes):
         model.tell(dy.ProbeEnded(worker, dy.Outcome.SERVED, 1_000, loads[worker]))
     assert [held[worker] for worker in workers_of(model)] == [0]
+
+
+def test_who_has_just_told_its_load_is_not_asked_again():
+    """Guards probes that tell nothing: servers make reports anew now and then, and a job waits for each."""
+    model = Model(dy.Settings(classes=(SAFE,), probes_allowed=True, reports_by_probe=True))
+    model.list_workers(dy.WorkerEntry(1), dy.WorkerEntry(2))
+    asked = []
+    for request, pause in enumerate((0, 50_000, 1_000_000)):
+        model.advance(pause)
+        model.probes.clear()
+        model.arrive(request)
+        asked.append(len(model.probes))
+        for worker in list(model.probes):
+            model.tell(dy.ProbeEnded(worker, dy.Outcome.SERVED, 1_000, dy.LoadReport(request / 9, 0.0, 4.0)))
+    assert asked == [2, 0, 2]
+    assert len(model.sends) == 3, "without asking it is sent at once"
