--- a/example/send_job.py
+++ b/example/send_job.py
@@ -10,14 +10,15 @@
     parser = argparse.ArgumentParser(description="Send one job; print the status and the result.")
     parser.add_argument("address", help="the dispatcher's address:port")
     parser.add_argument("body", nargs="*", help="what the toy server is to do")
+    parser.add_argument("--job-class", default="nearby", help="one that the dispatcher's settings name")
     options = parser.parse_args()
     connection = http.client.HTTPConnection(options.address, timeout=10)
     headers = {
         "X-Request-ID": secrets.token_hex(8),
-        "X-Priority-Class": "nearby",
+        "X-Priority-Class": options.job_class,
         "X-Tenant-Id": "ege-volt",
         "X-Timeout-Ms": "5000",
     }
-    connection.request("POST", "/nearby/kadikoy", " ".join(options.body), headers)
+    connection.request("POST", f"/{options.job_class}/kadikoy", " ".join(options.body), headers)
     response = connection.getresponse()
     print(response.status, response.read().decode())
