--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -166,8 +166,8 @@
             return
         queued, held = load.queued or 0.0, load.in_flight
         held = queued + min(worker.slots, queued) if held is None else held
-        age, lag = self.refresh.age(worker, load, now), self.lag.age(worker, held, now)
-        age = age if self.asks else lag  # in a large fleet own jobs are too few to explain what reports say
+        refreshed = self.refresh.age(worker, load, now)  # in a large fleet own jobs explain too little
+        age = refreshed if self.asks else self.lag.age(worker, held, now)
         worker.reported_at = now
         if age is None:
             return
@@ -326,7 +326,8 @@
     def _too_late(self, request: Request, choice: Row, now: int) -> bool:
         """Work that will be late makes the next late too: it waits here for a free slot, or is refused."""
         _, delay, run, worker = choice
-        return delay - run > max(self._room(request, choice, request.aim - now), 0.0) and worker.slots > 0
+        waits = delay > run and worker.slots > 0
+        return waits and delay - run > self._room(request, choice, request.aim - now)
 
     def _room(self, request: Request, choice: Row, left: float) -> float:
         """The longest wait there that lets it be in time; the less it is worth for its work beside a dearer
@@ -419,11 +420,12 @@
         elif event.outcome is Outcome.FULL:  # as good as a report that it holds all that are counted
             self._trust(worker, now)
             worker.others, worker.counted_at = max(K_MAX - len(worker.sends), 0), now
-        elif event.outcome in (Outcome.RESET, Outcome.CONNECT_FAILED) and not event.stale:
-            # A reset may be the connection's own; a process that died fails the next as well.
-            worker.resets += 1 if event.outcome is Outcome.RESET else 1 + RESETS
+        elif event.outcome is Outcome.RESET and not event.stale:
+            worker.resets += 1  # one may be the connection's own; a process that died fails the next as well
             if worker.resets > RESETS or worker.backoff:
                 self._suspect(worker, now)
+        elif event.outcome is Outcome.CONNECT_FAILED and not event.stale:
+            self._suspect(worker, now)
         if event.closed or request.closed:
             self._finish(request)
         elif not request.is_out:
@@ -448,11 +450,10 @@
 
     def _retry_after(self, request: Request, choice: Row | None, now: int) -> int:
         """When one more try may be taken: the best wait has drained, or a worker gets its trial."""
-        mean, job = self.work.value, request.job
         if choice is None:
             trials = [worker.shut_until - now for worker in self.ready if worker.shut_until > now]
-            return round(max(min(trials, default=mean), self.settings.tick))
-        room = self._room(request, choice, job.objective + job.stretch * request.work)
+            return round(max(min(trials, default=self.work.value), self.settings.tick))
+        room = self._room(request, choice, request.job.objective + request.job.stretch * request.work)
         return round(max(choice[1] - choice[2] - max(room, 0.0), self.settings.tick))
 
     def _gone(self, event: face.ClientGone, now: int) -> None:
--- a/hazelbend/decisions/memory.py
+++ b/hazelbend/decisions/memory.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import astuple
 from math import isfinite
 from typing import Any
 
@@ -16,7 +17,6 @@
 MEANS = ("work", "width", "runs_with", "runs_without", "share", "rates", "weights", "slowness", "erring")
 WORKER_MEANS = ("level", "ratio")
 WORKER_NUMBERS = ("slots", "crowd", "rate", "most")
-SOUNDNESS = ("failing", "errors", "served", "seen_at")
 WORKER_TIMES = ("rated_at", "heard_at", "shut_until", "backoff", "resets", "round_trip")
 
 
@@ -37,7 +37,7 @@
                 "spent": list(each.spent),
                 **{name: _pair(getattr(each, name)) for name in WORKER_MEANS},
                 **{name: getattr(each, name) for name in WORKER_NUMBERS + WORKER_TIMES},
-                "soundness": [getattr(each.soundness, name) for name in SOUNDNESS],
+                "soundness": astuple(each.soundness),
             }
             for number, each in dispatcher.workers.items()
         ],
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -208,7 +208,7 @@
 
     @property
     def is_out(self) -> bool:
-        return any(attempt.outcome is None for attempt in self.attempts)
+        return bool(self.still_out)
 
 
 @dataclass(slots=True, eq=False)
--- a/hazelbend/decisions/settings.py
+++ b/hazelbend/decisions/settings.py
@@ -22,14 +22,14 @@
     return int(_number(table, key, default))
 
 
-def _table(table: dict[str, Any], key: str) -> dict[str, Any]:
+def table_in(table: dict[str, Any], key: str) -> dict[str, Any]:
     value = table.get(key, {})
     if not isinstance(value, dict):
         raise SettingsError(f"settings: {key!r} is no object")
     return value
 
 
-def _rows(table: dict[str, Any], key: str) -> list[dict[str, Any]]:
+def rows_in(table: dict[str, Any], key: str) -> list[dict[str, Any]]:
     value = table.get(key, [])
     if not isinstance(value, list) or not all(isinstance(row, dict) for row in value):
         raise SettingsError(f"settings: {key!r} is no list of objects")
@@ -70,9 +70,9 @@
     if not isinstance(conf, dict):
         raise SettingsError("settings: no JSON object")
     base = face.Settings()
-    limits, rules, domain = _table(conf, "limits"), _table(conf, "rules"), _table(conf, "domain")
-    charges, report = _table(conf, "charges"), _table(conf, "report")
-    classes = tuple(_job_class(lane, i, domain) for i, lane in enumerate(_rows(conf, "lanes")))
+    limits, rules, domain = table_in(conf, "limits"), table_in(conf, "rules"), table_in(conf, "domain")
+    charges, report = table_in(conf, "charges"), table_in(conf, "report")
+    classes = tuple(_job_class(lane, i, domain) for i, lane in enumerate(rows_in(conf, "lanes")))
     return face.Settings(
         fleet_size=max(1, _whole(conf, "fleet_size", base.fleet_size)),
         zone=_whole(conf, "my_zone", base.zone),
@@ -105,6 +105,6 @@
 def report_fields(conf: dict[str, Any]) -> dict[str, str]:
     """Which field of a LoadReport each name stands for that the settings may give to a report's values."""
     fields = {"outstanding": "in_flight", "backlog": "queued"}
-    if "free slots" in str(_table(conf, "domain").get("report_x0", "")):
+    if "free slots" in str(table_in(conf, "domain").get("report_x0", "")):
         fields["x0"] = "free_slots"
     return fields
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -192,10 +192,10 @@
 
     def _tell_understanding(self) -> None:
         """What the settings were taken for, in one line that a program can read too."""
-        if (said := self.conf.understanding) is not None:
-            log.info("understood %s", orjson.dumps(said.plain()).decode())
-            for key, text in said.doubts:
-                log.warning("settings: %s: %s", key, text)
+        said = self.conf.understanding
+        log.info("understood %s", orjson.dumps(said.plain()).decode())
+        for key, text in said.doubts:
+            log.warning("settings: %s: %s", key, text)
 
     def _begin(self, state: State | None) -> None:
         """From the configuration; or from where the process before this one stands."""
@@ -333,8 +333,8 @@
         """Take over all that differs and can change in a running program: here and nowhere else."""
         old, kept = self.conf, config.fixed(self.conf, conf)
         self.conf = conf = replace(conf, **{name: getattr(old, name) for name in kept})
-        told = (each.name for each in fields(conf) if each.name != "understanding")
-        changed = [name for name in told if getattr(conf, name) != getattr(old, name)]
+        names = (each.name for each in fields(conf) if each.compare)
+        changed = [name for name in names if getattr(conf, name) != getattr(old, name)]
         if _link_settings(conf) != _link_settings(old):
             self.pool.change(_link_settings(conf))
         self.edge.catalogue = conf.catalogue
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -11,7 +11,7 @@
 import tomllib
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -63,6 +63,7 @@
     load_fields: LoadFields
     connect_timeout: float  # seconds
     keepalive: float  # seconds
+    understanding: Understanding = field(compare=False)  # of the settings, for people
     ops: tuple[str, int] | None = None  # the operators' door
     passed_socket: int | None = None  # descriptor of the clients' listener, which the platform holds
     handover: Path | None = None  # where the next process finds this one, in an upgrade
@@ -71,7 +72,6 @@
     console: Path | None = None
     srv: SrvSettings | None = None
     waiting: WaitingSettings | None = None
-    understanding: Understanding | None = None  # what the settings were taken for
 
 
 class Keys:
