Count others' usual jobs by a server's size, so that no guess fills an idle server

Cause: Dispatcher._report kept others' jobs as others / worker.rate, and the rate of a first report is a guess (a run as long as the objective). Followed in a trace of a lone server (objective 2 s, runs of 2 ms, one job in each report): crowd * rate 1.0 after the first job, 25.9 after the second, 26.6 after the third. test_drain's "stop crosses start" was refused six of six times after 2.2 idle seconds. Ruled out: the age of reports (the report was right, the level was not) and departures (nothing had been there). Levels that an earlier version hands over are of another unit and not taken.

--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -25,7 +25,6 @@
 FETCH_PRIOR = 20.0  # runs that the first guess of a fetch, half a mean job, stands for
 RATED = 2_000_000  # after which a rate is set anew for a pick: it costs CPU and changes slowly
 SHORTEST_RATIO, LONGEST_RATIO = 0.1, 10.0  # of an expected run: 4 made rates too hopeful in heavy tails
-SLOT_RISE, SLOT_FALL = 0.3, 0.02  # most jobs running at once is a high-water mark, less the reports' noise
 PAUSE = 300_000  # a worker may stand still so long (collector, page fault) and yet be well
 OVERTAKEN, SILENCE = 3, 3.0  # later jobs that start before one, expected delays without a sign: it is lost
 RESETS = 1  # connections that may break in a row, with no sign in between, ere their worker is suspected
@@ -69,7 +68,7 @@
         self.work, self.width = Mean(1.0, self.runs[0].value), Mean(1.0, 1.0)  # of what arrives
         self.runs_with, self.runs_without = (Mean(FETCH_PRIOR, FETCH_PRIOR * part) for part in (1.0, 1.5))
         self.share = Mean(MEMORY, MEMORY / settings.fleet_size)  # of all jobs out, the own
-        self.levels: dict[int, Mean] = {}  # by machine kind: others' jobs over the rate, by reports
+        self.usuals: dict[int, Mean] = {}  # by machine kind: others' jobs over the size, by reports
         self.sizes: dict[int, float] = {}  # by machine kind: the highest weight listed
         self.paces: dict[int, Mean] = {}  # by machine kind: run times over the expected
         self.refresh, self.lag = Refresh(), Lag()
@@ -173,12 +172,11 @@
             return
         worker.counted_at = now - age - worker.round_trip // 2
         worker.others = max(round(min(held, K_MAX)) - worker.own.at(worker.counted_at), 0)
-        seen = held - queued + (load.free_slots or 0.0)
-        change = (seen - worker.slots) * (SLOT_RISE if seen > worker.slots else SLOT_FALL)
-        worker.slots = worker.slots + change if worker.slots else seen
-        crowd = worker.others / worker.rate
-        self.levels.setdefault(worker.entry.machine_kind, Mean()).add(crowd, MEMORY)
-        worker.level.add(crowd, LEVEL_MEMORY)
+        worker.runs_at_once(held - queued + (load.free_slots or 0.0))
+        self._set_rate(worker, now)  # its size is to be that of this report
+        usual = worker.others / worker.size
+        self.usuals.setdefault(worker.entry.machine_kind, Mean()).add(usual, MEMORY)
+        worker.usual.add(usual, LEVEL_MEMORY)
         self._set_rate(worker, now)
 
     def _learn(self, attempt: Attempt, now: int) -> None:
@@ -195,16 +193,17 @@
 
     def _set_rate(self, worker: Worker, now: int) -> None:
         """By own runs and what a unit of listed weight is worth; then how much of others usually is there."""
-        worker.rated_at, ratio, kind = now, worker.ratio, self.levels.get(worker.entry.machine_kind, Mean())
+        worker.rated_at, kind = now, self.usuals.get(worker.entry.machine_kind, Mean())
         worker.most = max(worker.slots / self.width.value, 1.0)
         listed = worker.most * self.weights.value / (self.rates.value * worker.weight)
         if worker.slots and not self.settings.weights_tell:
             # The list tells no sizes: reports do, and runs on all of a kind tell how fast its cores are.
             pace = self.paces.get(worker.entry.machine_kind, Mean())
             listed = pace.beside(self.slowness.value, CLASS_PRIOR)
-        worker.rate = worker.most / (ratio.beside(listed, RATE_PRIOR) * self.work.value)
+        ratio = worker.ratio.beside(listed, RATE_PRIOR)
+        worker.speed, worker.rate = listed / ratio, worker.most / (ratio * self.work.value)
         usual = kind.value * (not worker.drawn)  # a cold one is not as full as its kind
-        worker.crowd = worker.level.beside(usual, LEVEL_PRIOR)
+        worker.crowd = worker.usual.beside(usual, LEVEL_PRIOR) * worker.size / worker.rate
 
     def _warmth(self, worker: Worker, now: int) -> float:
         """The least part of its capacity that a worker has by now: evenly from the stated start to full."""
--- a/hazelbend/decisions/memory.py
+++ b/hazelbend/decisions/memory.py
@@ -15,7 +15,7 @@
 from hazelbend.decisions.soundness import Soundness
 
 MEANS = ("work", "width", "runs_with", "runs_without", "share", "rates", "weights", "slowness", "erring")
-WORKER_MEANS = ("level", "ratio")
+WORKER_MEANS = ("ratio",)
 WORKER_NUMBERS = ("slots", "crowd", "rate", "most")
 WORKER_TIMES = ("rated_at", "heard_at", "shut_until", "backoff", "resets", "round_trip")
 
@@ -24,7 +24,7 @@
     return {
         "means": {name: _pair(getattr(dispatcher, name)) for name in MEANS},
         "runs": [_pair(each) for each in dispatcher.runs],
-        "levels": [[kind, _pair(each)] for kind, each in dispatcher.levels.items()],
+        "usuals": [[kind, _pair(each)] for kind, each in dispatcher.usuals.items()],
         "paces": [[kind, _pair(each)] for kind, each in dispatcher.paces.items()],
         "misses": dispatcher.lag.misses,
         "part": dispatcher.part,
@@ -37,6 +37,8 @@
                 "spent": list(each.spent),
                 **{name: _pair(getattr(each, name)) for name in WORKER_MEANS},
                 **{name: getattr(each, name) for name in WORKER_NUMBERS + WORKER_TIMES},
+                "usual": _pair(each.usual),
+                "speed": each.speed,
                 "soundness": astuple(each.soundness),
             }
             for number, each in dispatcher.workers.items()
@@ -49,7 +51,8 @@
     try:
         means = {name: _mean(memory["means"][name]) for name in MEANS if name in memory["means"]}
         runs = [_mean(each) for each in memory["runs"]]
-        levels = {int(kind): _mean(each) for kind, each in memory["levels"]}
+        # An earlier version passes on levels over the rate instead, which mean something else.
+        usuals = {int(kind): _mean(each) for kind, each in memory.get("usuals", [])}
         paces = {int(kind): _mean(each) for kind, each in memory.get("paces", [])}
         misses, part = [_number(each) for each in memory["misses"]], _number(memory["part"])
         named = [(_same(dispatcher, each), each) for each in memory["workers"]]
@@ -60,7 +63,7 @@
         raise ValueError("the memory of a dispatcher of another kind")
     for name, mean in means.items():
         setattr(dispatcher, name, mean)
-    dispatcher.runs, dispatcher.levels, dispatcher.part = runs, levels, part
+    dispatcher.runs, dispatcher.usuals, dispatcher.part = runs, usuals, part
     dispatcher.paces, dispatcher.lag.misses = paces, misses
     for worker, values in workers:
         for name, value in values.items():
@@ -83,6 +86,9 @@
     found["shut_until"] = min(found["shut_until"], now + 2 * LAST_BACKOFF)
     found["backoff"] = min(found["backoff"], LAST_BACKOFF)
     found |= {"others": int(_number(values["others"])), "counted_at": now}
+    found |= {"usual": _mean(values.get("usual", (0.0, 0.0))), "speed": _number(values.get("speed", 1.0))}
+    if found["speed"] <= 0:
+        raise ValueError("a worker without a speed")
     found["soundness"] = _soundness(values.get("soundness"), now)
     found["keys"] = {int(_number(key)): None for key in values["keys"]}
     found["spent"] = deque((int(_number(at)), _number(cost)) for at, cost in values["spent"])
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -21,6 +21,7 @@
 )
 from hazelbend.decisions.soundness import Soundness
 
+SLOT_RISE, SLOT_FALL = 0.3, 0.02  # most jobs running at once is a high-water mark, less the reports' noise
 LEAST_STEPS = 64  # kept of a count before any is forgotten
 LOOKS = 60.0  # at reports that an estimate of their refreshing rests on
 LAGS = (0, 100_000, 200_000, 400_000, 800_000, 1_600_000, 3_200_000)  # ages a report may have: by doubling
@@ -83,7 +84,7 @@
     others: int = 0
     counted_at: int = 0
     own: Steps = field(default_factory=Steps)  # how many own jobs were there
-    level: Mean = field(default_factory=Mean)  # others' jobs over the rate, by reports
+    usual: Mean = field(default_factory=Mean)  # others' jobs over the size, by reports
     crowd: float = 0.0  # others' usual jobs over the rate
     # The rate: most jobs running at once over their mean run time, the latter as a ratio to the expected.
     slots: float = 0.0
@@ -91,6 +92,7 @@
     rate: float = 0.0
     rated_at: int = 0
     most: float = 1.0  # most mean jobs that run at once
+    speed: float = 1.0  # beside what its listing, or its kind, leads to expect
     round_trip: int = 0
     reported_at: int = 0
     said: LoadReport | None = None  # the last report, and since when it is known
@@ -124,6 +126,17 @@
             self.own.move(now, -1)
             self.own.forget(now - memory)
 
+    @property
+    def size(self) -> float:
+        """What others' jobs are counted by. Not by the rate: that starts from a guess of how long jobs run,
+        and a level that was counted by the guess would grow as many times as the guess was wrong."""
+        return self.most * self.speed
+
+    def runs_at_once(self, seen: float) -> None:
+        """So many slots were seen there."""
+        change = (seen - self.slots) * (SLOT_RISE if seen > self.slots else SLOT_FALL)
+        self.slots = self.slots + change if self.slots else seen
+
     def spent_since(self, at: int) -> float:
         """What was sent to it while cold after this time; what lies before is forgotten."""
         while self.spent and self.spent[0][0] <= at:
--- a/tests/test_estimate.py
+++ b/tests/test_estimate.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from model import Model
 
 from hazelbend.decisions import interface as dy
 from hazelbend.decisions.brain import K_MAX, Dispatcher, drained, expected_jobs
@@ -104,6 +105,24 @@
     assert level[3] == 0.0
 
 
+@pytest.mark.parametrize("weights_tell", [True, False])
+def test_a_guess_of_how_long_jobs_run_does_not_fill_an_idle_server(weights_tell):
+    """The level of the first report, kept by a rate of the first guess, stood for 26 jobs that nobody had
+    sent once runs of a thousandth of it had come: after two idle seconds a lone server was refused."""
+    settings = dy.Settings(classes=(dy.JobClass(objective=2_000_000),), weights_tell=weights_tell)
+    model = Model(settings)
+    model.list_workers(dy.WorkerEntry(1))
+    worker = model.dispatcher.workers[1]
+    for request in range(30):
+        model.arrive(request)
+        model.advance(2_000)
+        model.end(request, dy.Outcome.SERVED, load=dy.LoadReport(in_flight=1.0, queued=0.0, free_slots=3.0))
+        model.advance(2_000_000)
+        assert worker.crowd * worker.rate < 2.0, "a report of one job stands for no more"
+        assert expected_jobs(worker, model.now, worker.rate) < worker.most
+    assert not model.refused
+
+
 def test_a_send_that_a_report_holds_is_not_counted_twice():
     worker = make_worker()
     send(worker, 100)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -62,6 +62,7 @@
     assert held[3]
     for number, worker in new.workers.items():
         assert worker.rate == old.workers[number].rate and not worker.sends
+        assert worker.usual == old.workers[number].usual and worker.size == old.workers[number].size
         assert worker.soundness.risk(now) == old.workers[number].soundness.risk(now)
         assert worker.others >= bool(held[number]), "the old one's jobs run there still"
     [sent] = [
@@ -78,6 +79,21 @@
     assert new.avoided(4_200_000) == set() and new.workers[1].others and 3 not in new.workers
 
 
+def test_levels_by_the_rate_that_an_earlier_version_passes_on_are_not_taken():
+    """They are of another unit: some 10^5 of the new one, so that every server would seem full for long."""
+    old, new, now = seasoned(), fresh(), 4_200_000
+    memory = passed(recall(old, now))
+    memory["levels"] = [[kind, [10.0, 1e7]] for kind, _ in memory.pop("usuals")]
+    for each in memory["workers"]:
+        each["level"] = each.pop("usual")
+        del each["speed"]
+    remember(new, memory, now)
+    assert new.usuals == {} and new.avoided(now) == {2}
+    for worker in new.workers.values():
+        new._set_rate(worker, now)
+        assert worker.crowd == 0.0
+
+
 @given(SEEDS)
 def test_a_memory_that_is_no_use_changes_nothing(seed):
     text, new = orjson.dumps(recall(seasoned(), 4_200_000)), fresh()
