--- /dev/null
+++ b/benchmarks/fleet_defects.py
@@ -0,0 +1,57 @@
+"""Mistakes that the checks of fleet_sim.py and fleet_search.py must find, planted nowhere else."""
+
+from __future__ import annotations
+
+from hazelbend.fleet.holder import Holder
+from hazelbend.fleet.leases import Answer, Leases, State
+from hazelbend.fleet.messages import Entry
+from hazelbend.fleet.record import Done, Record
+
+
+class Forgetful(Leases):
+    """The tokens of a new epoch start anew."""
+
+    def begin(self, epoch: int) -> None:
+        self.state = State(epoch=epoch & 1)
+
+
+class Hasty(Holder):
+    """Its time counts from when the answer came."""
+
+    def answered(self, number: int, answer: Answer | None, now: int) -> None:
+        self.sent[number] = now
+        super().answered(number, answer, now)
+
+
+class Rash(Record):
+    """Voters are changed while a change is under way, and by a leader that has committed nothing."""
+
+    def change_voters(self, voters: tuple[str, ...], now: int) -> bool:
+        if not self.leads or not voters:
+            return False
+        self._append([Entry(self.memory.term, tuple(sorted(voters)))])
+        self._meet(now)
+        self._broadcast(now)
+        self._advance(now)
+        return True
+
+
+class Careless(Record):
+    """A read is answered at once."""
+
+    def read(self, now: int) -> int | None:
+        if not self.leads:
+            return None
+        self.last_ticket += 1
+        self.done.append(Done(self.last_ticket, True))
+        return self.last_ticket
+
+
+class Hopeful(Record):
+    """An entry of an earlier term is held to be committed once a majority has it (Raft's figure 8)."""
+
+    def _advance(self, now: int) -> None:
+        match = {name: peer.match for name, peer in self.peers.items()} | {self.me: self.memory.last}
+        held = sorted((match.get(name, 0) for name in self.voters), reverse=True)
+        if self.leads:
+            self._commit(held[len(held) // 2], now)
--- /dev/null
+++ b/benchmarks/fleet_search.py
@@ -0,0 +1,197 @@
+"""Every order of events of a small fleet: the record's engine unchanged, three voters of one epoch.
+
+    python -m benchmarks.fleet_search --stands 2 --puts 1 --restarts 1 --changes 0 [--defect NAME]
+
+From the first state all of these are tried wherever they are possible, and every state is seen once: a voter
+stands for election (as if told to, so that no clock is asked); a message that was ever sent is delivered,
+whether it was before or not, or never (so all losses, repeats and orders are among the runs); the leader adds
+an entry, or drops a voter; a voter dies and starts again with its memory. After each step: one leader in a
+term; what two have committed is the same; a leader holds all that is committed.
+
+The bounds are on how often each may happen in a run. The last line is one JSON object with the number of
+states, and `whole` if there are no more; the exit status is 1 if an invariant breaks, with the fewest steps
+that lead there.
+"""
+
+from __future__ import annotations
+
+import argparse
+import copy
+import json
+import time
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from benchmarks.fleet_defects import Hopeful, Rash
+from hazelbend.fleet.leases import Leases, Limits, Open, encode
+from hazelbend.fleet.messages import Entry, Message, TimeIsUp
+from hazelbend.fleet.record import Memory, Record, Role, Timing
+
+VOTERS = ("a", "b", "c")
+DEFECTS = (
+    "vote forgotten",
+    "memory forgotten",
+    "entries of earlier terms are counted",
+    "two voter changes at once",
+)
+KINDS = {DEFECTS[2]: Hopeful, DEFECTS[3]: Rash}
+OP = encode(Open())
+
+
+class Left(NamedTuple):
+    """How often each may still happen."""
+
+    stands: int
+    puts: int
+    restarts: int
+    changes: int
+
+
+class World:
+    """One state, and what may still happen from it."""
+
+    def __init__(self, defect: str, left: Left) -> None:
+        self.defect, self.left = defect, left
+        self.sent: frozenset[Message] = frozenset()
+        self.records = {
+            name: self._make(Memory(name, 1, 1, "", 1, 1, VOTERS, Leases(Limits()).snapshot()))
+            for name in VOTERS
+        }
+        self.leaders: frozenset[tuple[int, str]] = frozenset()
+
+    def _make(self, memory: Memory) -> Record:
+        return KINDS.get(self.defect, Record)(memory, Leases(Limits()), Timing(), 1, 0)
+
+    def key(self) -> tuple[object, ...]:
+        return (self.left, self.sent, tuple(self._record_key(each) for each in self.records.values()))
+
+    @staticmethod
+    def _record_key(record: Record) -> tuple[object, ...]:
+        memory = record.memory
+        peers = tuple((name, peer.next, peer.match) for name, peer in record.peers.items())
+        state = (record.role, record.commit, frozenset(record.votes), peers)
+        return (memory.term, memory.vote, tuple(memory.entries), *state)
+
+    def next(self) -> Iterator[tuple[str, World]]:
+        left = self.left
+        for name, record in self.records.items():
+            if left.stands and not record.leads:
+                yield f"{name} stands", self._step(name, left._replace(stands=left.stands - 1), "stand")
+            if left.puts and record.leads:
+                yield f"{name} adds an entry", self._step(name, left._replace(puts=left.puts - 1), "put")
+            if left.restarts:
+                after = left._replace(restarts=left.restarts - 1)
+                yield f"{name} starts again", self._step(name, after, "restart")
+            if left.changes and record.leads:
+                after = left._replace(changes=left.changes - 1)
+                for other in record.voters:
+                    yield f"{name} drops the voter {other}", self._step(name, after, f"drop {other}")
+        for message in self.sent:
+            told = (
+                f"{message.to} hears {type(message.body).__name__} of {message.sender}, term {message.term}"
+            )
+            yield told, self._step(message.to, self.left, message)
+
+    def _step(self, name: str, left: Left, what: str | Message) -> World:
+        after = copy.copy(self)
+        after.left = left
+        record = _copy(self.records[name])
+        if what == "restart":
+            memory = record.memory
+            if self.defect == "vote forgotten":
+                memory.vote = ""
+            elif self.defect == "memory forgotten":
+                memory = Memory(name, 1, 1, "", 1, 1, VOTERS, memory.base_state)
+            record = self._make(memory)
+        elif what == "stand":
+            record.receive(Message("", name, 1, record.memory.term, TimeIsUp()), 0)
+        elif what == "put":
+            record.propose(OP, 0)
+        elif isinstance(what, str):
+            record.change_voters(tuple(each for each in record.voters if each != what[-1]), 0)
+        else:
+            record.receive(what, 0)
+        after.sent = self.sent | frozenset(record.out)
+        record.out.clear()
+        record.done.clear()
+        record.tickets.clear()
+        after.records = self.records | {name: record}
+        if record.role is Role.LEADER:
+            after.leaders = self.leaders | {(record.memory.term, name)}
+        return after
+
+    def broken(self) -> str:
+        terms = [term for term, _ in self.leaders]
+        if len(terms) != len(set(terms)):
+            return f"election: {sorted(self.leaders)}"
+        known: dict[int, Entry] = {}
+        for name, record in self.records.items():
+            entries = {record.memory.base + n: each for n, each in enumerate(record.memory.entries, 1)}
+            for index in range(record.memory.base + 1, record.commit + 1):
+                if known.setdefault(index, entries[index]) != entries[index]:
+                    return f"machine: {name} holds another entry at {index}"
+        newest = max(record.memory.term for record in self.records.values())
+        for name, record in self.records.items():
+            if record.leads and record.memory.term == newest:
+                for index, entry in known.items():
+                    if record.memory.term_at(index) != entry.term:
+                        return f"completeness: {name} leads without what is committed at {index}"
+        return ""
+
+
+def _copy(record: Record) -> Record:
+    made = copy.copy(record)
+    made.memory = copy.copy(record.memory)
+    made.memory.entries = list(record.memory.entries)
+    made.machine = copy.deepcopy(record.machine)
+    made.votes, made.peers = set(record.votes), {name: copy.copy(peer) for name, peer in record.peers.items()}
+    made.out, made.done, made.reads, made.tickets = [], [], [], {}
+    return made
+
+
+def search(defect: str, left: Left, most: int) -> dict[str, object]:
+    """Breadth first, so that the steps to a fault are the fewest."""
+    first = World(defect, left)
+    seen: dict[tuple[object, ...], tuple[tuple[object, ...] | None, str]] = {first.key(): (None, "")}
+    layer, depth = [first], 0
+    while layer and len(seen) < most:
+        depth += 1
+        below = []
+        for world in layer:
+            here = world.key()
+            for told, after in world.next():
+                key = after.key()
+                if key in seen:
+                    continue
+                seen[key] = (here, told)
+                if why := after.broken():
+                    steps = []
+                    at: tuple[object, ...] | None = key
+                    while at is not None:
+                        at, told = seen[at]
+                        steps.append(told)
+                    return {"states": len(seen), "depth": depth, "broken": why, "steps": steps[-2::-1]}
+                below.append(after)
+        layer = below
+    return {"states": len(seen), "depth": depth, "whole": not layer, "broken": ""}
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--stands", type=int, default=2)
+    parser.add_argument("--puts", type=int, default=1)
+    parser.add_argument("--restarts", type=int, default=1)
+    parser.add_argument("--changes", type=int, default=0)
+    parser.add_argument("--most", type=int, default=200_000)
+    parser.add_argument("--defect", choices=DEFECTS, default="")
+    args = parser.parse_args()
+    began = time.monotonic()
+    found = search(args.defect, Left(args.stands, args.puts, args.restarts, args.changes), args.most)
+    print(json.dumps(vars(args) | found | {"seconds": round(time.monotonic() - began, 1)}))
+    return 1 if found["broken"] else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/benchmarks/fleet_sim.py
@@ -0,0 +1,545 @@
+"""A fleet on virtual time: the engines of hazelbend/fleet unchanged, a network that loses, doubles, delays
+and cuts, processes that die with and without their memory, stop and go on, and clocks that run fast or slow.
+
+    python -m benchmarks.fleet_sim --schedules 1000 --seed 1 [--defect NAME] [--nodes 5] [--seconds 20]
+
+The last line is one JSON object; the exit status is 1 if anything is broken. The same seed is the same run.
+Checked after every step: the invariants at the heads of record.py and leases.py, that no two may act at once,
+that a store which checks tokens takes none lower than it has seen, and that a read shows all that ended
+before it began. `--defect` plants a mistake, which the checks must find.
+"""
+
+from __future__ import annotations
+
+import argparse
+import copy
+import heapq
+import json
+import multiprocessing
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from benchmarks.fleet_defects import Careless, Forgetful, Hasty, Rash
+from hazelbend.fleet.holder import Holder, Request, Stage
+from hazelbend.fleet.leases import Answer, Leases, Limits, Operation, Watch, encode
+from hazelbend.fleet.messages import Message
+from hazelbend.fleet.record import Memory, Record, Timing, epoch_number
+from hazelbend.fleet.voters import next_voters
+
+S = 1_000_000  # microseconds
+LIMITS = Limits(shortest=S, longest=3 * S, drift=0.05)
+NAMES = ("snapshot", "export")
+LOST_AFTER = S  # a member that is down so long is known to be
+ACT_EVERY = 100_000
+DEFECTS = (
+    "no token check",
+    "time from the answer",
+    "no wait by a new leader",
+    "vote forgotten",
+    "memory forgotten",
+    "two voter changes at once",
+    "stale read",
+    "token reset in a new epoch",
+)
+
+
+class Broken(Exception):
+    """What should always hold does not."""
+
+
+@dataclass(eq=False)
+class Node:
+    """One machine: a process, its clock, and its disk if it has one."""
+
+    number: int
+    rate: float
+    offset: int
+    has_store: bool
+    record: Record | None = None
+    leases: Leases = field(default_factory=lambda: Leases(LIMITS))
+    watch: Watch = field(default_factory=lambda: Watch(LIMITS))
+    holders: list[Holder] = field(default_factory=list)
+    disk: Memory | None = None
+    lives: int = 0
+    asks: int = 0
+    paused: bool = False
+    inbox: list[Callable[[], None]] = field(default_factory=list)
+    tickets: dict[int, Callable[[bool, object], None]] = field(default_factory=dict)
+    down_since: int | None = None
+    wake_at: int = 0
+    proposed: set[Operation] = field(default_factory=set)
+    led: int = -1  # in this term
+    checked: tuple[int, int] = (0, 0)  # epoch and index up to which its entries were compared
+
+
+class Fleet:
+    def __init__(self, seed: int, nodes: int = 3, seconds: float = 20.0, defect: str = "") -> None:
+        self.random, self.seed, self.defect = random.Random(seed), seed, defect
+        self.now, self.end, self.sequence = 0, round(seconds * S), 0
+        self.events: list[tuple[int, int, Callable[[], None]]] = []
+        drift = LIMITS.drift
+        self.nodes = [
+            Node(n, self.random.uniform(1 - drift, 1 + drift), self.random.randrange(10**9), n % 2 == 0)
+            for n in range(nodes)
+        ]
+        self.wanted = 3 if nodes < 7 else 5
+        self.cuts: dict[tuple[int, int], int] = {}  # one way, until then
+        self.loss = 0.0
+        self.slow = 1.0
+        self.counts: Counter[str] = Counter()
+        self.faults: Counter[str] = Counter()
+        self.leaders: dict[tuple[int, int], str] = {}
+        self.committed: dict[tuple[int, int], tuple[int, bytes]] = {}
+        self.highest: dict[str, int] = {}  # token, by lease: as the store has seen it
+        self.granted: dict[int, tuple[str, str]] = {}
+        self.tokens: dict[int, tuple[int, int]] = {}  # by epoch: the least and the highest
+        self.finished: Counter[int] = Counter()  # by epoch: the newest entry whose answer somebody has
+        self.epoch = 0
+
+    # --- time ---
+
+    def at(self, delay: float, act: Callable[[], None]) -> None:
+        self.sequence += 1
+        heapq.heappush(self.events, (self.now + max(round(delay), 1), self.sequence, act))
+
+    def local(self, node: Node) -> int:
+        return node.offset + round(node.rate * self.now)
+
+    def run(self) -> None:
+        for node in self.nodes:
+            self._start(node)
+        first = self.nodes[0]
+        assert first.record is not None
+        self._found(first)
+        self.at(S, self._tend)
+        self.at(self.random.expovariate(1 / S), self._fault)
+        while self.events and self.events[0][0] <= self.end:
+            self.now, _, act = heapq.heappop(self.events)
+            act()
+            self._check()
+
+    # --- processes ---
+
+    def _start(self, node: Node) -> None:
+        """With its disk's memory if it has one, else as somebody new."""
+        node.lives += 1
+        memory = copy.deepcopy(node.disk) if node.disk is not None else None
+        if memory is None:
+            identity = f"n{node.number}.{node.lives}"
+            if self.defect == "memory forgotten":
+                identity = f"n{node.number}"  # it votes as if it remembered
+            memory = Memory(identity)
+        elif self.defect == "vote forgotten":
+            memory.vote = ""
+        leases = Forgetful(LIMITS) if self.defect.startswith("token") else Leases(LIMITS)
+        node.leases, node.watch = leases, Watch(LIMITS)
+        kinds = {"two voter changes at once": Rash, "stale read": Careless}
+        now = self.local(node)
+        record = kinds.get(self.defect, Record)(memory, leases, Timing(), self.random.getrandbits(32), now)
+        record.watcher = lambda at: node.watch.look(node.leases, at)
+        node.record, node.down_since, node.paused, node.inbox, node.led = record, None, False, [], -1
+        node.checked = (0, 0)
+        node.holders, node.tickets, node.proposed = [], {}, set()
+        record.watcher(now)
+        if node.has_store:
+            node.disk = copy.deepcopy(memory)
+        for _ in range(2):
+            self._wish(node)
+        self._pump(node)
+
+    def _wish(self, node: Node) -> None:
+        node.asks += 1
+        kind = Hasty if self.defect == "time from the answer" else Holder
+        name = f"n{node.number}.{node.lives}"
+        wait = self.random.choice((0, 5 * S))
+        lease, ttl = self.random.choice(NAMES), self.random.randint(S, 3 * S)
+        node.holders.append(kind(lease, name, node.asks, LIMITS, self.local(node), ttl=ttl, wait=wait))
+
+    def _die(self, node: Node, lives: int, longest: float) -> None:
+        if node.record is None or node.lives != lives:
+            return
+        node.record, node.down_since, node.holders = None, self.now, []
+        self.at(
+            self.random.uniform(0, longest) * S, lambda: self._start(node) if node.record is None else None
+        )
+
+    def _found(self, node: Node) -> None:
+        assert node.record is not None
+        known = max(node.record.memory.epoch, 0)
+        self.epoch = epoch_number(known, self.now / S + 1_000, node.record.me)
+        node.record.found(self.epoch, self.local(node))
+        self._pump(node)
+
+    def _do(self, node: Node, act: Callable[[Record, int], None]) -> None:
+        """Something comes to a process: a stopped one finds it when it goes on, a dead one never."""
+        lives = node.lives
+
+        def later() -> None:
+            if node.record is not None and node.lives == lives:
+                act(node.record, self.local(node))
+                self._pump(node)
+
+        node.inbox.append(later) if node.paused else later()
+
+    def _pump(self, node: Node) -> None:
+        """Let a process do all that is due; its memory is on its disk before a message leaves."""
+        record, now = node.record, self.local(node)
+        if record is None or node.paused:
+            return
+        if now >= record.due:
+            record.tick(now)
+        if record.leads:
+            self._lead(node, record, now)
+        for holder in node.holders:
+            for request in holder.tick(now):
+                self._ask(node, holder, request)
+        if record.promise_changed and self.random.random() < 0.1:
+            # The worst moment to die: just after a promise.
+            lives = node.lives
+            self.at(self.random.uniform(0, 10_000), lambda: self._die(node, lives, 0.03))
+        if record.promise_changed or record.unsaved is not None:
+            if node.has_store:
+                node.disk = copy.copy(record.memory)
+                node.disk.entries = list(record.memory.entries)
+            record.promise_changed, record.unsaved = False, None
+        for message in record.out:
+            self._carry(message)
+        record.out.clear()
+        done, record.done = record.done, []
+        for each in done:
+            node.tickets.pop(each.ticket, lambda ok, result: None)(each.ok, each.result)
+        due = min([record.due, *(holder.due for holder in node.holders)])
+        self._wake(node, max(due - now, 1000) / node.rate)
+
+    def _wake(self, node: Node, delay: float) -> None:
+        at = self.now + round(delay)
+        if self.now < node.wake_at <= at:
+            return
+        node.wake_at = at
+        self.at(delay, lambda: self._pump(node) if node.wake_at <= self.now else None)
+
+    def _lead(self, node: Node, record: Record, now: int) -> None:
+        if self.defect == "no wait by a new leader" and node.led != record.memory.term:
+            node.watch.since = dict.fromkeys(node.watch.since, 0)
+        if node.led != record.memory.term:
+            node.proposed = set()
+        node.led = record.memory.term
+        over = set(node.watch.over(node.leases, now))
+        for operation in sorted(over - node.proposed, key=repr):
+            record.propose(encode(operation), now)
+        node.proposed = over
+
+    # --- the network ---
+
+    def _carry(self, message: Message) -> None:
+        source, to = self._number(message.sender), self._number(message.to)
+        self._deliver(source, to, lambda: self._arrive(self.nodes[to], message))
+        if self.random.random() < 0.03:  # doubled, and the other one late
+            late = self.random.expovariate(1 / 300_000)
+            self.at(late, lambda: self._arrive(self.nodes[to], message))
+
+    def _deliver(self, source: int, to: int, act: Callable[[], None]) -> None:
+        """What meets a cut is lost, or, as TCP sends it again and again, comes when the cut is over."""
+        delay = 1.0 if source == to else self.random.expovariate(1 / (3_000 * self.slow))
+        until = self.cuts.get((source, to), 0)
+        if until > self.now:
+            if self.random.random() < 0.5:
+                return
+            delay += until - self.now
+        elif source != to and self.random.random() < self.loss:
+            return
+        self.at(delay, act)
+
+    def _arrive(self, node: Node, message: Message) -> None:
+        if node.record is not None and node.record.me == message.to:
+            self._do(node, lambda record, now: record.receive(message, now))
+
+    @staticmethod
+    def _number(identity: str) -> int:
+        return int(identity[1:].split(".")[0])
+
+    # --- leases ---
+
+    def _ask(self, node: Node, holder: Holder, request: Request) -> None:
+        """To the member that it believes to lead, and back; either way can be lost."""
+        record = node.record
+        assert record is not None
+        target = self._number(record.leader) if record.leader else self.random.randrange(len(self.nodes))
+        there, lives = self.nodes[target], node.lives
+
+        def reply(answer: Answer | None) -> None:
+            def back() -> None:
+                if node.lives == lives:
+                    self._do(node, lambda record, now: holder.answered(request.number, answer, now))
+
+            self._deliver(target, node.number, back)
+
+        def put(record: Record, now: int) -> None:
+            ticket = record.propose(encode(request.operation), now)
+            if ticket is None:
+                reply(None)
+                return
+
+            def ended(ok: bool, result: object) -> None:
+                epoch = record.memory.epoch
+                self.finished[epoch] = max(self.finished[epoch], record.applied if ok else 0)
+                reply(result if ok and isinstance(result, Answer) else None)
+
+            there.tickets[ticket] = ended
+
+        self._deliver(node.number, target, lambda: self._do(there, put))
+
+    def _tend(self) -> None:
+        """Now and then: the leader sees to its voters, tasks begin and end, and somebody reads."""
+        self.at(self.random.uniform(0.1, 0.4) * S, self._tend)
+        for node in self.nodes:
+            if node.record is None or node.paused:
+                continue
+            now = self.local(node)
+            node.holders = [each for each in node.holders if each.stage is not Stage.ENDED]
+            if len(node.holders) < 2 and self.random.random() < 0.5:
+                self._wish(node)
+            for holder in node.holders:
+                if holder.stage is Stage.HELD and self.random.random() < 0.05:
+                    holder.let_go(now)
+                if holder.may_act(now):
+                    self._act(holder)
+            if node.record.leads:
+                self._see_to_voters(node, node.record, now)
+                self._read(node, node.record, now)
+            self._pump(node)
+
+    def _see_to_voters(self, node: Node, record: Record, now: int) -> None:
+        up = {each.record.me: each for each in self.nodes if each.record is not None}
+        gone = {
+            name
+            for name in record.voters
+            if name not in up and self.now - (self.nodes[self._number(name)].down_since or 0) > LOST_AFTER
+        }
+        wish = next_voters(record.voters, record.me, sorted(up), gone, self.wanted)
+        record.teach(set(wish or ()) - set(record.voters), now)
+        if wish is not None:
+            self.counts["voter changes"] += record.change_voters(wish, now)
+
+    def _read(self, node: Node, record: Record, now: int) -> None:
+        epoch = record.memory.epoch
+        finished, ticket = self.finished[epoch], record.read(now)
+        if ticket is None:
+            return
+
+        def ended(ok: bool, result: object) -> None:
+            self.counts["reads"] += ok
+            if ok and epoch == record.memory.epoch and record.applied < finished:
+                raise Broken(f"stale read: {record.me} shows {record.applied} of {finished}")
+
+        node.tickets[ticket] = ended
+
+    def _act(self, holder: Holder) -> None:
+        """A write to the task's store, which comes there some time later: its holder may be stopped on the
+        way."""
+        self.counts["acts"] += 1
+        token, name = holder.token, holder.name
+
+        def arrive() -> None:
+            if token < self.highest.get(name, 0):
+                if self.defect != "no token check":
+                    self.counts["refused by token"] += 1
+                    return
+                raise Broken(f"{name}: the store took {token} after {self.highest[name]}")
+            self.highest[name] = token
+
+        late = self.random.random() < 0.1
+        self.at(self.random.uniform(0, 6 * S if late else 20_000), arrive)
+
+    # --- faults ---
+
+    def _fault(self) -> None:
+        self.at(self.random.expovariate(1 / (1.2 * S)), self._fault)
+        node = self.random.choice(self.nodes)
+        kind = self.random.choice(
+            ("kill", "kill", "pause", "cut", "one way", "loss", "slow", "hand over", "wipe")
+        )
+        up = [each for each in self.nodes if each.record is not None]
+        if kind in ("kill", "wipe"):
+            if node.record is None or 2 * len(up) <= len(self.nodes) + 1 and self.random.random() < 0.8:
+                return
+            if kind == "wipe":
+                node.disk = None
+            self._die(node, node.lives, 4.0)
+        elif kind == "pause":
+            if node.record is None or node.paused:
+                return
+            node.paused, lives = True, node.lives
+            self.at(self.random.uniform(0.1, 6) * S, lambda: self._go_on(node, lives))
+        elif kind in ("cut", "one way"):
+            side = set(
+                self.random.sample(range(len(self.nodes)), self.random.randint(1, len(self.nodes) - 1))
+            )
+            other = set(range(len(self.nodes))) - side
+            cut = {(a, b) for a in side for b in other}
+            cut |= {(b, a) for a, b in cut} if kind == "cut" else set()
+            self.cuts |= dict.fromkeys(cut, self.now + round(self.random.uniform(0.2, 4) * S))
+        elif kind == "loss":
+            self.loss = self.random.uniform(0.05, 0.4)
+            self.at(self.random.uniform(0.2, 3) * S, lambda: setattr(self, "loss", 0.0))
+        elif kind == "slow":
+            self.slow = self.random.uniform(10, 200)
+            self.at(self.random.uniform(0.2, 2) * S, lambda: setattr(self, "slow", 1.0))
+        else:
+            leader = next(
+                (each for each in up if each.record and each.record.leads and not each.paused), None
+            )
+            if leader is None or leader.record is None:
+                self._maybe_found(up)
+                return
+            others = [name for name in leader.record.voters if name != leader.record.me]
+            if others:
+                leader.record.hand_over(self.random.choice(others), self.local(leader))
+                self._pump(leader)
+        self.faults[kind] += 1
+
+    def _maybe_found(self, up: list[Node]) -> None:
+        """An operator's word, where it is true: most of the voters' memory is lost for good."""
+        known = [
+            each for each in up if each.record and each.record.memory.epoch == self.epoch and not each.paused
+        ]
+        voters = max((each.record.voters for each in known if each.record), key=len, default=())
+        alive = {each.record.me for each in up if each.record}
+        back = {
+            name for name in voters if (disk := self.nodes[self._number(name)].disk) and disk.identity == name
+        }
+        if (
+            2 * len((alive | back) & set(voters)) <= len(voters)
+            and up
+            and not any(each.paused for each in up)
+        ):
+            self.faults["new epoch"] += 1
+            node = self.random.choice(known or up)
+            self._found(node)
+
+    def _go_on(self, node: Node, lives: int) -> None:
+        if node.lives != lives or node.record is None:
+            return
+        node.paused = False
+        inbox, node.inbox = node.inbox, []
+        for act in inbox:
+            act()
+        self._pump(node)
+
+    # --- what must hold ---
+
+    def _check(self) -> None:
+        acting: dict[str, tuple[str, int]] = {}
+        for node in self.nodes:
+            record = node.record
+            if record is None:
+                continue
+            memory = record.memory
+            if record.leads:
+                before = self.leaders.setdefault((memory.epoch, memory.term), record.me)
+                if before != record.me:
+                    raise Broken(f"election: {before} and {record.me} lead in term {memory.term}")
+            self._check_applied(node, record)
+            now = self.local(node)
+            for holder in node.holders:
+                if holder.may_act(now):
+                    other = acting.setdefault(holder.name, (holder.holder, holder.token))
+                    if other != (holder.holder, holder.token):
+                        raise Broken(
+                            f"overlap: {other} and {holder.holder, holder.token} may act on {holder.name}"
+                        )
+
+    def _check_applied(self, node: Node, record: Record) -> None:
+        memory = record.memory
+        first = max(node.checked[1] if node.checked[0] == memory.epoch else 0, memory.base)
+        for index in range(first + 1, record.commit + 1):
+            entry = memory.entries[index - memory.base - 1]
+            known = self.committed.setdefault((memory.epoch, index), (entry.term, entry.op))
+            if known != (entry.term, entry.op):
+                raise Broken(f"machine: {record.me} applies another entry at {index} of epoch {memory.epoch}")
+        node_state = node.leases.state
+        for name, lease in node_state.leases.items():
+            known_holder = self.granted.setdefault(lease.token, (name, lease.holder))
+            if known_holder != (name, lease.holder):
+                raise Broken(f"token {lease.token} granted twice: {known_holder} and {name, lease.holder}")
+            if any(each.holder == lease.holder for each in lease.waiters):
+                raise Broken(f"{lease.holder} waits for {name}, which it holds")
+        tokens = [lease.token for lease in node_state.leases.values()]
+        low, high = self.tokens.get(memory.epoch, (max(tokens, default=0), 0))
+        if tokens:
+            self.tokens[memory.epoch] = (min(low, *tokens), max(high, *tokens))
+        for epoch, (_, before) in self.tokens.items():
+            if epoch < memory.epoch and tokens and min(tokens) <= before:
+                raise Broken(f"epoch {memory.epoch} grants {min(tokens)}, epoch {epoch} granted {before}")
+        node.checked = (memory.epoch, record.commit)
+
+
+def play(seed: int, nodes: int, seconds: float, defect: str) -> dict[str, object]:
+    fleet = Fleet(seed, nodes, seconds, defect)
+    broken = ""
+    try:
+        fleet.run()
+    except Broken as error:
+        broken = f"seed {seed}, {fleet.now / S:.3f} s: {error}"
+    return {
+        "seed": seed,
+        "broken": broken,
+        "faults": dict(fleet.faults),
+        "grants": len(fleet.granted),
+        **fleet.counts,
+    }
+
+
+def _one(task: tuple[int, int, float, str]) -> dict[str, object]:
+    return play(*task)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--schedules", type=int, default=100)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--defect", choices=DEFECTS, default="")
+    parser.add_argument("--jobs", type=int, default=4)
+    args = parser.parse_args()
+    tasks = [(args.seed + n, args.nodes, args.seconds, args.defect) for n in range(args.schedules)]
+    total: Counter[str] = Counter()
+    faults: Counter[str] = Counter()
+    broken: list[str] = []
+    began, after = time.monotonic(), 0
+    with multiprocessing.Pool(args.jobs) as pool:
+        for number, each in enumerate(pool.imap(_one, tasks, chunksize=4), 1):
+            faults.update(each["faults"])  # type: ignore[arg-type]
+            total.update(
+                {key: value for key, value in each.items() if isinstance(value, int) and key != "seed"}
+            )
+            if each["broken"]:
+                broken.append(str(each["broken"]))
+                after = after or number
+                if args.defect:
+                    break
+    print(
+        json.dumps(
+            {
+                "schedules": args.schedules,
+                "nodes": args.nodes,
+                "defect": args.defect,
+                "found_after": after,
+                "faults": dict(faults),
+                **total,
+                "broken": broken[:5],
+                "seconds": round(time.monotonic() - began, 1),
+            }
+        )
+    )
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/hazelbend/fleet/record.py
@@ -0,0 +1,552 @@
+"""The record: an ordered log of small facts that a majority of its voters has taken. Raft, as in Ongaro and
+Ousterhout (2014) and chapters 3, 4, 6 and 9.6 of Ongaro's thesis, told the time and without I/O.
+
+State table (`Role`):
+
+    FOLLOWER  --no leader for an election's time, own vote in the voters--> ASKING
+    ASKING    --a majority would vote (pre-vote)-->                         CANDIDATE, term + 1
+    CANDIDATE --a majority voted-->                                         LEADER, adds an empty entry
+    any       --a message of a higher term-->                               FOLLOWER of that term
+    LEADER    --no majority heard for an election's time (check-quorum)-->  FOLLOWER
+    LEADER    --an entry without itself among the voters is committed-->    FOLLOWER
+
+Who votes. An identity is one memory: a process that starts without its memory takes a new identity, which no
+voter's name is, so it never votes, or counts, as what it was. It comes back by the record: it is added as a
+new voter and the old name is removed, one voter at a time, each only when the one before is committed and an
+entry of the leader's own term is (Ongaro's correction of 2015). With a store, the memory is written before
+any message that rests on it leaves: the driver saves what `unsaved` and `promise_changed` name, then sends
+`out`.
+
+Epochs. When a majority's memory is lost at once nothing can be committed any more. `found` starts a new epoch
+with one voter, by an operator's word; whoever hears of a higher epoch forgets the lower one's record.
+
+Invariants, checked by the tests after every step:
+    election      at most one leader in a term of an epoch
+    matching      entries of one index and term are the same, and so are all before them
+    completeness  what is committed stands in the log of every later leader
+    machine       no two members apply different entries at one index
+    single        of two voter lists in a row in a log, one has at most one more, or one less, than the other
+
+Times are microseconds of this process's monotonic clock; nobody compares two processes' times.
+"""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from hazelbend.fleet.messages import Ask, Body, Entry, Install, Message, Put, Taken, TimeIsUp, Vote
+
+EPOCH_BITS = 12  # of an epoch below the second in which it was started
+
+
+def epoch_number(known: int, unix_s: float, identity: str) -> int:
+    """For a new epoch: above the known one, and above those that nobody remembers as far as the wall clock is
+    right; two operators who start one in the same second get two numbers."""
+    after = max(int(unix_s), (known >> EPOCH_BITS) + 1)
+    return (after << EPOCH_BITS) + zlib.crc32(identity.encode()) % (1 << EPOCH_BITS)
+
+
+class Role(Enum):
+    FOLLOWER = "follower"
+    ASKING = "asking"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True, frozen=True)
+class Timing:
+    """Microseconds. `election` is the least time without a leader after which one stands; the most is
+    twice."""
+
+    heartbeat: int = 200_000
+    election: int = 1_000_000
+    batch: int = 64  # entries in a message
+    kept: int = 256  # applied entries kept for members that are behind, before a snapshot takes their place
+
+
+class Machine(Protocol):
+    """What the entries change: the same after the same entries, whatever the time and the process."""
+
+    def begin(self, epoch: int) -> None: ...
+
+    def apply(self, index: int, op: bytes) -> object: ...
+
+    def snapshot(self) -> bytes: ...
+
+    def restore(self, state: bytes) -> None: ...
+
+
+@dataclass(slots=True)
+class Memory:
+    """All that a voter must not forget. `entries[0]` is the one after `base`."""
+
+    identity: str
+    epoch: int = 0
+    term: int = 0
+    vote: str = ""
+    base: int = 0
+    base_term: int = 0
+    base_voters: tuple[str, ...] = ()
+    base_state: bytes = b""
+    entries: list[Entry] = field(default_factory=list)
+
+    @property
+    def last(self) -> int:
+        return self.base + len(self.entries)
+
+    def term_at(self, index: int) -> int | None:
+        """None: not held any more, or not yet."""
+        if index == self.base:
+            return self.base_term
+        return self.entries[index - self.base - 1].term if self.base < index <= self.last else None
+
+    def voters_at(self, index: int) -> tuple[str, ...]:
+        """The list in force there, committed or not."""
+        for entry in reversed(self.entries[: index - self.base]):
+            if entry.voters is not None:
+                return entry.voters
+        return self.base_voters
+
+
+@dataclass(slots=True)
+class Peer:
+    """What the leader knows of one that it sends to."""
+
+    next: int
+    match: int = 0
+    heard_at: int = 0
+    round: int = 0  # the last of the leader's rounds that it has answered
+    sent_at: int = -(10**12)
+
+
+@dataclass(slots=True)
+class Read:
+    ticket: int
+    index: int
+    round: int
+
+
+@dataclass(slots=True, frozen=True)
+class Done:
+    """A proposal or read ended: `result` is the machine's, or None for a read; not `ok`: it was not taken, or
+    nobody can say whether it was, so that it may have been."""
+
+    ticket: int
+    ok: bool
+    result: object = None
+
+
+class Record:
+    def __init__(self, memory: Memory, machine: Machine, timing: Timing, seed: int, now: int) -> None:
+        self.memory, self.machine, self.timing = memory, machine, timing
+        self.random = random.Random(seed)
+        self.role, self.leader = Role.FOLLOWER, ""
+        self.commit = self.applied = memory.base
+        machine.begin(memory.epoch)
+        if memory.base:
+            machine.restore(memory.base_state)
+        self.voters = memory.voters_at(memory.last)
+        self.out: list[Message] = []
+        self.done: list[Done] = []
+        self.unsaved: int | None = None  # entries from this index on, and what is under them, are to be saved
+        self.promise_changed = False  # epoch, term or vote are to be saved
+        self.watcher: Callable[[int], None] = lambda now: (
+            None
+        )  # after entries were applied, or all was replaced
+        self.heard_at = now - 2 * timing.election  # of a leader; not yet
+        self.stands_at = 0
+        self.votes: set[str] = set()
+        self.peers: dict[str, Peer] = {}
+        self.learners: set[str] = set()
+        self.round = 0
+        self.beat_at = 0
+        self.reads: list[Read] = []
+        self.tickets: dict[int, tuple[int, int]] = {}  # by index: term and ticket
+        self.last_ticket = 0
+        self.handing_to, self.handing_until = "", 0
+        self._wait(now)
+
+    # --- what its owner asks ---
+
+    @property
+    def me(self) -> str:
+        return self.memory.identity
+
+    @property
+    def is_voter(self) -> bool:
+        return self.me in self.voters
+
+    @property
+    def leads(self) -> bool:
+        return self.role is Role.LEADER
+
+    @property
+    def settled(self) -> bool:
+        """Whether it leads and has committed in its own term: what it has applied is all that was
+        committed."""
+        return self.leads and self.memory.term_at(self.commit) == self.memory.term
+
+    @property
+    def due(self) -> int:
+        """When `tick` has something to do."""
+        return self.beat_at if self.leads else self.stands_at
+
+    def found(self, epoch: int, now: int) -> None:
+        """Start an epoch with this one voter. ValueError unless it is higher than what is known here. No
+        number may ever be used twice: see `epoch_number`."""
+        if epoch <= self.memory.epoch:
+            raise ValueError(f"epoch {epoch} is not higher than {self.memory.epoch}")
+        self._forget(epoch, now)
+        self.memory.term, self.memory.vote = 1, self.me
+        self._append([Entry(1, (self.me,))])
+        self._lead(now)
+
+    def propose(self, op: bytes, now: int) -> int | None:
+        """A ticket that `done` will name; None: it does not lead, or is handing over."""
+        if not self.leads or self.handing_to:
+            return None
+        self._append([Entry(self.memory.term, None, op)])
+        self.last_ticket += 1
+        self.tickets[self.memory.last] = (self.memory.term, self.last_ticket)
+        self._broadcast(now)
+        self._advance(now)
+        return self.last_ticket
+
+    def read(self, now: int) -> int | None:
+        """A ticket: once `done` names it, the machine holds all that was committed when this was called."""
+        if not self.settled:
+            return None
+        self.last_ticket += 1
+        self.round += 1
+        self.reads.append(Read(self.last_ticket, self.commit, self.round))
+        self._broadcast(now)
+        self._advance(now)
+        return self.last_ticket
+
+    def change_voters(self, voters: tuple[str, ...], now: int) -> bool:
+        """One more or one less. False: not now (see the head of the file); a new one must have caught up."""
+        more, less = set(voters) - set(self.voters), set(self.voters) - set(voters)
+        pending = self.memory.voters_at(self.commit) != self.voters
+        if not self.settled or self.handing_to or pending or len(more) + len(less) != 1 or not voters:
+            return False
+        if more and not self._caught_up(next(iter(more))):
+            return False
+        self._append([Entry(self.memory.term, tuple(sorted(voters)))])
+        self._meet(now)
+        self._broadcast(now)
+        self._advance(now)
+        return True
+
+    def teach(self, learners: set[str], now: int) -> None:
+        """Send the record to these too, which do not vote: so that they can be made voters."""
+        self.learners = set(learners)
+        if self.leads:
+            self._meet(now)
+
+    def hand_over(self, to: str, now: int) -> bool:
+        """Make this voter the leader: it is brought up to date, then told to stand at once."""
+        if not self.leads or to not in self.voters or to == self.me:
+            return False
+        self.handing_to, self.handing_until = to, now + self.timing.election
+        self._send(to, now)
+        self._hand_on()
+        return True
+
+    # --- what happens ---
+
+    def tick(self, now: int) -> None:
+        if self.leads:
+            if self.handing_to and now >= self.handing_until:
+                self.handing_to = ""
+            if not self._heard_by_majority(now):
+                self._follow(self.memory.term, "", now)  # check-quorum: somebody else may lead
+            elif now >= self.beat_at:
+                self.round += 1
+                self._broadcast(now)
+        elif now >= self.stands_at:
+            self._stand(now, pre=True)
+
+    def receive(self, message: Message, now: int) -> None:
+        """Of whatever age, as often as it comes, in whatever order."""
+        if message.epoch != self.memory.epoch:
+            if message.epoch < self.memory.epoch:  # the sender is told of the epoch by any answer
+                if not isinstance(message.body, (Vote, Taken)):
+                    self._tell(message.sender, Vote(granted=False, pre=True))
+                return
+            self._forget(message.epoch, now)
+        body, term = message.body, message.term
+        if isinstance(body, Ask):
+            self._asked(message, body, now)
+            return
+        if term > self.memory.term and not (isinstance(body, Vote) and body.pre and body.granted):
+            self._follow(term, "", now)
+        if isinstance(body, Vote):
+            self._voted(message, body, now)
+        elif isinstance(body, Taken):
+            self._taken(message, body, now)
+        elif term < self.memory.term:
+            self._tell(message.sender, Taken(ok=False, index=0, round=0))
+        elif isinstance(body, Put):
+            self._put(message, body, now)
+        elif isinstance(body, Install):
+            self._install(message, body, now)
+        elif isinstance(body, TimeIsUp) and self.is_voter:
+            self._stand(now, pre=False, handed=True)
+
+    # --- elections ---
+
+    def _wait(self, now: int) -> None:
+        self.stands_at = now + self.random.randint(self.timing.election, 2 * self.timing.election)
+
+    def _follow(self, term: int, leader: str, now: int) -> None:
+        was_leading = self.leads
+        if term > self.memory.term:
+            self.memory.term, self.memory.vote = term, ""
+            self.promise_changed = True
+        self.role, self.leader, self.handing_to = Role.FOLLOWER, leader, ""
+        self.votes, self.peers = set(), {}
+        if was_leading:  # whether they were taken is for the next leader to know
+            self.done += [Done(ticket, False) for _, ticket in self.tickets.values()]
+            self.done += [Done(read.ticket, False) for read in self.reads]
+            self.tickets, self.reads = {}, []
+        if leader:
+            self.heard_at = now
+        self._wait(now)
+
+    def _stand(self, now: int, pre: bool, handed: bool = False) -> None:
+        self._wait(now)
+        if not self.is_voter:
+            return
+        memory = self.memory
+        self.role, self.leader, self.votes = (Role.ASKING if pre else Role.CANDIDATE), "", {self.me}
+        if not pre:
+            memory.term, memory.vote = memory.term + 1, self.me
+            self.promise_changed = True
+        last_term = memory.term_at(memory.last)
+        assert last_term is not None
+        for other in self.voters:
+            if other != self.me:
+                term = memory.term + 1 if pre else memory.term
+                self._tell(other, Ask(pre, memory.last, last_term, handed), term)
+        self._count(now)
+
+    def _asked(self, message: Message, ask: Ask, now: int) -> None:
+        memory, term = self.memory, message.term
+        led = self.leads or now < self.heard_at + self.timing.election
+        if led and not ask.handed and term > memory.term:
+            return  # its leader is well; who was cut off, or is no voter any more, does not disturb it
+        if not ask.pre and term > memory.term:
+            self._follow(term, "", now)
+        last_term = memory.term_at(memory.last)
+        assert last_term is not None
+        fresh = (ask.last_term, ask.last) >= (last_term, memory.last)
+        if ask.pre:
+            granted = fresh and term > memory.term
+            # Its term comes back to it, so that it knows which of its questions this answers.
+            self._tell(message.sender, Vote(granted, True), term if granted else memory.term)
+            return
+        granted = fresh and term == memory.term and memory.vote in ("", message.sender)
+        if granted and not memory.vote:
+            memory.vote, self.promise_changed = message.sender, True
+            self._wait(now)
+        self._tell(message.sender, Vote(granted, False))
+
+    def _voted(self, message: Message, vote: Vote, now: int) -> None:
+        wanted = Role.ASKING if vote.pre else Role.CANDIDATE
+        term = self.memory.term + 1 if vote.pre else self.memory.term
+        if vote.granted and self.role is wanted and message.term == term:
+            self.votes.add(message.sender)
+            self._count(now)
+
+    def _count(self, now: int) -> None:
+        if not self._majority(self.votes):
+            return
+        if self.role is Role.ASKING:
+            self._stand(now, pre=False)
+        elif self.role is Role.CANDIDATE:
+            self._append([Entry(self.memory.term)])
+            self._lead(now)
+
+    def _lead(self, now: int) -> None:
+        self.role, self.leader, self.peers = Role.LEADER, self.me, {}
+        self.learners &= set(self.voters)
+        self._meet(now)
+        self.round += 1
+        self._broadcast(now)
+        self._advance(now)
+
+    def _majority(self, names: set[str]) -> bool:
+        return 2 * len(names & set(self.voters)) > len(self.voters)
+
+    def _heard_by_majority(self, now: int) -> bool:
+        since = now - 2 * self.timing.election
+        heard = {name for name, peer in self.peers.items() if peer.heard_at > since}
+        return self._majority(heard | {self.me})
+
+    # --- the log ---
+
+    def _append(self, entries: list[Entry]) -> None:
+        self._dirty(self.memory.last + 1)
+        self.memory.entries += entries
+        self.voters = self.memory.voters_at(self.memory.last)
+
+    def _dirty(self, index: int) -> None:
+        self.unsaved = index if self.unsaved is None else min(self.unsaved, index)
+
+    def _forget(self, epoch: int, now: int) -> None:
+        """Begin another epoch, with nothing."""
+        self._follow(self.memory.term, "", now)
+        self.memory = Memory(self.memory.identity, epoch)
+        self.commit = self.applied = 0
+        self.voters, self.promise_changed = (), True
+        self._dirty(1)
+        self.machine.begin(epoch)
+        self.watcher(now)
+
+    def _meet(self, now: int) -> None:
+        """Know those to send to."""
+        names = (set(self.voters) | self.learners) - {self.me}
+        for gone in set(self.peers) - names:
+            del self.peers[gone]
+        for name in sorted(names - set(self.peers)):
+            self.peers[name] = Peer(self.memory.last + 1, heard_at=now)
+
+    def _caught_up(self, name: str) -> bool:
+        peer = self.peers.get(name)
+        return peer is not None and peer.match >= self.commit
+
+    def _broadcast(self, now: int) -> None:
+        self.beat_at = now + self.timing.heartbeat
+        for name in self.peers:
+            self._send(name, now)
+
+    def _send(self, name: str, now: int) -> None:
+        memory, peer = self.memory, self.peers[name]
+        peer.sent_at = now
+        before = memory.term_at(peer.next - 1)
+        if before is None:
+            base = (memory.base, memory.base_term, memory.base_voters, memory.base_state)
+            self._tell(name, Install(*base, self.round))
+            return
+        first = peer.next - 1 - memory.base
+        entries = tuple(memory.entries[first : first + self.timing.batch])
+        self._tell(name, Put(peer.next - 1, before, entries, self.commit, self.round))
+        peer.next += len(entries)  # what is lost on the way is sent again when the answer shows it
+
+    def _put(self, message: Message, put: Put, now: int) -> None:
+        """Entries, or none, from the leader of this term."""
+        memory = self.memory
+        self._follow(message.term, message.sender, now)
+        before = memory.term_at(put.before) if put.before >= memory.base else put.before_term
+        if before != put.before_term:
+            # It need not try one by one: all of a term that differs is passed over.
+            hint = min(put.before, memory.last + 1)
+            while hint > self.commit + 1 and memory.term_at(hint - 1) == before and before is not None:
+                hint -= 1
+            self._tell(message.sender, Taken(False, max(hint - 1, self.commit), put.round))
+            return
+        for index, entry in enumerate(put.entries, put.before + 1):
+            if index <= memory.base or memory.term_at(index) == entry.term:
+                continue
+            if index <= memory.last:
+                assert index > self.commit, "what is committed is never taken back"
+                del memory.entries[index - memory.base - 1 :]
+            self._append([entry])
+        match = put.before + len(put.entries)
+        self._commit(min(put.commit, match), now)
+        self._tell(message.sender, Taken(True, match, put.round))
+
+    def _install(self, message: Message, install: Install, now: int) -> None:
+        memory = self.memory
+        self._follow(message.term, message.sender, now)
+        if install.base > self.commit:
+            keeps = memory.term_at(install.base) == install.base_term
+            memory.entries = memory.entries[install.base - memory.base :] if keeps else []
+            memory.base, memory.base_term = install.base, install.base_term
+            memory.base_voters, memory.base_state = install.voters, install.state
+            self.commit = self.applied = install.base
+            self.voters = memory.voters_at(memory.last)
+            self._dirty(install.base)
+            self.machine.restore(install.state)
+            self.watcher(now)
+        self._tell(message.sender, Taken(True, max(install.base, self.commit), install.round))
+
+    def _taken(self, message: Message, taken: Taken, now: int) -> None:
+        peer = self.peers.get(message.sender)
+        if not self.leads or peer is None or message.term != self.memory.term:
+            return
+        peer.heard_at, peer.round = now, max(peer.round, taken.round)
+        if not taken.ok:
+            peer.next = max(min(taken.index, self.memory.last) + 1, peer.match + 1)
+            if taken.index >= peer.match:  # else it is an old answer, or one that has forgotten: no hurry
+                self._send(message.sender, now)
+        else:
+            peer.match = max(peer.match, taken.index)
+            peer.next = max(peer.next, peer.match + 1)  # what is lost shows at the next sign of life
+            self._advance(now)
+            if peer.next <= self.memory.last and message.sender in self.peers:
+                self._send(message.sender, now)
+        self._hand_on()
+
+    def _advance(self, now: int) -> None:
+        """Commit what a majority has, of the own term; answer what may be read."""
+        match = {name: peer.match for name, peer in self.peers.items()} | {self.me: self.memory.last}
+        held = sorted((match.get(name, 0) for name in self.voters), reverse=True)
+        index = held[len(held) // 2]
+        if index > self.commit and self.memory.term_at(index) == self.memory.term:
+            self._commit(index, now)
+            if self.leads:
+                self._broadcast(now)
+        if not self.leads:
+            return
+        answered = [
+            read for read in self.reads if self._round_taken(read.round) and self.applied >= read.index
+        ]
+        self.done += [Done(read.ticket, True) for read in answered]
+        self.reads = [read for read in self.reads if read not in answered]
+
+    def _round_taken(self, number: int) -> bool:
+        return self._majority({name for name, peer in self.peers.items() if peer.round >= number} | {self.me})
+
+    def _commit(self, index: int, now: int) -> None:
+        if index <= self.commit:
+            return
+        self.commit = index
+        while self.applied < self.commit:
+            entry = self.memory.entries[self.applied - self.memory.base]
+            self.applied += 1
+            result = self.machine.apply(self.applied, entry.op) if entry.op else None
+            term, ticket = self.tickets.pop(self.applied, (0, 0))
+            if ticket:
+                self.done.append(Done(ticket, term == entry.term, result))
+        self.watcher(now)
+        if self.leads and self.memory.voters_at(self.commit) == self.voters and not self.is_voter:
+            self._follow(self.memory.term, "", now)
+        self._compact()
+
+    def _compact(self) -> None:
+        memory = self.memory
+        if self.applied - memory.base < 2 * self.timing.kept:
+            return
+        base = self.applied
+        term = memory.term_at(base)
+        assert term is not None
+        state, voters = self.machine.snapshot(), memory.voters_at(base)
+        # A snapshot is of what is applied; entries before it go at once, and who is behind gets the snapshot.
+        del memory.entries[: base - memory.base]
+        memory.base, memory.base_term, memory.base_voters, memory.base_state = base, term, voters, state
+        self._dirty(base)
+
+    def _hand_on(self) -> None:
+        peer = self.peers.get(self.handing_to) if self.leads else None
+        if peer is not None and peer.match == self.memory.last:
+            self._tell(self.handing_to, TimeIsUp())
+
+    def _tell(self, to: str, body: Body, term: int | None = None) -> None:
+        memory = self.memory
+        self.out.append(Message(self.me, to, memory.epoch, memory.term if term is None else term, body))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,6 +15,7 @@
     "names": {"schema"},
     "membership": {"decisions", "routing", "names"},
     "waiting": {"decisions", "routing", "schema"},
+    "fleet": set(),
     "protocol": {"decisions", "routing", "names", "waiting"},
     "transport": {"decisions", "routing", "names", "membership", "protocol"},
     "program": {"decisions", "routing", "names", "membership", "waiting", "protocol", "transport"},
@@ -47,7 +48,7 @@
         assert own <= ALLOWED[layer] | {layer}, path
 
 
-@pytest.mark.parametrize("layer", ["decisions", "routing", "membership"])
+@pytest.mark.parametrize("layer", ["decisions", "routing", "membership", "fleet"])
 def test_the_core_imports_no_wire(layer):
     for path in (PACKAGE / layer).glob("*.py"):
         assert not {name.split(".")[0] for name in imports(path)} & WIRES, path
@@ -70,5 +71,5 @@
         "hazelbend.standins",
         "hazelbend.cli",
     )
-    off += ("hazelbend.waiting", "hazelbend.program.waiting", "hazelbend.program.sources")
+    off += ("hazelbend.fleet", "hazelbend.waiting", "hazelbend.program.waiting", "hazelbend.program.sources")
     assert not [each for each in loaded if each.startswith(off)]
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,295 @@
+"""Leases: the record, the machine, the two sides of the time, and whole fleets with faults on virtual
+time."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from benchmarks.fleet_search import Left, search
+from benchmarks.fleet_sim import play
+from hazelbend.fleet import leases as ls
+from hazelbend.fleet.holder import Holder, Stage
+from hazelbend.fleet.messages import Entry, Message, Put, Taken
+from hazelbend.fleet.record import Memory, Record, Timing, epoch_number
+from hazelbend.fleet.voters import next_voters
+
+S = 1_000_000
+LIMITS = ls.Limits(leases=3, waiters=2, shortest=S, longest=10 * S)
+
+
+def machine() -> ls.Leases:
+    made = ls.Leases(LIMITS)
+    made.begin(7)
+    put(made, ls.Open())
+    return made
+
+
+def put(to: ls.Leases, operation: ls.Operation) -> ls.Answer:
+    return to.apply(0, ls.encode(operation))
+
+
+def acquire(to: ls.Leases, holder: str, name: str = "a", ask: int = 1, **more: int) -> ls.Answer:
+    return put(to, ls.Acquire(name, holder, ask, more.pop("ttl", 2 * S), **more))
+
+
+# --- the machine ---
+
+
+def test_a_lease_goes_from_hand_to_hand_in_the_order_of_asking_and_tokens_grow():
+    made = machine()
+    first = acquire(made, "x").token
+    assert first >> ls.TOKEN_BITS == 7
+    assert acquire(made, "y").why == "held"
+    assert acquire(made, "y", ask=2, wait=S).place == 1 and acquire(made, "z", wait=S).place == 2
+    assert acquire(made, "w", wait=S).why == "too many wait"
+    assert put(made, ls.Release("a", first)).why == "released"
+    second = acquire(made, "y", ask=2, wait=S).token
+    assert second == first + 1
+    assert put(made, ls.Release("a", first)).why == "lost", "an old token ends nothing"
+    assert put(made, ls.HandOver("a", second, "w")).why == "it does not wait"
+    assert put(made, ls.LeaveQueue("a", "z")).why == "left"
+    assert put(made, ls.ForceRelease("a")).why == "released" and made.state.leases == {}
+    assert acquire(made, "w").token == second + 1
+
+
+def test_the_same_wish_that_comes_again_is_no_other_and_another_of_its_holder_is_refused():
+    made = machine()
+    token = acquire(made, "x").token
+    assert acquire(made, "x").token == token and made.state.leases["a"].renewals == 1
+    assert acquire(made, "x", ask=2, wait=S).why == "another wish of the same holder"
+    acquire(made, "y", wait=S)
+    assert acquire(made, "y", wait=S).place == 1 and len(made.state.leases["a"].waiters) == 1
+
+
+def test_a_renewal_that_was_ordered_before_it_makes_an_expiry_nothing():
+    made = machine()
+    token = acquire(made, "x").token
+    put(made, ls.Renew("a", token))
+    assert put(made, ls.Expire("a", token, 0)).why == "renewed" and made.state.leases["a"].token == token
+    assert put(made, ls.Expire("a", token, 1)).why == "released"
+    assert put(made, ls.Renew("a", token)).why == "free"
+
+
+def test_limits_and_a_fleet_that_is_not_open_are_told():
+    made = machine()
+    assert [acquire(made, "x", name=name).why for name in ("a", "b", "c", "d")] == [
+        "",
+        "",
+        "",
+        "too many leases",
+    ]
+    assert acquire(made, "y", ttl=S // 2).why == "ttl" and acquire(made, "y", ttl=11 * S).why == "ttl"
+    assert acquire(made, "", name="b").why == acquire(made, "y", name="n" * 201).why == "name"
+    made.begin(8)
+    assert acquire(made, "x").why == "not open yet" and made.state.granted == 0
+    put(made, ls.Open())
+    assert acquire(made, "x").token >> ls.TOKEN_BITS == 8
+
+
+def test_a_snapshot_holds_all_of_it():
+    made, other = machine(), ls.Leases(LIMITS)
+    acquire(made, "x"), acquire(made, "y", wait=S)
+    other.restore(made.snapshot())
+    assert other.state == made.state
+    assert put(other, ls.Release("a", acquire(other, "x").token)).why == "released"
+    assert acquire(other, "y", wait=S).token == made.state.leases["a"].token + 1
+
+
+def test_the_watch_counts_from_what_it_has_seen_itself():
+    made, watch = machine(), ls.Watch(LIMITS)
+    watch.look(made, 0)
+    token = acquire(made, "x").token
+    acquire(made, "y", wait=S)
+    watch.look(made, 5 * S)
+    put(made, ls.Renew("a", token))
+    watch.look(made, 6 * S)
+    assert watch.over(made, 8 * S - 1) == []
+    assert watch.over(made, 8 * S) == [ls.Expire("a", token, 1)]
+    assert ls.ExpireWait("a", "y", 1, 1) in watch.over(made, 15 * S), "who waits asks again, or is gone"
+    made.begin(9)
+    watch.look(made, 20 * S)
+    assert watch.over(made, 30 * S) == [] and watch.over(made, watch.opens()) == [ls.Open()]
+    assert watch.opens() > 30 * S
+
+
+# --- the holder ---
+
+
+@given(
+    ttl=st.integers(S, 10 * S),
+    delay=st.integers(0, 20 * S),
+    rates=st.tuples(*[st.sampled_from((0.95, 1.0, 1.05))] * 2),
+)
+def test_a_holder_stops_before_any_grantor_may_think_it_over(ttl, delay, rates):
+    """The request leaves at true time 0, is applied at once, and its answer is as late as it may be."""
+    holder = Holder("a", "x", 1, LIMITS, 0, ttl=ttl)
+    [request] = holder.tick(0)
+    holder.answered(request.number, ls.Answer(token=5), round(delay * rates[0]))
+    over = ttl / rates[1]
+    assert not holder.may_act(round(over * rates[0]))
+    assert holder.may_act(round(delay * rates[0])) == (round(delay * rates[0]) < holder.until)
+    assert holder.until <= over * rates[0]
+
+
+def test_a_holder_renews_in_time_counts_by_its_own_requests_and_ends_when_told():
+    holder = Holder("a", "x", 1, LIMITS, 0, ttl=6 * S, wait=20 * S)
+    [first] = holder.tick(0)
+    holder.answered(first.number, ls.Answer(place=1), 1_000)
+    assert holder.stage is Stage.WAITING and not holder.may_act(1_000)
+    [again] = holder.tick(holder.due)
+    holder.answered(again.number, ls.Answer(token=9), 2 * S)
+    assert holder.may_act(2 * S) and holder.until == S // 2 + holder.counted
+    assert holder.tick(2 * S) == []
+    [renewal] = holder.tick(holder.due)
+    assert renewal.operation == ls.Renew("a", 9)
+    before = holder.until
+    holder.answered(renewal.number, None, 3 * S)
+    holder.answered(again.number, ls.Answer(token=9), 3 * S)
+    assert holder.until == before, "no answer, and one that came twice, give no time"
+    [renewal] = holder.tick(holder.due)
+    holder.answered(renewal.number, ls.Answer(token=9), 4 * S)
+    assert holder.until > before
+    [renewal] = holder.tick(holder.due)
+    holder.answered(renewal.number, ls.Answer(why="lost"), 5 * S)
+    assert (holder.stage, holder.why) == (Stage.ENDED, "lost") and not holder.may_act(5 * S)
+
+
+def test_a_holder_that_lets_go_acts_no_more_and_says_so_until_it_is_heard():
+    holder = Holder("a", "x", 1, LIMITS, 0, ttl=6 * S)
+    [first] = holder.tick(0)
+    holder.answered(first.number, ls.Answer(token=9), 10)
+    holder.let_go(S)
+    assert not holder.may_act(S)
+    [release] = holder.tick(S)
+    holder.answered(release.number, None, S)
+    [release] = holder.tick(holder.due)
+    assert release.operation == ls.Release("a", 9)
+    holder.answered(release.number, ls.Answer(why="released"), 2 * S)
+    assert (holder.stage, holder.why) == (Stage.ENDED, "")
+
+
+def test_a_holder_whose_fleet_falls_silent_ends_by_itself():
+    holder = Holder("a", "x", 1, LIMITS, 0, ttl=6 * S)
+    [first] = holder.tick(0)
+    holder.answered(first.number, ls.Answer(token=9), 10)
+    holder.tick(holder.until)
+    assert (holder.stage, holder.why) == (Stage.ENDED, "lost")
+    other = Holder("a", "y", 1, LIMITS, 0, ttl=6 * S, wait=S)
+    other.tick(0)
+    [last] = other.tick(7 * S)
+    assert (other.stage, other.why) == (Stage.ENDED, "no answer") and last.operation == ls.LeaveQueue(
+        "a", "y"
+    )
+
+
+# --- the record ---
+
+
+def record(identity: str = "a.1", memory: Memory | None = None, now: int = 0) -> Record:
+    return Record(memory or Memory(identity), ls.Leases(LIMITS), Timing(), 1, now)
+
+
+def test_one_voter_founds_an_epoch_and_a_lower_one_is_not_gone_back_to():
+    alone = record()
+    assert alone.propose(ls.encode(ls.Open()), 0) is None, "nobody has founded anything"
+    alone.found(5, 0)
+    ticket = alone.propose(ls.encode(ls.Open()), 0)
+    assert alone.settled and [each.ticket for each in alone.done if each.ok] == [ticket]
+    with pytest.raises(ValueError, match="not higher"):
+        alone.found(5, 0)
+    assert alone.promise_changed and alone.unsaved == 1
+    first, second = epoch_number(0, 100.9, "a"), epoch_number(0, 100.9, "b")
+    assert first != second and epoch_number(second, 3.0, "a") > second, "also after a step of the wall clock"
+
+
+def test_what_is_not_held_is_asked_for_and_an_old_answer_makes_no_storm():
+    leader, new = record("a.1"), record("b.1")
+    leader.found(5, 0)
+    leader.teach({"b.1"}, 0)
+    for _ in range(600):
+        leader.propose(ls.encode(ls.Open()), 0)
+    assert leader.memory.base > 0, "what is applied goes into a snapshot"
+    now = 0
+    for _ in range(40):
+        now += 100_000
+        leader.tick(now)
+        for each in leader.out:
+            new.receive(each, now)
+        leader.out.clear()
+        for each in new.out:
+            leader.receive(each, now)
+        new.out.clear()
+    assert new.applied == leader.applied and new.machine.state.open
+    leader.out.clear()
+    leader.peers["b.1"].match = leader.memory.last
+    leader.receive(Message("b.1", "a.1", 5, 1, Taken(False, 3, 0)), now)
+    assert leader.out == []
+
+
+def test_a_voter_answers_only_after_its_promise_is_to_be_saved():
+    """The driver saves what these name before `out` leaves; a message without them would rest on nothing."""
+    voter = record("b.1")
+    voter.receive(Message("a.1", "b.1", 5, 1, Put(0, 0, (Entry(1, ("a.1", "b.1")),), 0, 1)), 0)
+    assert voter.promise_changed and voter.unsaved == 1 and voter.out
+
+
+@pytest.mark.parametrize(
+    "voters, members, lost, then",
+    [
+        ("a", "ab", "", "ab"),
+        ("ab", "abc", "", "abc"),
+        ("abc", "abcd", "", None),
+        ("abc", "abcd", "b", "abcd"),
+        ("abcd", "acd", "b", "acd"),
+        ("abc", "ac", "b", None),  # two of three decide; two of two would be no better
+        ("abc", "bc", "a", None),
+        ("abcde", "abcde", "", "abcd"),
+        ("abcde", "abc", "de", "abce"),
+    ],
+)
+def test_who_votes_next(voters, members, lost, then):
+    found = next_voters(tuple(voters), "a" if "a" in members else "b", tuple(members), set(lost), 3)
+    assert found == (tuple(then) if then else None)
+
+
+# --- whole fleets ---
+
+
+@pytest.mark.parametrize("nodes", [3, 5, 7])
+def test_no_two_act_at_once_whatever_fails(nodes):
+    """Twenty schedules of ten seconds a size, with every fault; a longer run: benchmarks/fleet_sim.py."""
+    played = [play(seed, nodes, 10.0, "") for seed in range(20)]
+    assert [each["broken"] for each in played if each["broken"]] == []
+    assert sum(each["grants"] for each in played) > 50 and sum(each.get("acts", 0) for each in played) > 300
+    assert played[0] == play(0, nodes, 10.0, ""), "the same seed is the same run"
+
+
+@pytest.mark.parametrize(
+    "seed, nodes, defect, found",
+    [
+        (1, 5, "no token check", "the store took"),
+        (143, 5, "time from the answer", "overlap"),
+        (2, 5, "no wait by a new leader", "overlap"),
+        (15, 5, "memory forgotten", "applies another entry"),
+        (3, 5, "stale read", "stale read"),
+        (3, 5, "token reset in a new epoch", "granted twice"),
+    ],
+)
+def test_the_checks_of_whole_fleets_find_planted_mistakes(seed, nodes, defect, found):
+    assert found in str(play(seed, nodes, 20.0, defect)["broken"])
+    assert not play(seed, nodes, 20.0, "")["broken"], "it is the mistake that they find"
+
+
+@pytest.mark.parametrize(
+    "defect, left, found",
+    [
+        ("vote forgotten", Left(2, 0, 1, 0), "election"),
+        ("memory forgotten", Left(2, 0, 1, 0), "election"),
+        ("two voter changes at once", Left(2, 0, 0, 2), "completeness"),
+    ],
+)
+def test_every_order_of_events_is_tried_and_a_planted_mistake_found(defect, left, found):
+    assert found in str(search(defect, left, 20_000)["broken"])
+    assert not search("", left, 4_000)["broken"]
