Give a server that has said nothing the typical size, not that of one job

Cause: the change of levels before counted others' jobs by a size whose first factor is the jobs that a server runs at once, which is 1 until its first report. With 200 dispatchers most servers have said nothing to most of them, so each seemed to hold an eighth of what its kind does and was sent to first.

--- a/hazelbend/decisions/brain.py
+++ b/hazelbend/decisions/brain.py
@@ -174,9 +174,8 @@
         worker.others = max(round(min(held, K_MAX)) - worker.own.at(worker.counted_at), 0)
         worker.runs_at_once(held - queued + (load.free_slots or 0.0))
         self._set_rate(worker, now)  # its size is to be that of this report
-        usual = worker.others / worker.size
-        self.usuals.setdefault(worker.entry.machine_kind, Mean()).add(usual, MEMORY)
-        worker.usual.add(usual, LEVEL_MEMORY)
+        self.usuals.setdefault(worker.entry.machine_kind, Mean()).add(worker.others / worker.size, MEMORY)
+        worker.usual.add(worker.others / worker.size, LEVEL_MEMORY)
         self._set_rate(worker, now)
 
     def _learn(self, attempt: Attempt, now: int) -> None:
@@ -201,7 +200,9 @@
             pace = self.paces.get(worker.entry.machine_kind, Mean())
             listed = pace.beside(self.slowness.value, CLASS_PRIOR)
         ratio = worker.ratio.beside(listed, RATE_PRIOR)
-        worker.speed, worker.rate = listed / ratio, worker.most / (ratio * self.work.value)
+        typical = self.rates.value * self.slowness.value  # jobs at once, of one that has said nothing yet
+        worker.size = (worker.most if worker.slots else typical) * listed / ratio
+        worker.rate = worker.most / (ratio * self.work.value)
         usual = kind.value * (not worker.drawn)  # a cold one is not as full as its kind
         worker.crowd = worker.usual.beside(usual, LEVEL_PRIOR) * worker.size / worker.rate
 
--- a/hazelbend/decisions/memory.py
+++ b/hazelbend/decisions/memory.py
@@ -38,7 +38,7 @@
                 **{name: _pair(getattr(each, name)) for name in WORKER_MEANS},
                 **{name: getattr(each, name) for name in WORKER_NUMBERS + WORKER_TIMES},
                 "usual": _pair(each.usual),
-                "speed": each.speed,
+                "size": each.size,
                 "soundness": astuple(each.soundness),
             }
             for number, each in dispatcher.workers.items()
@@ -86,9 +86,9 @@
     found["shut_until"] = min(found["shut_until"], now + 2 * LAST_BACKOFF)
     found["backoff"] = min(found["backoff"], LAST_BACKOFF)
     found |= {"others": int(_number(values["others"])), "counted_at": now}
-    found |= {"usual": _mean(values.get("usual", (0.0, 0.0))), "speed": _number(values.get("speed", 1.0))}
-    if found["speed"] <= 0:
-        raise ValueError("a worker without a speed")
+    found |= {"usual": _mean(values.get("usual", (0.0, 0.0))), "size": _number(values.get("size", 1.0))}
+    if found["size"] <= 0:
+        raise ValueError("a worker without a size")
     found["soundness"] = _soundness(values.get("soundness"), now)
     found["keys"] = {int(_number(key)): None for key in values["keys"]}
     found["spent"] = deque((int(_number(at)), _number(cost)) for at, cost in values["spent"])
--- a/hazelbend/decisions/records.py
+++ b/hazelbend/decisions/records.py
@@ -92,7 +92,10 @@
     rate: float = 0.0
     rated_at: int = 0
     most: float = 1.0  # most mean jobs that run at once
-    speed: float = 1.0  # beside what its listing, or its kind, leads to expect
+    # What others' jobs are counted by: jobs at once, times the speed beside what its listing or kind leads to
+    # expect. Not the rate: that starts from a guess of how long jobs run, and a level that was counted by the
+    # guess would grow as many times as the guess was wrong.
+    size: float = 1.0
     round_trip: int = 0
     reported_at: int = 0
     said: LoadReport | None = None  # the last report, and since when it is known
@@ -126,12 +129,6 @@
             self.own.move(now, -1)
             self.own.forget(now - memory)
 
-    @property
-    def size(self) -> float:
-        """What others' jobs are counted by. Not by the rate: that starts from a guess of how long jobs run,
-        and a level that was counted by the guess would grow as many times as the guess was wrong."""
-        return self.most * self.speed
-
     def runs_at_once(self, seen: float) -> None:
         """So many slots were seen there."""
         change = (seen - self.slots) * (SLOT_RISE if seen > self.slots else SLOT_FALL)
--- a/tests/test_estimate.py
+++ b/tests/test_estimate.py
@@ -123,6 +123,24 @@
     assert not model.refused
 
 
+def test_one_that_has_said_nothing_is_taken_to_be_as_full_as_its_kind():
+    """Given the size of one job it seemed emptier than all that had spoken: with 200 dispatchers, to each of
+    which most servers have said nothing yet, the day of a cut lost 0.18 of its score by it."""
+    model = Model(dy.Settings(classes=(dy.JobClass(objective=100_000),), weights_tell=False))
+    model.list_workers(*[dy.WorkerEntry(number) for number in range(4)])
+    for request in range(40):
+        model.arrive(request)
+        model.advance(100_000)
+        if model.jobs[request].tries[0].worker.worker != 3:
+            report = dy.LoadReport(in_flight=8.0, queued=0.0, free_slots=0.0)
+            model.end(request, dy.Outcome.SERVED, load=report)
+    workers = model.dispatcher.workers
+    usual = [worker.crowd * worker.rate for worker in workers.values()]
+    model.dispatcher._set_rate(workers[3], model.now)
+    assert workers[3].slots == 0
+    assert workers[3].crowd * workers[3].rate > 0.7 * min(usual[:3]) > 4.0
+
+
 def test_a_send_that_a_report_holds_is_not_counted_twice():
     worker = make_worker()
     send(worker, 100)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -86,7 +86,7 @@
     memory["levels"] = [[kind, [10.0, 1e7]] for kind, _ in memory.pop("usuals")]
     for each in memory["workers"]:
         each["level"] = each.pop("usual")
-        del each["speed"]
+        del each["size"]
     remember(new, memory, now)
     assert new.usuals == {} and new.avoided(now) == {2}
     for worker in new.workers.values():
