Leases by real processes: the fleet's part of the program, its peers, and the commands

Need: what the engines decide has to be spoken between dispatchers and used by a person or cron. App has one place where a part joins, and the new part knows nothing of App.

Tests with three processes: the leader is killed under a task while two more wait (three tokens, rising, each task to its end); all dispatchers are stopped under a task, which ends by its own clock within the lease's 2 s; a majority's memory is lost, nothing is granted until `fleet start`, tokens grow over it. Off, nothing of it is imported by `run` (a test holds it). A token was 75 bits at first, which msgpack cannot hold: now 63, of which 28 count.

--- a/hazelbend/cli/main.py
+++ b/hazelbend/cli/main.py
@@ -44,3 +44,101 @@
     from hazelbend.cli.check import run
 
     raise SystemExit(run(config, as_json))
+
+
+class Time(click.ParamType):
+    """`10s`, `1m`, `500ms`, or seconds."""
+
+    name = "time"
+
+    def convert(self, value: object, param: click.Parameter | None, ctx: click.Context | None) -> float:
+        text = str(value).strip()
+        number = text.rstrip("smh")
+        factor = {"ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3_600.0, "": 1.0}.get(text[len(number) :])
+        try:
+            return float(number) * (factor or float("nan"))
+        except ValueError:
+            self.fail(f"{text!r} is no time such as 10s, 1m or 500ms", param, ctx)
+
+
+JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+
+
+@main.group()
+def fleet() -> None:
+    """The dispatchers that share leases, as this machine's one knows them.
+
+    Commands end with status 0, 1 if there is nothing to show or a refusal, 2 for settings, 3 if none answers.
+    """
+
+
+@fleet.command("status")
+@JSON
+def fleet_status(as_json: bool) -> None:
+    """Members, voters and who leads. Status 1 if nobody does."""
+    from hazelbend.cli import fleet as part
+
+    raise SystemExit(part.main(lambda conf, peers: part.status(conf, peers, as_json)))
+
+
+@fleet.command("start")
+@click.option("--anyway", is_flag=True, help="Though somebody leads, as far as this dispatcher knows.")
+def fleet_start(anyway: bool) -> None:
+    """Start a new epoch here: once for a new fleet, and when most voters are lost for good.
+
+    While a majority lives behind a cut, this makes two fleets until they hear of each other.
+    """
+    from hazelbend.cli import fleet as part
+
+    raise SystemExit(part.main(lambda conf, peers: part.start(conf, peers, anyway)))
+
+
+@main.group()
+def lease() -> None:
+    """Leases for tasks that one of the fleet may do at a time."""
+
+
+@lease.command("run", options_metavar="[--ttl TIME] [--wait TIME] --")
+@click.argument("name")
+@click.option("--ttl", type=Time(), default=10.0, help="How long the lease outlives its holder. [10s]")
+@click.option("--wait", type=Time(), default=0.0, help="How long to queue for it. [0]")
+@click.argument("command", nargs=-1, required=True, type=click.UNPROCESSED)
+def lease_run(name: str, ttl: float, wait: float, command: tuple[str, ...]) -> None:
+    """Run COMMAND while the lease NAME is held, with its token in HAZELBEND_TOKEN.
+
+    Ends with COMMAND's status, with 75 if the lease was not to be had, and with 76 if it was lost: COMMAND
+    then got SIGTERM, and SIGKILL before the lease's time was over.
+    """
+    from hazelbend.cli import fleet as part
+
+    raise SystemExit(part.main(lambda conf, peers: part.run_command(conf, peers, name, ttl, wait, command)))
+
+
+@lease.command("list")
+@JSON
+def lease_list(as_json: bool) -> None:
+    """All leases, their holders and who waits."""
+    from hazelbend.cli import fleet as part
+
+    raise SystemExit(part.main(lambda conf, peers: part.show(conf, peers, None, as_json)))
+
+
+@lease.command("show")
+@click.argument("name")
+@JSON
+def lease_show(name: str, as_json: bool) -> None:
+    """One lease. Status 1 if it is free."""
+    from hazelbend.cli import fleet as part
+
+    raise SystemExit(part.main(lambda conf, peers: part.show(conf, peers, name, as_json)))
+
+
+@lease.command("release")
+@click.argument("name")
+@click.option("--force", is_flag=True, required=True, help="Its holder is not asked, and may act on.")
+def lease_release(name: str, force: bool) -> None:
+    """Take a lease from its holder. The next one's token is higher."""
+    from hazelbend.cli import fleet as part
+
+    assert force
+    raise SystemExit(part.main(lambda conf, peers: part.force(conf, peers, name)))
--- /dev/null
+++ b/hazelbend/fleet/engine.py
@@ -0,0 +1,223 @@
+"""One dispatcher's part in the fleet: members, the record, the leases and their watch, as one engine told the
+time.
+
+The driver calls `tick` when `due` says so, `receive` with what comes from peers, `ask` with what holders
+want; then it saves what `unsaved` names, sends `out`, and hands `answers` back. Nothing here waits.
+
+What each part needs of the others is joined here and nowhere else:
+    - the leader puts to the record what the watch finds over, once for a state that it has seen;
+    - the leader sees to the voters by what the members say, every `TEND`;
+    - one that does not lead answers a wish with who does, as far as it knows.
+
+A fleet that is unreachable changes nothing outside: whoever holds a lease ends it by its own clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from hazelbend.fleet import members as mb
+from hazelbend.fleet import record as rc
+from hazelbend.fleet.leases import Answer, Leases, Limits, Operation, Watch, encode
+from hazelbend.fleet.messages import Message
+from hazelbend.fleet.record import Memory, Record, epoch_number
+from hazelbend.fleet.voters import next_voters
+
+TEND = 500_000  # microseconds between looks at the voters
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """What the settings say of a fleet."""
+
+    fleet: str
+    seeds: tuple[str, ...]
+    voters: int = 3
+    limits: Limits = Limits()
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """To one wish: the machine's answer, or, without it, the identity of who leads, if that is known."""
+
+    answer: Answer | None = None
+    leader: str = ""
+
+
+class MemberView(msgspec.Struct, frozen=True):
+    identity: str
+    status: str
+    incarnation: int
+    for_s: float
+
+
+class LeaseView(msgspec.Struct, frozen=True):
+    name: str
+    holder: str
+    token: int
+    ttl_s: float
+    renewals: int
+    renewed_s_ago: float | None  # as far as this process has seen
+    waiters: tuple[str, ...]
+
+
+class View(msgspec.Struct, frozen=True):
+    """What one dispatcher knows; `fresh`: it leads and has committed in its own term."""
+
+    fleet: str
+    me: str
+    role: str
+    epoch: int
+    term: int
+    leader: str
+    fresh: bool
+    open: bool
+    commit: int
+    lag: int  # entries that it holds and knows not to be committed
+    doubt: int
+    voters: tuple[str, ...]
+    members: tuple[MemberView, ...]
+    leases: tuple[LeaseView, ...]
+    strangers: dict[str, str]
+
+
+class Fleet:
+    def __init__(self, identity: str, plan: Plan, seed: int, now: int, memory: Memory | None = None) -> None:
+        self.plan = plan
+        self.leases, self.watch = Leases(plan.limits), Watch(plan.limits)
+        self.members = mb.Members(identity, plan.fleet, plan.seeds, mb.Timing(), seed, now)
+        self.record = Record(memory or Memory(identity), self.leases, rc.Timing(), seed, now)
+        self.record.watcher = lambda at: self.watch.look(self.leases, at)
+        self.record.watcher(now)
+        self.out: list[tuple[str, mb.Packet | Message]] = []  # to an address
+        self.answers: list[tuple[int, Reply]] = []
+        self._tickets: dict[int, int] = {}  # of the record's, the driver's numbers
+        self._proposed: set[Operation] = set()
+        self._term = -1
+        self._tend_at = now
+
+    @property
+    def me(self) -> str:
+        return self.members.me
+
+    @property
+    def due(self) -> int:
+        times = [self.members.due, self.record.due]
+        if self.record.leads:
+            times += [self._tend_at, self.watch.due(self.leases)]
+        return min(times)
+
+    def tick(self, now: int) -> None:
+        if now >= self.members.due:
+            self.members.tick(now)
+        if now >= self.record.due:
+            self.record.tick(now)
+        if self.record.leads:
+            self._lead(now)
+        self._collect()
+
+    def receive(self, item: mb.Packet | Message, now: int) -> None:
+        if isinstance(item, mb.Packet):
+            self.members.receive(item, now)
+        elif item.to == self.me:  # an address that was another's: what was meant for it is not for us
+            self.record.receive(item, now)
+        self._collect()
+
+    def ask(self, number: int, operation: Operation, now: int) -> None:
+        """A reply with this number comes, at once or once the record has taken it."""
+        ticket = self.record.propose(encode(operation), now)
+        if ticket is None:
+            leader = "" if self.record.leads else self.record.leader
+            self.answers.append((number, Reply(leader=leader)))
+        else:
+            self._tickets[ticket] = number
+        self._collect()
+
+    def found(self, unix_s: float, now: int) -> int:
+        """An operator's word: a new epoch, with this one voter. Its number."""
+        epoch = epoch_number(self.record.memory.epoch, unix_s, self.me)
+        self.record.found(epoch, now)
+        self._collect()
+        return epoch
+
+    def leave(self, now: int) -> bool:
+        """Hand over, then tell the members. True once nothing is led here; call it again until then."""
+        if self.record.leads:
+            others = [each for each in self.record.voters if each in self.members.well() and each != self.me]
+            if others:
+                self.record.hand_over(others[0], now)
+                self._collect()
+                return False
+        if not self.members.leaving:
+            self.members.leave(now)
+            self._collect()
+        return True
+
+    def view(self, now: int) -> View:
+        record, members = self.record, self.members
+        seen = {name: at for (name, _, _), at in self.watch.since.items()}
+        return View(
+            fleet=self.plan.fleet,
+            me=self.me,
+            role=record.role.value if record.is_voter else "member",
+            epoch=record.memory.epoch,
+            term=record.memory.term,
+            leader=record.leader,
+            fresh=record.settled,
+            open=self.leases.state.open,
+            commit=record.commit,
+            lag=record.memory.last - record.commit,
+            doubt=members.doubt,
+            voters=record.voters,
+            members=tuple(
+                MemberView(
+                    each.identity, each.status.name.lower(), each.incarnation, (now - each.since) / 1e6
+                )
+                for each in sorted(members.table.values(), key=lambda each: each.identity)
+            ),
+            leases=tuple(
+                LeaseView(
+                    name,
+                    each.holder,
+                    each.token,
+                    each.ttl / 1e6,
+                    each.renewals,
+                    (now - seen[name]) / 1e6 if name in seen else None,
+                    tuple(waiter.holder for waiter in each.waiters),
+                )
+                for name, each in sorted(self.leases.state.leases.items())
+            ),
+            strangers=dict(members.strangers),
+        )
+
+    def _lead(self, now: int) -> None:
+        record = self.record
+        if record.memory.term != self._term:
+            self._term, self._proposed = record.memory.term, set()
+        over = set(self.watch.over(self.leases, now))
+        for operation in sorted(over - self._proposed, key=repr):
+            record.propose(encode(operation), now)
+        self._proposed = over
+        if now >= self._tend_at:
+            self._tend_at = now + TEND
+            well = self.members.well()
+            lost = {each for each in record.voters if each not in well}
+            wish = next_voters(record.voters, self.me, well, lost, self.plan.voters)
+            record.teach(set(wish or ()) - set(record.voters), now)
+            if wish is not None:
+                record.change_voters(wish, now)
+
+    def _collect(self) -> None:
+        for packet in self.members.out:
+            self.out.append((mb.address_of(packet.to) or packet.to, packet))
+        self.members.out.clear()
+        for message in self.record.out:
+            self.out.append((mb.address_of(message.to), message))
+        self.record.out.clear()
+        done, self.record.done = self.record.done, []
+        for each in done:
+            number = self._tickets.pop(each.ticket, None)
+            if number is not None:
+                answer = each.result if each.ok and isinstance(each.result, Answer) else None
+                self.answers.append((number, Reply(answer, self.record.leader)))
--- a/hazelbend/fleet/leases.py
+++ b/hazelbend/fleet/leases.py
@@ -36,7 +36,8 @@
 
 import msgspec
 
-TOKEN_BITS = 32  # of a token below its epoch
+TOKEN_BITS = 28  # of a token below its epoch; with it a token has 63 bits
+MOST_GRANTS = (1 << TOKEN_BITS) - 1  # of an epoch: 8 years of one a second
 NAME, HOLDER = 200, 200  # most characters of a lease's name and a holder's
 
 
@@ -204,6 +205,8 @@
             return Answer(why="ttl")
         if not self.state.open:
             return Answer(why="not open yet")
+        if self.state.granted >= MOST_GRANTS:
+            return Answer(why="the epoch has no tokens left")
         if lease is None:
             if len(self.state.leases) >= limits.leases:
                 return Answer(why="too many leases")
@@ -238,7 +241,7 @@
         return Answer(why="it does not wait")
 
     def _pass_on(self, name: str, lease: Lease, to: str = "") -> None:
-        if not lease.waiters:
+        if not lease.waiters or self.state.granted >= MOST_GRANTS:
             del self.state.leases[name]
             return
         first = next((each for each in lease.waiters if each.holder == to), lease.waiters[0])
@@ -281,6 +284,13 @@
         """From when on this epoch may grant."""
         return self.founded[1] + round(self.limits.longest * (1 + self.limits.drift))
 
+    def due(self, leases: Leases) -> int:
+        """When `over` may have something new."""
+        times = [] if leases.state.open else [self.opens()]
+        times += [at + leases.state.leases[name].ttl for (name, _, _), at in self.since.items()]
+        times += [at + self.limits.longest for at in self.waits.values()]
+        return min(times, default=1 << 62)
+
     def over(self, leases: Leases, now: int) -> list[Operation]:
         """What the leader is to put to the record."""
         found: list[Operation] = [] if leases.state.open or now < self.opens() else [Open()]
--- a/hazelbend/fleet/record.py
+++ b/hazelbend/fleet/record.py
@@ -41,13 +41,14 @@
 
 from hazelbend.fleet.messages import Ask, Body, Entry, Install, Message, Put, Taken, TimeIsUp, Vote
 
-EPOCH_BITS = 12  # of an epoch below the second in which it was started
+EPOCH_BITS = 8  # of an epoch below the time at which it was started
+EPOCH_S = 16  # seconds that such a time is counted in, so that tokens have room for their count
 
 
 def epoch_number(known: int, unix_s: float, identity: str) -> int:
     """For a new epoch: above the known one, and above those that nobody remembers as far as the wall clock is
-    right; two operators who start one in the same second get two numbers."""
-    after = max(int(unix_s), (known >> EPOCH_BITS) + 1)
+    right; two operators who start one at once get two numbers, but for one time in 256."""
+    after = max(int(unix_s) // EPOCH_S, (known >> EPOCH_BITS) + 1)
     return (after << EPOCH_BITS) + zlib.crc32(identity.encode()) % (1 << EPOCH_BITS)
 
 
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -61,6 +61,19 @@
     def server_changed(self, server: RealServer, takes_work: bool) -> None: ...
 
 
+class Part(Protocol):
+    """What is not always on, and joins here: see `App._join`."""
+
+    async def start(self) -> None: ...
+
+    async def leave(self) -> None:
+        """The program is about to end: give up what others can take over."""
+
+    async def close(self) -> None: ...
+
+    def counts(self) -> dict[str, int]: ...
+
+
 class App:
     """One dispatcher: everything that runs in the process."""
 
@@ -93,6 +106,8 @@
 
             snmp = conf.snmp
             self.agent = SnmpAgent(snmp.host, snmp.port, snmp.community, snmp.notify, self.overview)
+        self.parts: list[Part] = []
+        self._join(conf)
         table.watcher = self._server_changed
         self._apply_waiting(conf.waiting)
         self._drain = Drain(self)
@@ -108,6 +123,14 @@
             self.router.held_elsewhere, self.router.id_watcher = self.handover.holds, self.handover.tell
         self._opening: list[asyncio.Task[None]] = []  # addresses that are not free yet
 
+    def _join(self, conf: config.Config) -> None:
+        """The parts that these settings enable. They know nothing of the program; a module is imported only
+        where its part is on."""
+        if conf.fleet is not None:
+            from hazelbend.program.fleet import FleetPart
+
+            self.parts.append(FleetPart(conf.name, conf.fleet, conf.seed, self.router.clock.now))
+
     # --- what operators see and do ---
 
     @property
@@ -122,6 +145,8 @@
         further = self.sources.counts() if self.sources is not None else {}
         if self.waiting is not None:
             further |= self.waiting.gate.counts(self._class_names)
+        for part in self.parts:
+            further |= part.counts()
         return further
 
     def drain(self) -> None:
@@ -178,6 +203,8 @@
             await self._open(self.console.listen)
         if self.agent is not None:
             await self._open(self.agent.start)
+        for part in self.parts:
+            await self._open(part.start)
         await self._move_door()
         if listener is not None and self.conf.settings.list_must_be_asked:
             # An upgrade, it may be: the list as last known may lack drains that the process before was told.
@@ -364,6 +391,7 @@
         down just now: so serve on for as long as what comes can still be finished, then close the doors."""
         log.info("leaving: %d flows open", len(self.router.flows))
         self.leaving = True
+        leaving = asyncio.gather(*(part.leave() for part in self.parts), return_exceptions=True)
         longest = max(row.deadline_ms for row in self.conf.catalogue.classes) / 1e3
         end = min(longest, LONGEST) + BEFORE_KILL
         if self.conf.passed_socket is not None:
@@ -387,6 +415,7 @@
         if self.waiting is not None:
             await self.waiting.finish(LAST_JOBS - LAST_WORD)
         await self.router.drained()
+        await leaving
         await self.close()
         log.info("left")
 
@@ -412,6 +441,8 @@
             await self.console.close()
         if self.agent is not None:
             await self.agent.close()
+        for part in self.parts:
+            await part.close()
         self.router.close()
         await self.pool.close()
 
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -1,8 +1,8 @@
 """The one place where configuration is read, checked and given defaults. Errors name the faulty key.
 
 Two sources: the platform's JSON, which RELAY_CONFIG names, and our own files under deploy/, each of which
-turns one thing on: stomp.toml, snmp.toml, console.toml, srv.toml, waiting.toml. What no file enables is
-neither opened nor imported.
+turns one thing on: stomp.toml, snmp.toml, console.toml, srv.toml, waiting.toml, fleet.toml. What no file
+enables is neither opened nor imported.
 """
 
 from __future__ import annotations
@@ -30,6 +30,7 @@
 from hazelbend.transport.stomp_listener import ClientAccount, StompSettings
 
 if TYPE_CHECKING:
+    from hazelbend.fleet.settings import FleetSettings
     from hazelbend.names.settings import SrvSettings
     from hazelbend.waiting.settings import WaitingSettings
 
@@ -72,6 +73,7 @@
     console: Path | None = None
     srv: SrvSettings | None = None
     waiting: WaitingSettings | None = None
+    fleet: FleetSettings | None = None
 
 
 class Keys:
@@ -237,7 +239,7 @@
     names = () if extends else ("settings", "catalogue", "reader")
     return [
         name
-        for name in ("listen", "seed", "known", "stomp", "snmp", "console", *names)
+        for name in ("listen", "seed", "known", "stomp", "snmp", "console", "fleet", *names)
         if getattr(old, name) != getattr(new, name)
     ]
 
@@ -267,9 +269,20 @@
         config = replace(config, srv=_srv(keys, zones, kinds))
     if (keys := _enabled(folder / "waiting.toml")) is not None:
         config = replace(config, waiting=_waiting(keys, config.catalogue))
+    if (keys := _enabled(folder / "fleet.toml")) is not None:
+        if Keys(conf, "").sub("settings").sub("limits").get("peers", bool, True) is False:
+            raise keys.fault("enabled", "settings.limits.peers is false: dispatchers here share nothing")
+        config = replace(config, fleet=_fleet(keys))
     return config
 
 
+def _fleet(keys: Keys) -> FleetSettings:
+    with _named(keys, "requirements-fleet.txt"):
+        from hazelbend.fleet.settings import read_settings
+
+        return read_settings(keys.table)
+
+
 def _srv(keys: Keys, zones: tuple[str, ...], kinds: tuple[str, ...]) -> SrvSettings:
     with _named(keys, "requirements-srv.txt"):
         from hazelbend.names.settings import read_settings
--- /dev/null
+++ b/hazelbend/program/fleet.py
@@ -0,0 +1,140 @@
+"""The fleet's part of the program: the engine's clock, its peers, and who asks it for leases."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+import time
+from collections.abc import Callable
+
+from hazelbend.fleet.engine import Fleet, Reply, View
+from hazelbend.fleet.leases import Operation
+from hazelbend.fleet.members import Packet
+from hazelbend.fleet.messages import Message
+from hazelbend.fleet.settings import FleetSettings
+from hazelbend.transport.fleet_peers import FleetDoor, Peers
+
+log = logging.getLogger("hazelbend.fleet")
+
+LEAVE_WAIT = 0.25  # seconds for the lead to go to another before the program goes on leaving
+LEAVE_LOOK = 0.02
+ANSWER_WAIT = 2.0  # seconds for the record to take a wish; then nobody can say
+SOON = 0.001
+
+
+class FleetPart:
+    """One dispatcher in the fleet. What it does, `Fleet` decides; what goes wrong here, routing never
+    sees."""
+
+    def __init__(self, name: str, settings: FleetSettings, seed: int, clock: Callable[[], int]) -> None:
+        """`clock`: microseconds that only go up."""
+        self.settings, self._clock = settings, clock
+        # One memory, one identity: it must never come again, whatever the seed.
+        identity = f"{name}#{secrets.token_hex(6)}@{settings.listen}"
+        self.engine = Fleet(identity, settings.plan(), seed, clock())
+        self.peers = Peers()
+        self.door = FleetDoor(self._hear, self._ask, self._found, self._view)
+        self._wake: asyncio.TimerHandle | None = None
+        self._asked: dict[int, asyncio.Future[Reply]] = {}
+        self._number = 0
+        self._led = ""
+        self._closed = False
+
+    async def start(self) -> None:
+        await self.door.listen(*self.settings.address)
+        log.info("fleet %s: %s", self.settings.id, self.engine.me)
+        self._pump()
+
+    async def leave(self) -> None:
+        """Hand the lead over and tell the members, within `LEAVE_WAIT`."""
+        end = time.monotonic() + LEAVE_WAIT
+        while not self.engine.leave(self._clock()) and time.monotonic() < end:
+            self._pump()
+            await asyncio.sleep(LEAVE_LOOK)
+        self.engine.members.leave(self._clock())
+        self._pump()
+
+    async def close(self) -> None:
+        self._closed = True
+        if self._wake is not None:
+            self._wake.cancel()
+        for future in self._asked.values():
+            future.cancel()
+        await self.door.close()
+        await self.peers.close()
+
+    def counts(self) -> dict[str, int]:
+        engine = self.engine
+        return {
+            "fleet_members": engine.members.size,
+            "fleet_leads": int(engine.record.leads),
+            "fleet_epoch": engine.record.memory.epoch,
+            "fleet_leases": len(engine.leases.state.leases),
+            "fleet_requests": self.peers.sent,
+            "fleet_requests_lost": self.peers.lost,
+        }
+
+    # --- what comes ---
+
+    def _hear(self, item: Packet | Message) -> None:
+        self.engine.receive(item, self._clock())
+        self._pump()
+
+    async def _ask(self, operation: Operation) -> Reply:
+        self._number += 1
+        number = self._number
+        future = self._asked[number] = asyncio.get_running_loop().create_future()
+        self.engine.ask(number, operation, self._clock())
+        self._pump()
+        try:
+            async with asyncio.timeout(ANSWER_WAIT):
+                return await future
+        except TimeoutError:
+            return Reply()
+        finally:
+            del self._asked[number]
+
+    def _found(self, anyway: bool) -> str:
+        record = self.engine.record
+        if not anyway and (record.leader or record.leads):
+            raise ValueError(f"{record.leader} leads epoch {record.memory.epoch}: nothing is lost")
+        epoch = self.engine.found(time.time(), self._clock())
+        log.warning("fleet: epoch %d is started here by an operator", epoch)
+        self._pump()
+        return str(epoch)
+
+    def _view(self) -> View:
+        return self.engine.view(self._clock())
+
+    # --- what is due ---
+
+    def _pump(self) -> None:
+        """Let the engine do what is due, send what it says, and come again when more is."""
+        if self._closed:
+            return
+        engine, now = self.engine, self._clock()
+        if now >= engine.due:
+            engine.tick(now)
+        for address, item in engine.out:
+            self.peers.tell(address, item)
+        engine.out.clear()
+        for number, reply in engine.answers:
+            future = self._asked.get(number)
+            if future is not None and not future.done():
+                future.set_result(reply)
+        engine.answers.clear()
+        self._tell_changes()
+        if self._wake is not None:
+            self._wake.cancel()
+        wait = max((engine.due - self._clock()) / 1e6, SOON)
+        self._wake = asyncio.get_running_loop().call_later(wait, self._pump)
+
+    def _tell_changes(self) -> None:
+        members, record = self.engine.members, self.engine.record
+        for each in members.changes:
+            log.info("fleet: %s is %s", each.identity, each.status.name.lower())
+        members.changes.clear()
+        if record.leader != self._led:
+            self._led = record.leader
+            log.info("fleet: %s leads", record.leader or "nobody")
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -83,6 +83,7 @@
         config.load({"RELAY_CONFIG": str(tmp_path / "none")})
 
 
+FLEET = 'enabled = true\nid = "f"\nlisten = "127.0.0.1:1"\n'
 OWN_FAULTS = [
     ("stomp.toml", STOMP.replace("listen", "lisen"), "listen: missing"),
     ("stomp.toml", STOMP.replace('"ankara-1"', '"izmir-1"'), "box[0].zone: 'izmir-1'"),
@@ -97,6 +98,10 @@
     ("snmp.toml", 'enabled = true\nlisten = "h:1"\ncommunity = ""', "community: empty"),
     ("snmp.toml", 'enabled = true\nlisten = "h:1"\ncommunity = "x"\nnotify = ["h"]', "notify: 'h'"),
     ("console.toml", "enabled = true", "socket: missing"),
+    ("fleet.toml", "enabled = true", "missing required field `id`"),
+    ("fleet.toml", FLEET + "voters = 4", "voters: 3, 5 or 7"),
+    ("fleet.toml", FLEET + "seeds = ['host:1']", "seeds"),
+    ("fleet.toml", FLEET + "[leases]\nlongest_s = 0.5", "leases.shortest_s: longer"),
 ]
 
 
@@ -108,12 +113,26 @@
     assert name in str(caught.value)
 
 
+def test_a_fleet_needs_settings_that_allow_peers(tmp_path):
+    """Both platforms say that dispatchers share nothing."""
+    (tmp_path / "fleet.toml").write_text(FLEET)
+    limits = CONF["settings"].get("limits", {})
+    for peers, words in ((True, None), (False, "fleet.toml: enabled: settings.limits.peers is false")):
+        conf = CONF | {"settings": CONF["settings"] | {"limits": limits | {"peers": peers}}}
+        if words is None:
+            assert config.with_deploy(config.from_object(conf), tmp_path, conf).fleet.id == "f"
+        else:
+            with pytest.raises(config.ConfigError, match=re.escape(words)):
+                config.with_deploy(config.from_object(conf), tmp_path, conf)
+
+
 def test_what_the_repository_deploys_is_off():
     """The platform has neither our UDP nor our sockets."""
     conf = config.with_deploy(config.from_object(CONF), ROOT / "deploy", CONF)
-    assert (conf.stomp, conf.snmp, conf.console, conf.srv, conf.waiting) == (None,) * 5
+    assert (conf.stomp, conf.snmp, conf.console, conf.srv, conf.waiting, conf.fleet) == (None,) * 6
     assert {path.name for path in (ROOT / "deploy").iterdir()} == {
-        "balancer.toml", "stomp.toml", "snmp.toml", "console.toml", "srv.toml", "waiting.toml"
+        "balancer.toml", "stomp.toml", "snmp.toml", "console.toml", "srv.toml", "waiting.toml",
+        "fleet.toml",
     }  # fmt: skip
 
 
--- /dev/null
+++ b/tests/test_fleet_site.py
@@ -0,0 +1,111 @@
+"""Leases by real processes: three dispatchers on loopback, killed, stopped and ended, and commands under a
+lease."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+import time
+
+import pytest
+
+from benchmarks.fleet_rig import Site, wait_for
+from hazelbend.fleet.leases import TOKEN_BITS
+
+# Writes a line for each act: when, by which token; ends by itself.
+ACT = """
+import os, sys, time
+end = time.monotonic() + float(sys.argv[2])
+while time.monotonic() < end:
+    with open(sys.argv[1], "a") as file:
+        print(time.monotonic(), os.environ["HAZELBEND_TOKEN"], file=file)
+    time.sleep(0.02)
+sys.exit(7)
+"""
+
+
+@pytest.fixture
+def site(tmp_path):
+    with Site(tmp_path, 3) as made:
+        made.found()
+        yield made
+
+
+def acts(path) -> list[tuple[float, int]]:
+    lines = path.read_text().splitlines() if path.exists() else []
+    return [(float(line.split()[0]), int(line.split()[1])) for line in lines if len(line.split()) == 2]
+
+
+def test_leases_pass_from_machine_to_machine_whatever_dies(site, tmp_path):
+    """Three machines each run a task under one lease, in turn. The leader is killed under the first, the
+    second's dispatcher is stopped, then the third one's is ended as planned; all tasks go on or come to their
+    turn."""
+    path, tasks = tmp_path / "acts", []
+    leader = site.leader()
+    others = [each for each in site.machines if each is not leader]
+    for machine in (others[0], others[1], others[0]):
+        command = ("--", sys.executable, "-c", ACT, str(path), "2.5")
+        tasks.append(machine.begin("lease", "run", "job", "--ttl", "2s", "--wait", "60s", *command))
+        wait_for(lambda: len(acts(path)) > 0)
+    status, said, _ = others[0].run("lease", "list", "--json")
+    [lease] = json.loads(said)["leases"]
+    assert status == 0 and lease["name"] == "job" and len(lease["waiters"]) == 2
+    leader.end(signal.SIGKILL)
+    leader.start()
+    for each in tasks:
+        said, complained = each.communicate(timeout=90)
+        assert each.returncode == 7, complained
+    done = acts(path)
+    tokens = [token for _, token in done]
+    assert tokens == sorted(tokens) and len(set(tokens)) == 3, "one after another, by rising tokens"
+    wait_for(lambda: len(site.machines[0].view()["voters"]) == 3)
+    assert site.machines[0].run("lease", "show", "job")[0] == 1, "free"
+
+
+def test_a_holder_that_is_cut_off_or_forced_stops_its_command_in_time(site, tmp_path):
+    """Its own dispatchers are all stopped: nobody renews, and the command is gone before the lease is
+    over."""
+    path, machine = tmp_path / "acts", site.leader()
+    command = ("--", sys.executable, "-c", ACT, str(path), "60")
+    task = machine.begin("lease", "run", "job", "--ttl", "2s", *command)
+    wait_for(lambda: len(acts(path)) > 5)
+    for each in site.machines:
+        each.send(signal.SIGSTOP)
+    stopped = time.monotonic()
+    _, complained = task.communicate(timeout=60)
+    assert task.returncode == 76 and "lost" in complained
+    assert acts(path)[-1][0] < stopped + 2.0, "a lease's time after the last renewal at the latest"
+    for each in site.machines:
+        each.send(signal.SIGCONT)
+    site.leader()
+    task = machine.begin("lease", "run", "job", "--ttl", "2s", "--wait", "30s", *command)
+    before = len(acts(path))
+    wait_for(lambda: len(acts(path)) > before)
+    status, said, complained = machine.run("lease", "release", "job", "--force")
+    assert status == 0 and "token" in complained
+    task.communicate(timeout=60)
+    assert task.returncode == 76
+    task = machine.begin(
+        "lease", "run", "job", "--ttl", "2s", "--wait", "30s", "--", sys.executable, "-c", "pass"
+    )
+    task.communicate(timeout=60)
+    assert task.returncode == 0
+
+
+def test_a_majority_that_is_lost_grants_nothing_until_an_operator_starts_an_epoch(site, tmp_path):
+    machine, path = site.machines[2], tmp_path / "acts"
+    command = ("--", sys.executable, "-c", ACT, str(path), "0.1")
+    assert machine.run("lease", "run", "job", "--ttl", "1s", *command)[0] == 7
+    assert machine.run("fleet", "start")[0] == 1, "somebody leads"
+    for each in site.machines[:2]:
+        each.end(signal.SIGKILL)
+        each.start()
+    wait_for(lambda: machine.view()["leader"] == "")
+    assert machine.run("lease", "run", "job", "--ttl", "1s", *command)[0] == 75
+    assert machine.run("fleet", "status")[0] == 1
+    assert machine.run("fleet", "start")[0] == 0
+    wait_for(lambda: len((view := machine.view())["voters"]) == 3 and view["open"])
+    assert machine.run("lease", "run", "job", "--ttl", "1s", *command)[0] == 7
+    tokens = [token for _, token in acts(path)]
+    assert tokens == sorted(tokens) and tokens[0] >> TOKEN_BITS < tokens[-1] >> TOKEN_BITS
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -15,14 +15,14 @@
     "names": {"schema"},
     "membership": {"decisions", "routing", "names"},
     "waiting": {"decisions", "routing", "schema"},
-    "fleet": set(),
+    "fleet": {"schema"},
     "protocol": {"decisions", "routing", "names", "waiting"},
-    "transport": {"decisions", "routing", "names", "membership", "protocol"},
-    "program": {"decisions", "routing", "names", "membership", "waiting", "protocol", "transport"},
+    "transport": {"decisions", "routing", "names", "membership", "protocol", "fleet"},
+    "program": {"decisions", "routing", "names", "membership", "waiting", "fleet", "protocol", "transport"},
     "console": {"program"},
     "benchlink": {"decisions"},
     "standins": set(),
-    "cli": {"names", "protocol", "transport", "program", "standins"},
+    "cli": {"names", "fleet", "protocol", "transport", "program", "standins"},
 }
 WIRES = {"aiohttp", "yarl", "orjson", "socket", "pysnmp", "prompt_toolkit", "json", "struct"}
 
@@ -71,5 +71,11 @@
         "hazelbend.standins",
         "hazelbend.cli",
     )
-    off += ("hazelbend.fleet", "hazelbend.waiting", "hazelbend.program.waiting", "hazelbend.program.sources")
+    off += (
+        "hazelbend.fleet",
+        "hazelbend.waiting",
+        "hazelbend.program.waiting",
+        "hazelbend.program.sources",
+        "hazelbend.program.fleet",
+    )
     assert not [each for each in loaded if each.startswith(off)]
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -200,7 +200,8 @@
     with pytest.raises(ValueError, match="not higher"):
         alone.found(5, 0)
     assert alone.promise_changed and alone.unsaved == 1
-    first, second = epoch_number(0, 100.9, "a"), epoch_number(0, 100.9, "b")
+    first, second = epoch_number(0, 1.9e9, "a"), epoch_number(0, 1.9e9, "b")
+    assert max(first, second) << ls.TOKEN_BITS < 1 << 63, "tokens fit into what is sent"
     assert first != second and epoch_number(second, 3.0, "a") > second, "also after a step of the wall clock"
 
 
