--- a/hazelbend/cli/fleet.py
+++ b/hazelbend/cli/fleet.py
@@ -67,7 +67,7 @@
     down."""
 
     def __init__(self, conf: FleetSettings, peers: Peers) -> None:
-        self.doors = [conf.listen, *(each for each in conf.seeds if each != conf.listen)]
+        self.doors = [conf.listen, *(each for each in conf.seeds if each != conf.known_as)]
         self.peers = peers
         self._turn = 0
 
@@ -248,7 +248,8 @@
 
 def main(act: Callable[[FleetSettings, Peers], Awaitable[int]]) -> int:
     async def go() -> int:
-        conf, peers = settings(), Peers()
+        conf = settings()
+        peers = Peers(conf.address[0])
         try:
             return await act(conf, peers)
         finally:
--- a/hazelbend/fleet/settings.py
+++ b/hazelbend/fleet/settings.py
@@ -28,6 +28,7 @@
     id: Name  # one word that all dispatchers of a fleet share, and no other fleet has
     listen: Address  # for peers and commands
     enabled: bool = True
+    advertise: Address | None = None  # where peers find it, if not at `listen`
     seeds: tuple[Address, ...] = ()  # where to knock: some that are usually there
     voters: int = 3
     leases: LeaseLimits = LeaseLimits()
@@ -37,6 +38,10 @@
         host, _, port = self.listen.rpartition(":")
         return host, int(port)
 
+    @property
+    def known_as(self) -> str:
+        return self.advertise or self.listen
+
     def plan(self) -> Plan:
         leases = self.leases
         limits = Limits(
--- a/hazelbend/program/fleet.py
+++ b/hazelbend/program/fleet.py
@@ -31,9 +31,9 @@
         """`clock`: microseconds that only go up."""
         self.settings, self._clock = settings, clock
         # One memory, one identity: it must never come again, whatever the seed.
-        identity = f"{name}#{secrets.token_hex(6)}@{settings.listen}"
+        identity = f"{name}#{secrets.token_hex(6)}@{settings.known_as}"
         self.engine = Fleet(identity, settings.plan(), seed, clock())
-        self.peers = Peers()
+        self.peers = Peers(settings.address[0])
         self.door = FleetDoor(self._hear, self._ask, self._found, self._view)
         self._wake: asyncio.TimerHandle | None = None
         self._asked: dict[int, asyncio.Future[Reply]] = {}
--- a/hazelbend/transport/fleet_peers.py
+++ b/hazelbend/transport/fleet_peers.py
@@ -105,7 +105,10 @@
 class Peers:
     """The way out, to any number of addresses."""
 
-    def __init__(self) -> None:
+    def __init__(self, host: str) -> None:
+        """`host`: the own address, from which it calls, so that who looks at connections knows whose they
+        are."""
+        self._local = (host, 0) if host != "0.0.0.0" else None
         self._session: aiohttp.ClientSession | None = None
         self._waiting: dict[str, deque[Item]] = {}
         self._senders: dict[str, asyncio.Task[None]] = {}
@@ -152,7 +155,9 @@
                 timeout=aiohttp.ClientTimeout(total=None),
                 trust_env=False,
                 auto_decompress=False,
-                connector=aiohttp.TCPConnector(limit=0, use_dns_cache=False, keepalive_timeout=IDLE),
+                connector=aiohttp.TCPConnector(
+                    limit=0, use_dns_cache=False, keepalive_timeout=IDLE, local_addr=self._local
+                ),
             )
             session._retry_connection = False
         url = URL(f"http://{address}/fleet/{call}", encoded=True)
