--- a/benchmarks/fleet_rig.py
+++ b/benchmarks/fleet_rig.py
@@ -117,15 +117,22 @@
             **more,
         )
 
-    def run(self, *words: str) -> tuple[int, str, str]:
+    def run(self, *words: str, timeout: float = 60.0) -> tuple[int, str, str]:
         """A command to its end: status, what it says, and what it complains of."""
         with self.begin(*words) as process:
-            said, complained = process.communicate(timeout=60)
+            try:
+                said, complained = process.communicate(timeout=timeout)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                raise
         return process.returncode, said, complained
 
-    def view(self) -> dict[str, Any]:
+    def view(self, timeout: float = 60.0) -> dict[str, Any]:
         """As this dispatcher sees the fleet; empty if it does not answer."""
-        _, said, _ = self.run("fleet", "status", "--json")
+        try:
+            _, said, _ = self.run("fleet", "status", "--json", timeout=timeout)
+        except subprocess.TimeoutExpired:
+            return {}
         return json.loads(said) if said else {}
 
 
@@ -152,10 +159,11 @@
             self._pass(self.to, source, far_reader, writer),
         )
         tasks = [asyncio.create_task(each) for each in ways]
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        for each in tasks:
-            each.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        with contextlib.suppress(asyncio.CancelledError):  # the site is over
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for each in tasks:
+                each.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
         for end in (writer, far_writer):
             end.close()
 
--- a/hazelbend/cli/fleet.py
+++ b/hazelbend/cli/fleet.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import os
 import secrets
 import signal
@@ -27,6 +28,7 @@
 
 OK, NOTHING, UNUSABLE, UNREACHABLE = 0, 1, 2, 3
 NOT_HELD, LOST = 75, 76  # of `lease run`: EX_TEMPFAIL and the next, which few commands use
+PR_SET_PDEATHSIG = 1  # of <linux/prctl.h>
 WAIT = 3.0  # seconds for one call
 LOOK = 0.02  # seconds between looks at the time while a command runs
 TRIES = 5
@@ -205,7 +207,7 @@
         fields = {"HAZELBEND_LEASE": self.holder.name, "HAZELBEND_TOKEN": str(self.holder.token)}
         # A group of its own, so that its children are stopped with it.
         return await asyncio.create_subprocess_exec(
-            *self.command, env=os.environ | fields, start_new_session=True
+            *self.command, env=os.environ | fields, start_new_session=True, preexec_fn=_die_with_parent
         )
 
     def _told(self, number: int) -> None:
@@ -231,6 +233,11 @@
         self.holder.answered(number, answer, now())
 
 
+def _die_with_parent() -> None:
+    """In the command, before it begins: it is killed when `lease run` is, as nobody would stop it in time."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 async def run_command(
     conf: FleetSettings, peers: Peers, name: str, ttl: float, wait: float, command: tuple[str, ...]
 ) -> int:
--- a/tests/test_fleet_site.py
+++ b/tests/test_fleet_site.py
@@ -10,6 +10,7 @@
 
 import pytest
 
+from benchmarks.fleet_faults import LEASES, Play, Store
 from benchmarks.fleet_rig import Site, wait_for
 from hazelbend.fleet.leases import TOKEN_BITS
 
@@ -115,3 +116,30 @@
     assert machine.run("lease", "run", "job", "--ttl", "1s", *command)[0] == 7
     tokens = [token for _, token in acts(path)]
     assert tokens == sorted(tokens) and tokens[0] >> TOKEN_BITS < tokens[-1] >> TOKEN_BITS
+
+
+def test_faults_between_processes_let_no_two_act_at_once(tmp_path):
+    """Ten seconds of one seed of benchmarks/fleet_faults.py, which plays more."""
+    play = Play(12, 3, 10.0, "", tmp_path)
+    play.run()
+    found = play.result()
+    assert found["broken"] == [] and found["overlaps"] == 0
+    assert sum(found["faults"].values()) > 3, play.schedule
+    assert not [each for each in play.tasks.values() if each.poll() is None], "nothing is left running"
+
+
+def test_the_stand_in_store_and_the_check_of_acts_find_what_they_should(tmp_path):
+    store = Store()
+    assert [store.put("a", token) for token in (2, 3, 2, 3)] == [True, True, False, True]
+    assert (store.refused, store.took_lower) == (1, 0)
+    careless = Store(checks=False)
+    assert careless.put("a", 3) and careless.put("a", 2) and careless.took_lower == 1
+    for each in (store, careless):
+        each.shutdown()
+        each.server_close()
+    play = Play(1, 3, 1.0, "", tmp_path)
+    name = LEASES[0]
+    play.path.write_text(f"1000 {name} 5 71\n2000 {name} 6 72\n3000 {name} 5 71\n4000 {name} 5 73\n")
+    play.stopped = {73}
+    found = play.result()
+    assert (found["overlaps"], found["late_by_stopped"], found["grants"]) == (1, 1, 2) and found["broken"]
