A store for voters: memory in checksummed frames, on the disk before it is promised

Need: where a disk lasts, a voter that starts again should go on as itself, so that all may die at once without an operator. `store` in deploy/fleet.toml: frames with a checksum over the head as well (a changed length would look like a torn end and drop what was promised after it), fdatasync in a thread before anything that rests on it is said, a lock so that no two processes are one identity. Damage, a full disk, a folder in use: somebody new from then on, told in the log. One that left may come back if its memory was kept.

--- a/benchmarks/fleet_rig.py
+++ b/benchmarks/fleet_rig.py
@@ -60,7 +60,13 @@
     """
 
     def __init__(
-        self, folder: Path, number: int, advertised: list[str], longest: float, rate: float = 1.0
+        self,
+        folder: Path,
+        number: int,
+        advertised: list[str],
+        longest: float,
+        rate: float = 1.0,
+        store: bool = False,
     ) -> None:
         self.number, self.name, self.host = number, f"n{number}", f"127.0.0.{number + 2}"
         self.folder, self.rate, self.defect = folder / self.name, rate, ""
@@ -69,7 +75,8 @@
         (self.folder / "deploy" / "fleet.toml").write_text(
             f'enabled = true\nid = "rig"\nlisten = "{self.host}:{self.port}"\n'
             f'advertise = "{self.address}"\nseeds = {json.dumps(advertised[:3])}\n'
-            f"[leases]\nshortest_s = 0.5\nlongest_s = {longest}\n"
+            + (f'store = "{self.folder / "store"}"\n' if store else "")
+            + f"[leases]\nshortest_s = 0.5\nlongest_s = {longest}\n"
         )
         conf = {"name": self.name, "listen": f"127.0.0.1:{self.clients}", "settings": SETTINGS}
         (self.folder / "config.json").write_text(json.dumps(conf))
@@ -184,11 +191,18 @@
 class Site:
     """Some machines of one fleet, each pair of them joined through a relay."""
 
-    def __init__(self, folder: Path, size: int, longest: float = 2.0, rates: tuple[float, ...] = ()) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        size: int,
+        longest: float = 2.0,
+        rates: tuple[float, ...] = (),
+        store: bool = False,
+    ) -> None:
         handles = [socket.create_server(("127.0.0.1", 0)) for _ in range(size)]
         advertised = [f"127.0.0.1:{each.getsockname()[1]}" for each in handles]
         self.machines = [
-            Machine(folder, number, advertised, longest, rates[number] if rates else 1.0)
+            Machine(folder, number, advertised, longest, rates[number] if rates else 1.0, store)
             for number in range(size)
         ]
         self.cuts: set[tuple[int, int]] = set()  # one way
@@ -218,13 +232,14 @@
             each.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def found(self, voters: int = 3) -> None:
-        """Start the fleet at its first machine, and wait until so many vote and leases are granted."""
+    def found(self, voters: int = 3, opens: bool = True) -> None:
+        """Start the fleet at its first machine, and wait until so many vote and, if `opens`, leases are
+        granted."""
         first = self.machines[0]
         wait_for(lambda: len(first.view().get("members", ())) == len(self.machines))
         status, _, complained = first.run("fleet", "start")
         assert status == 0, complained
-        wait_for(lambda: len((view := first.view()).get("voters", ())) == voters and view["open"])
+        wait_for(lambda: len((view := first.view()).get("voters", ())) == voters and view["open"] >= opens)
 
     def leader(self) -> Machine:
         """As most of those that answer say."""
--- a/hazelbend/fleet/engine.py
+++ b/hazelbend/fleet/engine.py
@@ -101,6 +101,12 @@
     def me(self) -> str:
         return self.members.me
 
+    @property
+    def has_to_say(self) -> bool:
+        """Whether something is to be saved or sent."""
+        record = self.record
+        return bool(self.out or self.answers or record.promise_changed or record.unsaved is not None)
+
     @property
     def due(self) -> int:
         times = [self.members.due, self.record.due]
--- a/hazelbend/fleet/members.py
+++ b/hazelbend/fleet/members.py
@@ -337,7 +337,7 @@
             member = self.table[news.member] = Member(news.member, news.incarnation, news.status, now, now)
             self._changed(member, news, now)
             return
-        if member.status is Status.LEFT:
+        if member.status is Status.LEFT and news.incarnation <= member.incarnation:
             return
         if news.status is member.status is Status.SUSPECT and news.incarnation == member.incarnation:
             if news.by not in member.suspected_by and len(member.suspected_by) <= self.timing.surer:
@@ -399,7 +399,7 @@
         it."""
         chosen: list[News] = []
         member = self.table.get(to)
-        if member is not None and member.status in (Status.SUSPECT, Status.DEAD):
+        if member is not None and member.status is not Status.ALIVE:
             chosen.append(News(to, member.incarnation, member.status, self.me))
         most = ceil(self.timing.repeats * log(self.size + 1))
         for key, (news, told) in sorted(self.queue.items(), key=lambda item: item[1][1])[: self.timing.news]:
--- a/hazelbend/fleet/settings.py
+++ b/hazelbend/fleet/settings.py
@@ -31,6 +31,7 @@
     advertise: Address | None = None  # where peers find it, if not at `listen`
     seeds: tuple[Address, ...] = ()  # where to knock: some that are usually there
     voters: int = 3
+    store: str = ""  # a folder on a disk that lasts; without it a process that starts again is another member
     leases: LeaseLimits = LeaseLimits()
 
     @property
--- a/hazelbend/program/fleet.py
+++ b/hazelbend/program/fleet.py
@@ -7,13 +7,17 @@
 import secrets
 import time
 from collections.abc import Callable
+from pathlib import Path
 
+from hazelbend.fleet import memory_file
 from hazelbend.fleet.engine import Fleet, Reply, View
 from hazelbend.fleet.leases import Operation
 from hazelbend.fleet.members import Packet
+from hazelbend.fleet.memory_file import Damaged
 from hazelbend.fleet.messages import Message
 from hazelbend.fleet.settings import FleetSettings
 from hazelbend.transport.fleet_peers import FleetDoor, Peers
+from hazelbend.transport.fleet_store import FleetStore
 
 log = logging.getLogger("hazelbend.fleet")
 
@@ -30,9 +34,10 @@
     def __init__(self, name: str, settings: FleetSettings, seed: int, clock: Callable[[], int]) -> None:
         """`clock`: microseconds that only go up."""
         self.settings, self._clock = settings, clock
-        # One memory, one identity: it must never come again, whatever the seed.
-        identity = f"{name}#{secrets.token_hex(6)}@{settings.known_as}"
-        self.engine = Fleet(identity, settings.plan(), seed, clock())
+        self._name, self._seed = name, seed
+        self.engine = self._somebody_new()
+        self.store: FleetStore | None = None
+        self._saving: asyncio.Task[None] | None = None
         self.peers = Peers(settings.address[0])
         self.door = FleetDoor(self._hear, self._ask, self._found, self._view)
         self._wake: asyncio.TimerHandle | None = None
@@ -41,7 +46,46 @@
         self._led = ""
         self._closed = False
 
+    def _somebody_new(self) -> Fleet:
+        """One memory, one identity: it must never come again, whatever the seed."""
+        identity = f"{self._name}#{secrets.token_hex(6)}@{self.settings.known_as}"
+        return Fleet(identity, self.settings.plan(), self._seed, self._clock())
+
+    async def _open_store(self) -> None:
+        """Go on as who wrote it, if it is there and whole; else as somebody new, with or without a store."""
+        store = FleetStore(Path(self.settings.store))
+        try:
+            memory = await asyncio.to_thread(store.open, f"@{self.settings.known_as}")
+        except Damaged as error:
+            log.error("fleet: store: %s; it is set aside, and this is another member from now on", error)
+            memory = None
+        except OSError as error:
+            log.error("fleet: store: %s; this is another member, and remembers nothing after its end", error)
+            store.close()
+            return
+        if memory is not None:
+            plan = self.settings.plan()
+            self.engine = Fleet(memory.identity, plan, self._seed, self._clock(), memory)
+        try:
+            await asyncio.to_thread(store.begin, memory_file.whole(self.engine.record.memory))
+        except OSError as error:
+            self._lose_store(store, error)
+        else:
+            self.store = store
+
+    def _lose_store(self, store: FleetStore, error: OSError) -> None:
+        """What it would have promised was never said. It must not promise as this one any more."""
+        log.error("fleet: store: %s; this is another member from now on, and remembers nothing", error)
+        store.close()
+        self.store = None
+        self.engine = self._somebody_new()
+        for future in self._asked.values():
+            if not future.done():
+                future.set_result(Reply())
+
     async def start(self) -> None:
+        if self.settings.store:
+            await self._open_store()
         await self.door.listen(*self.settings.address)
         log.info("fleet %s: %s", self.settings.id, self.engine.me)
         self._pump()
@@ -61,8 +105,12 @@
             self._wake.cancel()
         for future in self._asked.values():
             future.cancel()
+        if self._saving is not None:
+            await asyncio.wait([self._saving])
         await self.door.close()
         await self.peers.close()
+        if self.store is not None:
+            self.store.close()
 
     def counts(self) -> dict[str, int]:
         engine = self.engine
@@ -116,6 +164,19 @@
         engine, now = self.engine, self._clock()
         if now >= engine.due:
             engine.tick(now)
+        if self.store is None:
+            engine.record.unsaved, engine.record.promise_changed = None, False
+            self._say()
+        elif self._saving is None:
+            self._saving = asyncio.create_task(self._save(self.store))
+        self._tell_changes()
+        if self._wake is not None:
+            self._wake.cancel()
+        wait = max((engine.due - self._clock()) / 1e6, SOON)
+        self._wake = asyncio.get_running_loop().call_later(wait, self._pump)
+
+    def _say(self) -> None:
+        engine = self.engine
         for address, item in engine.out:
             self.peers.tell(address, item)
         engine.out.clear()
@@ -124,11 +185,30 @@
             if future is not None and not future.done():
                 future.set_result(reply)
         engine.answers.clear()
-        self._tell_changes()
-        if self._wake is not None:
-            self._wake.cancel()
-        wait = max((engine.due - self._clock()) / 1e6, SOON)
-        self._wake = asyncio.get_running_loop().call_later(wait, self._pump)
+
+    async def _save(self, store: FleetStore) -> None:
+        """Say what there is to say once what it rests on is on the disk; what comes meanwhile goes next."""
+        engine = self.engine
+        try:
+            while (
+                engine.out
+                or engine.answers
+                or engine.record.promise_changed
+                or engine.record.unsaved is not None
+            ):
+                out, answers = engine.out, engine.answers
+                engine.out, engine.answers = [], []
+                if frames := memory_file.changed(engine.record):
+                    anew = memory_file.whole(engine.record.memory)
+                    if await asyncio.to_thread(store.add, frames):
+                        await asyncio.to_thread(store.begin, anew)
+                engine.out, engine.answers, later = out, answers, (engine.out, engine.answers)
+                self._say()
+                engine.out, engine.answers = later
+        except OSError as error:
+            self._lose_store(store, error)
+        finally:
+            self._saving = None
 
     def _tell_changes(self) -> None:
         members, record = self.engine.members, self.engine.record
--- a/tests/test_fleet_site.py
+++ b/tests/test_fleet_site.py
@@ -118,6 +118,32 @@
     assert tokens == sorted(tokens) and tokens[0] >> TOKEN_BITS < tokens[-1] >> TOKEN_BITS
 
 
+def test_with_a_store_all_may_die_at_once_and_go_on_as_they_were(tmp_path):
+    """Nobody has to start an epoch."""
+    with Site(tmp_path, 3, longest=30.0, store=True) as made:
+        made.found(opens=False)
+        before = made.machines[0].view()
+        for each in made.machines:
+            each.end(signal.SIGKILL)
+        for each in made.machines:
+            each.start()
+        leader = made.leader()
+        after = leader.view()
+        assert after["epoch"] == before["epoch"] and set(after["voters"]) == set(before["voters"])
+        assert leader.run("fleet", "status")[0] == 0
+        # One whose file is damaged is somebody new, and is taken in as that.
+        victim = next(each for each in made.machines if each is not leader)
+        victim.end(signal.SIGKILL)
+        file = victim.folder / "store" / "memory"
+        content = bytearray(file.read_bytes())
+        content[len(content) // 2] ^= 1
+        file.write_bytes(content)
+        victim.start()
+        wait_for(lambda: victim.view().get("me", "") not in ("", *before["voters"]))
+        assert (victim.folder / "store" / "memory.damaged").exists()
+        wait_for(lambda: victim.view()["me"] in leader.view()["voters"])
+
+
 def test_faults_between_processes_let_no_two_act_at_once(tmp_path):
     """Ten seconds of one seed of benchmarks/fleet_faults.py, which plays more."""
     play = Play(12, 3, 10.0, "", tmp_path)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -10,10 +10,12 @@
 from benchmarks.fleet_search import Left, search
 from benchmarks.fleet_sim import play
 from hazelbend.fleet import leases as ls
+from hazelbend.fleet import memory_file
 from hazelbend.fleet.holder import Holder, Stage
 from hazelbend.fleet.messages import Entry, Message, Put, Taken
 from hazelbend.fleet.record import Memory, Record, Timing, epoch_number
 from hazelbend.fleet.voters import next_voters
+from hazelbend.transport.fleet_store import FleetStore
 
 S = 1_000_000
 LIMITS = ls.Limits(leases=3, waiters=2, shortest=S, longest=10 * S)
@@ -255,6 +257,65 @@
     assert found == (tuple(then) if then else None)
 
 
+# --- the memory in a file ---
+
+
+def kept() -> tuple[bytes, Memory]:
+    """A file of several writes, one of which takes entries back, and what it holds."""
+    voter = record("b.1")
+    content = memory_file.whole(voter.memory)
+    entries = [Entry(term, None, bytes([term])) for term in (1, 1, 2)]
+    for term, before, some in ((1, 0, entries[:2]), (2, 1, entries[2:]), (2, 2, entries[2:])):
+        before_term = 0 if before == 0 else entries[0].term if before == 1 else 2
+        voter.receive(Message("a.1", "b.1", 5, term, Put(before, before_term, tuple(some), 0, 1)), 0)
+        content += memory_file.changed(voter)
+    return content, voter.memory
+
+
+def test_a_file_gives_back_what_was_written_and_drops_only_what_was_not_confirmed():
+    content, memory = kept()
+    first = len(memory_file.whole(Memory("b.1")))
+    found, good = memory_file.read(content)
+    assert found == memory and good == len(content) and [each.term for each in found.entries] == [1, 2, 2]
+    sizes = {memory_file.read(content[:cut])[1] for cut in range(first, len(content))}
+    assert all(memory_file.read(content[:size])[1] == size for size in sizes) and len(sizes) > 3
+
+
+def test_a_changed_bit_is_never_gone_on_with():
+    content, _ = kept()
+    for place in range(len(content)):
+        changed = bytearray(content)
+        changed[place] ^= 0x10
+        with pytest.raises(memory_file.Damaged):
+            memory_file.read(bytes(changed))
+
+
+def test_a_store_has_one_process_and_a_file_of_another_version_or_address_is_not_taken(tmp_path):
+    store, other = FleetStore(tmp_path / "s"), FleetStore(tmp_path / "s")
+    assert store.open("@h:1") is None
+    with pytest.raises(OSError):
+        other.open("@h:1")
+    other.close()
+    store.begin(memory_file.whole(Memory("n@h:1", 7, 3, "n@h:1")))
+    assert store.add(memory_file.frame(memory_file.Promise("n@h:1", 7, 4, ""))) is False
+    store.close()
+    with (tmp_path / "s" / "memory").open("ab") as file:
+        file.write(b"\x07")
+    again = FleetStore(tmp_path / "s")
+    assert again.open("@h:1") == Memory("n@h:1", 7, 4, "")
+    again.add(memory_file.frame(memory_file.Promise("n@h:1", 7, 5, "")))
+    again.close()
+    assert memory_file.read((tmp_path / "s" / "memory").read_bytes())[0].term == 5, "the torn end is gone"
+    moved = FleetStore(tmp_path / "s")
+    assert moved.open("@h:2") is None
+    moved.close()
+    (tmp_path / "s" / "memory").write_bytes(b"another format")
+    with pytest.raises(memory_file.Damaged):
+        moved.open("@h:1")
+    moved.close()
+    assert (tmp_path / "s" / "memory.damaged").read_bytes() == b"another format"
+
+
 # --- whole fleets ---
 
 
