The console's show fleet and show leases, by tables that a part brings along

App asks its parts for tables as it does for figures; the console knows none of them. One in-process test: what is shown, counted and refused, with a fleet and without.

--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -73,6 +73,9 @@
 
     def counts(self) -> dict[str, int]: ...
 
+    def tables(self) -> dict[str, Callable[[], list[tuple[object, ...]]]]:
+        """What the console's `show NAME` gives: rows, of which the first is the head."""
+
 
 class App:
     """One dispatcher: everything that runs in the process."""
@@ -131,6 +134,9 @@
 
             self.parts.append(FleetPart(conf.name, conf.fleet, conf.seed, self.router.clock.now))
 
+    def tables(self) -> dict[str, Callable[[], list[tuple[object, ...]]]]:
+        return {name: rows for part in self.parts for name, rows in part.tables().items()}
+
     # --- what operators see and do ---
 
     @property
--- a/hazelbend/program/console_server.py
+++ b/hazelbend/program/console_server.py
@@ -33,6 +33,8 @@
 show fronts            connections by front
 show sources           where servers come from, and what each says
 show names [NAME]      SRV names that are followed; of one, its records
+show fleet             the dispatchers that share leases, and who votes
+show leases            their leases, as far as this dispatcher has applied them
 show waiting           jobs that wait, the oldest first, and for what
 cancel CLIENT ID       refuse a job that waits
 show log [LINES]       the last lines of the log
@@ -77,6 +79,10 @@
                 return self._records(name)
             case ["show", what] if what in self._shows:
                 return self._shows[what](self._app.overview())
+            case ["show", what] if rows := self._app.tables().get(what):
+                return table(rows())
+            case ["show", "fleet" | "leases"]:
+                raise CommandError("there is no fleet; see deploy/fleet.toml")
             case ["drain" | "undrain" as verb, host]:
                 if not self._app.router.hold_back(host, verb == "drain"):
                     raise CommandError(f"no server {host!r} is listed; see: show servers")
--- a/hazelbend/program/fleet.py
+++ b/hazelbend/program/fleet.py
@@ -123,6 +123,32 @@
             "fleet_requests_lost": self.peers.lost,
         }
 
+    def tables(self) -> dict[str, Callable[[], list[tuple[object, ...]]]]:
+        return {"fleet": self._fleet_table, "leases": self._lease_table}
+
+    def _fleet_table(self) -> list[tuple[object, ...]]:
+        view = self._view()
+        rows: list[tuple[object, ...]] = [("MEMBER", "STATE", "FOR", "INCARNATION", "PART")]
+        for each in view.members:
+            votes = (
+                "leads" if each.identity == view.leader else "votes" if each.identity in view.voters else "-"
+            )
+            here = " (this one)" if each.identity == view.me else ""
+            rows.append((each.identity + here, each.status, f"{each.for_s:.0f} s", each.incarnation, votes))
+        rows += [(address, f"of fleet {fleet}", "-", "-", "-") for address, fleet in view.strangers.items()]
+        lag = f"{view.lag} entries not agreed on yet"
+        rows.append(
+            (f"epoch {view.epoch}", f"term {view.term}", "-", "-", lag if view.leader else "nobody leads")
+        )
+        return rows
+
+    def _lease_table(self) -> list[tuple[object, ...]]:
+        rows: list[tuple[object, ...]] = [("LEASE", "HOLDER", "TOKEN", "TTL", "RENEWED", "WAITING")]
+        for each in self._view().leases:
+            ago = "-" if each.renewed_s_ago is None else f"{each.renewed_s_ago:.1f} s ago"
+            rows.append((each.name, each.holder, each.token, f"{each.ttl_s:g} s", ago, len(each.waiters)))
+        return rows
+
     # --- what comes ---
 
     def _hear(self, item: Packet | Message) -> None:
--- a/tests/test_fleet_site.py
+++ b/tests/test_fleet_site.py
@@ -3,16 +3,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import signal
 import sys
 import time
 
 import pytest
+from site_kit import site
 
 from benchmarks.fleet_faults import LEASES, Play, Store
-from benchmarks.fleet_rig import Site, wait_for
-from hazelbend.fleet.leases import TOKEN_BITS
+from benchmarks.fleet_rig import Site, free_port, wait_for
+from hazelbend.fleet.leases import TOKEN_BITS, Acquire
+from hazelbend.program.console_server import CommandError, Commands
+from hazelbend.transport.fleet_peers import Peers
 
 # Writes a line for each act, when and by which token, until a file is there.
 ACT = """
@@ -27,7 +31,7 @@
 
 
 @pytest.fixture
-def site(tmp_path):
+def three(tmp_path):
     with Site(tmp_path, 3, longest=6.0) as made:
         made.found()
         yield made
@@ -38,13 +42,13 @@
     return [(float(line.split()[0]), int(line.split()[1])) for line in lines if len(line.split()) == 2]
 
 
-def test_leases_pass_from_machine_to_machine_whatever_dies(site, tmp_path):
+def test_leases_pass_from_machine_to_machine_whatever_dies(three, tmp_path):
     """Three machines each run a task under one lease, in turn. The leader is killed under the first, the
     second's dispatcher is stopped, then the third one's is ended as planned; all tasks go on or come to their
     turn."""
     path, stop, tasks = tmp_path / "acts", tmp_path / "stop", []
-    leader = site.leader()
-    others = [each for each in site.machines if each is not leader]
+    leader = three.leader()
+    others = [each for each in three.machines if each is not leader]
     for machine in (others[0], others[1], others[0]):
         command = ("--", sys.executable, "-c", ACT, str(path), str(stop))
         tasks.append(machine.begin("lease", "run", "job", "--ttl", "6s", "--wait", "90s", *command))
@@ -66,26 +70,26 @@
     done = acts(path)
     tokens = [token for _, token in done]
     assert tokens == sorted(tokens) and len(set(tokens)) == 3, "one after another, by rising tokens"
-    wait_for(lambda: len(site.machines[0].view()["voters"]) == 3)
-    assert site.machines[0].run("lease", "show", "job")[0] == 1, "free"
+    wait_for(lambda: len(three.machines[0].view()["voters"]) == 3)
+    assert three.machines[0].run("lease", "show", "job")[0] == 1, "free"
 
 
-def test_a_holder_that_is_cut_off_or_forced_stops_its_command_in_time(site, tmp_path):
+def test_a_holder_that_is_cut_off_or_forced_stops_its_command_in_time(three, tmp_path):
     """Its own dispatchers are all stopped: nobody renews, and the command is gone before the lease is
     over."""
-    path, machine = tmp_path / "acts", site.leader()
+    path, machine = tmp_path / "acts", three.leader()
     command = ("--", sys.executable, "-c", ACT, str(path), "/none")
     task = machine.begin("lease", "run", "job", "--ttl", "2s", *command)
     wait_for(lambda: len(acts(path)) > 5)
-    for each in site.machines:
+    for each in three.machines:
         each.send(signal.SIGSTOP)
     stopped = time.monotonic()
     _, complained = task.communicate(timeout=60)
     assert task.returncode == 76 and "lost" in complained
     assert acts(path)[-1][0] < stopped + 2.0, "a lease's time after the last renewal at the latest"
-    for each in site.machines:
+    for each in three.machines:
         each.send(signal.SIGCONT)
-    site.leader()
+    three.leader()
     task = machine.begin("lease", "run", "job", "--ttl", "2s", "--wait", "30s", *command)
     before = len(acts(path))
     wait_for(lambda: len(acts(path)) > before)
@@ -100,12 +104,12 @@
     assert task.returncode == 0
 
 
-def test_a_majority_that_is_lost_grants_nothing_until_an_operator_starts_an_epoch(site, tmp_path):
-    machine, path = site.machines[2], tmp_path / "acts"
+def test_a_majority_that_is_lost_grants_nothing_until_an_operator_starts_an_epoch(three, tmp_path):
+    machine, path = three.machines[2], tmp_path / "acts"
     command = ("--", sys.executable, "-c", ACT, str(path), "/")
     assert machine.run("lease", "run", "job", "--ttl", "1s", *command)[0] == 7
     assert machine.run("fleet", "start")[0] == 1, "somebody leads"
-    for each in site.machines[:2]:
+    for each in three.machines[:2]:
         each.end(signal.SIGKILL)
         each.start()
     wait_for(lambda: machine.view()["leader"] == "")
@@ -154,6 +158,41 @@
     assert not [each for each in play.tasks.values() if each.poll() is None], "nothing is left running"
 
 
+def test_one_dispatcher_shows_and_counts_what_it_knows(tmp_path):
+    """On the console, at the door and by SNMP; and nothing of it where there is no fleet."""
+
+    async def run():
+        async with site(tmp_path, stomp="") as (app, _):
+            with pytest.raises(CommandError, match="there is no fleet"):
+                Commands(app).run("show fleet")
+        port = free_port()
+        (tmp_path / "fleet.toml").write_text(
+            f'enabled = true\nid = "f"\nlisten = "127.0.0.1:{port}"\n[leases]\nlongest_s = 1.0\n'
+        )
+        async with site(tmp_path, stomp="") as (app, _):
+            [part] = app.parts
+            assert "nobody leads" in Commands(app).run("show fleet")
+            peers = Peers("127.0.0.1")
+            await peers.found(f"127.0.0.1:{port}", False, 5.0)
+            asked = Acquire("job", "me", 1, 1_000_000)
+            assert (await peers.ask(f"127.0.0.1:{port}", asked, 5.0)).answer.why == "not open yet"
+            while not part.engine.leases.state.open:
+                await asyncio.sleep(0.05)
+            answer = (await peers.ask(f"127.0.0.1:{port}", asked, 5.0)).answer
+            assert answer.token and str(answer.token) in Commands(app).run("show leases")
+            assert "leads" in Commands(app).run("show fleet") and "(this one)" in Commands(app).run(
+                "show fleet"
+            )
+            figures = app.figures().named()
+            assert figures["fleet_leases"] == figures["fleet_leads"] == figures["fleet_members"] == 1
+            for method, call, body in (("POST", "tell", b"\xc1"), ("POST", "ask", b""), ("GET", "none", b"")):
+                with pytest.raises(ValueError, match="40"):
+                    await peers._call(method, f"127.0.0.1:{port}", call, body, 5.0)
+            await peers.close()
+
+    asyncio.run(run())
+
+
 def test_the_stand_in_store_and_the_check_of_acts_find_what_they_should(tmp_path):
     store = Store()
     assert [store.put("a", token) for token in (2, 3, 2, 3)] == [True, True, False, True]
