A drain and a planned end hand the fleet's lead over at once

Part of what a part is told where it joins: drain, beside start, leave, close, counts and tables. Test with three processes: the leader is drained at its door and another leads; that one gets SIGTERM, a third leads, and the members say left.

--- a/benchmarks/fleet_rig.py
+++ b/benchmarks/fleet_rig.py
@@ -78,7 +78,13 @@
             + (f'store = "{self.folder / "store"}"\n' if store else "")
             + f"[leases]\nshortest_s = 0.5\nlongest_s = {longest}\n"
         )
-        conf = {"name": self.name, "listen": f"127.0.0.1:{self.clients}", "settings": SETTINGS}
+        self.ops = f"127.0.0.1:{free_port()}"
+        conf = {
+            "name": self.name,
+            "listen": f"127.0.0.1:{self.clients}",
+            "settings": SETTINGS,
+            "ops": self.ops,
+        }
         (self.folder / "config.json").write_text(json.dumps(conf))
         self.process: subprocess.Popen[bytes] | None = None
 
--- a/hazelbend/fleet/engine.py
+++ b/hazelbend/fleet/engine.py
@@ -149,17 +149,22 @@
 
     def leave(self, now: int) -> bool:
         """Hand over, then tell the members. True once nothing is led here; call it again until then."""
-        if self.record.leads:
-            others = [each for each in self.record.voters if each in self.members.well() and each != self.me]
-            if others:
-                self.record.hand_over(others[0], now)
-                self._collect()
-                return False
+        if self.hand_over(now):
+            return False
         if not self.members.leaving:
             self.members.leave(now)
             self._collect()
         return True
 
+    def hand_over(self, now: int) -> bool:
+        """Let another voter lead, if there is one that is well. False: it does not lead, or nobody can."""
+        others = [each for each in self.record.voters if each in self.members.well() and each != self.me]
+        if not self.record.leads or not others:
+            return False
+        self.record.hand_over(others[0], now)
+        self._collect()
+        return True
+
     def view(self, now: int) -> View:
         record, members = self.record, self.members
         seen = {name: at for (name, _, _), at in self.watch.since.items()}
--- a/hazelbend/program/app.py
+++ b/hazelbend/program/app.py
@@ -66,6 +66,9 @@
 
     async def start(self) -> None: ...
 
+    def drain(self) -> None:
+        """The dispatcher is being emptied."""
+
     async def leave(self) -> None:
         """The program is about to end: give up what others can take over."""
 
@@ -157,6 +160,8 @@
 
     def drain(self) -> None:
         self._drain.start()
+        for part in self.parts:
+            part.drain()
 
     def undrain(self) -> bool:
         if self.leaving:
--- a/hazelbend/program/fleet.py
+++ b/hazelbend/program/fleet.py
@@ -90,6 +90,11 @@
         log.info("fleet %s: %s", self.settings.id, self.engine.me)
         self._pump()
 
+    def drain(self) -> None:
+        """Another is to lead: work on this machine is about to begin."""
+        self.engine.hand_over(self._clock())
+        self._pump()
+
     async def leave(self) -> None:
         """Hand the lead over and tell the members, within `LEAVE_WAIT`."""
         end = time.monotonic() + LEAVE_WAIT
--- a/tests/test_fleet_site.py
+++ b/tests/test_fleet_site.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import http.client
 import json
 import signal
 import sys
@@ -104,6 +105,29 @@
     assert task.returncode == 0
 
 
+def test_a_drain_and_a_planned_end_let_another_lead_at_once(three):
+    """No election's wait: the one that leads hands over, and the others know that it has left."""
+    first = three.leader()
+    connection = http.client.HTTPConnection(first.ops)
+    connection.request("POST", "/ops/drain/start")
+    assert connection.getresponse().status == 200
+    connection.close()
+    wait_for(lambda: three.leader() is not first)
+    second = three.leader()
+    second.send(signal.SIGTERM)
+    told = time.monotonic()
+    others = [each for each in three.machines if each is not second]
+
+    def another_leads() -> bool:
+        leaders = {each.view()["leader"].rpartition("@")[2] for each in others}
+        return len(leaders) == 1 and leaders <= {each.address for each in others}
+
+    wait_for(another_leads)
+    assert time.monotonic() < told + 30.0
+    states = {each["identity"].rpartition("@")[2]: each["status"] for each in others[0].view()["members"]}
+    assert states[second.address] == "left"
+
+
 def test_a_majority_that_is_lost_grants_nothing_until_an_operator_starts_an_epoch(three, tmp_path):
     machine, path = three.machines[2], tmp_path / "acts"
     command = ("--", sys.executable, "-c", ACT, str(path), "/")
@@ -180,9 +204,8 @@
                 await asyncio.sleep(0.05)
             answer = (await peers.ask(f"127.0.0.1:{port}", asked, 5.0)).answer
             assert answer.token and str(answer.token) in Commands(app).run("show leases")
-            assert "leads" in Commands(app).run("show fleet") and "(this one)" in Commands(app).run(
-                "show fleet"
-            )
+            shown = Commands(app).run("show fleet")
+            assert "leads" in shown and "(this one)" in shown
             figures = app.figures().named()
             assert figures["fleet_leases"] == figures["fleet_leads"] == figures["fleet_members"] == 1
             for method, call, body in (("POST", "tell", b"\xc1"), ("POST", "ask", b""), ("GET", "none", b"")):
