Takers beyond asks_per_s are held off by the leader; renewals are not counted

A flood of 500 wishes in one moment: 20 reach the record (rate 10 a second), 481 are told busy and ask again after a pause, and the holder's renewal goes through. Test on the engine.

--- a/hazelbend/fleet/engine.py
+++ b/hazelbend/fleet/engine.py
@@ -20,7 +20,7 @@
 
 from hazelbend.fleet import members as mb
 from hazelbend.fleet import record as rc
-from hazelbend.fleet.leases import Answer, Leases, Limits, Operation, Watch, encode
+from hazelbend.fleet.leases import Acquire, Answer, Leases, Limits, Operation, Watch, encode
 from hazelbend.fleet.messages import Message
 from hazelbend.fleet.record import Memory, Record, epoch_number
 from hazelbend.fleet.voters import next_voters
@@ -36,6 +36,7 @@
     seeds: tuple[str, ...]
     voters: int = 3
     limits: Limits = Limits()
+    asks_per_s: float = 100.0  # wishes for a lease that a leader puts to the record; twice as many at once
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -96,6 +97,7 @@
         self._proposed: set[Operation] = set()
         self._term = -1
         self._tend_at = now
+        self._asks, self._asks_at = 2 * plan.asks_per_s, now
 
     @property
     def me(self) -> str:
@@ -132,6 +134,10 @@
 
     def ask(self, number: int, operation: Operation, now: int) -> None:
         """A reply with this number comes, at once or once the record has taken it."""
+        if isinstance(operation, Acquire) and self.record.leads and not self._may_ask(now):
+            # A flood of takers must not keep those that hold from renewing: these alone are held off.
+            self.answers.append((number, Reply(Answer(why="busy"), self.me)))
+            return
         ticket = self.record.propose(encode(operation), now)
         if ticket is None:
             leader = "" if self.record.leads else self.record.leader
@@ -140,6 +146,15 @@
             self._tickets[ticket] = number
         self._collect()
 
+    def _may_ask(self, now: int) -> bool:
+        rate = self.plan.asks_per_s
+        self._asks = min(self._asks + (now - self._asks_at) * rate / 1e6, 2 * rate)
+        self._asks_at = now
+        if self._asks < 1.0:
+            return False
+        self._asks -= 1.0
+        return True
+
     def found(self, unix_s: float, now: int) -> int:
         """An operator's word: a new epoch, with this one voter. Its number."""
         epoch = epoch_number(self.record.memory.epoch, unix_s, self.me)
--- a/hazelbend/fleet/holder.py
+++ b/hazelbend/fleet/holder.py
@@ -25,6 +25,8 @@
 RENEWED = 3  # times that a renewal is due within a lease's time
 TRIES = 4  # of a renewal in such a part
 
+AGAIN = ("not open yet", "busy", "free", "lost")  # a wish goes on: it is asked for again after a pause
+
 
 class Stage(Enum):
     ASKING = "asking"
@@ -104,7 +106,7 @@
                 self._end("lost")
         elif answer.place:
             self.stage, self.place = Stage.WAITING, answer.place
-        elif answer.why not in ("not open yet", "free", "lost"):
+        elif answer.why not in AGAIN:
             self._end(answer.why)
 
     def _request(self, operation: Operation, now: int) -> Request:
--- a/hazelbend/fleet/settings.py
+++ b/hazelbend/fleet/settings.py
@@ -21,6 +21,7 @@
     waiters: Annotated[int, Meta(ge=0, le=10_000)] = 200  # for one lease
     shortest_s: Annotated[float, Meta(ge=0.1, le=3_600)] = 1.0
     longest_s: Annotated[float, Meta(ge=0.1, le=3_600)] = 30.0
+    asks_per_s: Annotated[float, Meta(ge=1, le=10_000)] = 100.0  # for a lease; renewals are not counted
     clock_drift: Annotated[float, Meta(ge=0, le=0.5)] = 0.05
 
 
@@ -52,7 +53,7 @@
             longest=round(leases.longest_s * 1e6),
             drift=leases.clock_drift,
         )
-        return Plan(self.id, self.seeds, self.voters, limits)
+        return Plan(self.id, self.seeds, self.voters, limits, leases.asks_per_s)
 
 
 def read_settings(table: dict[str, Any]) -> FleetSettings:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -11,6 +11,7 @@
 from benchmarks.fleet_sim import play
 from hazelbend.fleet import leases as ls
 from hazelbend.fleet import memory_file
+from hazelbend.fleet.engine import Fleet, Plan
 from hazelbend.fleet.holder import Holder, Stage
 from hazelbend.fleet.messages import Entry, Message, Put, Taken
 from hazelbend.fleet.record import Memory, Record, Timing, epoch_number
@@ -257,6 +258,36 @@
     assert found == (tuple(then) if then else None)
 
 
+# --- all of it as one engine ---
+
+
+def test_a_flood_of_takers_is_held_off_and_renewals_are_not():
+    fleet = Fleet("a#1@h:1", Plan("f", (), limits=LIMITS, asks_per_s=10.0), 1, 0)
+    fleet.found(1.9e9, 0)
+    fleet.tick(11 * S)
+    fleet.ask(0, ls.Acquire("a", "x", 1, 2 * S), 11 * S)
+    token = fleet.answers.pop()[1].answer.token
+    for number in range(500):
+        fleet.ask(number, ls.Acquire("a", f"y{number}", 1, 2 * S), 11 * S)
+    fleet.ask(501, ls.Renew("a", token), 11 * S)
+    said = [reply.answer.why for number, reply in fleet.answers if number < 500]
+    assert (said.count("held"), said.count("busy")) == (19, 481)
+    assert fleet.answers[-1][1].answer.token == token, "its holder is not kept from renewing"
+    fleet.answers.clear()
+    fleet.ask(502, ls.Acquire("a", "y", 1, 2 * S), 12 * S)
+    assert fleet.answers[-1][1].answer.why == "held"
+    holder = Holder("a", "y", 1, LIMITS, 0, ttl=2 * S)
+    [request] = holder.tick(0)
+    holder.answered(request.number, ls.Answer(why="busy"), 10)
+    assert holder.stage is Stage.ASKING and holder.due >= 2 * S // 12, "it asks again, after a pause"
+
+
+def test_what_is_meant_for_the_process_that_had_the_address_before_is_not_taken():
+    fleet = Fleet("a#2@h:1", Plan("f", ()), 1, 0)
+    fleet.receive(Message("b#1@h:2", "a#1@h:1", 5, 1, Put(0, 0, (Entry(1, ("a#1@h:1",)),), 0, 1)), 0)
+    assert fleet.record.memory.epoch == 0 and not fleet.out
+
+
 # --- the memory in a file ---
 
 
