--- a/benchmarks/fleet_sim.py
+++ b/benchmarks/fleet_sim.py
@@ -22,6 +22,7 @@
 from dataclasses import dataclass, field
 
 from benchmarks.fleet_defects import Careless, Forgetful, Hasty, Rash
+from benchmarks.fleet_history import Call, linearizable
 from hazelbend.fleet import memory_file
 from hazelbend.fleet.holder import Holder, Request, Stage
 from hazelbend.fleet.leases import Answer, Leases, Limits, Operation, Watch, encode
@@ -98,6 +99,7 @@
         self.tokens: dict[int, tuple[int, int]] = {}  # by epoch: the least and the highest
         self.finished: Counter[int] = Counter()  # by epoch: the newest entry whose answer somebody has
         self.epoch = 0
+        self.history: dict[str, list[Call]] = {name: [] for name in NAMES}
 
     # --- time ---
 
@@ -120,6 +122,9 @@
             self.now, _, act = heapq.heappop(self.events)
             act()
             self._check()
+        for name, calls in self.history.items():
+            if not linearizable(calls):
+                raise Broken(f"history: what callers saw of {name} could not have happened in any order")
 
     # --- processes ---
 
@@ -274,8 +279,12 @@
         target = self._number(record.leader) if record.leader else self.random.randrange(len(self.nodes))
         there, lives = self.nodes[target], node.lives
 
+        start = self.now
+
         def reply(answer: Answer | None) -> None:
             def back() -> None:
+                if answer is not None:
+                    self._note(start, request.operation, answer)
                 if node.lives == lives:
                     self._do(node, lambda record, now: holder.answered(request.number, answer, now))
 
@@ -296,6 +305,14 @@
 
         self._deliver(node.number, target, lambda: self._do(there, put))
 
+    def _note(self, start: int, operation: Operation, answer: Answer) -> None:
+        """For the history of its lease: what a caller saw."""
+        token = answer.token or getattr(operation, "token", 0)
+        kinds = {"released": "released", "lost": "ended", "free": "ended"}
+        kind = "held" if answer.token else kinds.get(answer.why)
+        if kind is not None and token:
+            self.history[operation.name].append(Call(start, self.now, kind, token))
+
     def _tend(self) -> None:
         """Now and then: the leader sees to its voters, tasks begin and end, and somebody reads."""
         self.at(self.random.uniform(0.1, 0.4) * S, self._tend)
@@ -334,8 +351,15 @@
         if ticket is None:
             return
 
+        start = self.now
+
         def ended(ok: bool, result: object) -> None:
             self.counts["reads"] += ok
+            if ok:
+                for name in NAMES:
+                    lease = node.leases.state.leases.get(name)
+                    call = Call(start, self.now, "read", lease.token if lease else 0)
+                    self.history[name].append(call)
             if ok and epoch == record.memory.epoch and record.applied < finished:
                 raise Broken(f"stale read: {record.me} shows {record.applied} of {finished}")
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from benchmarks.fleet_history import Call, linearizable
 from benchmarks.fleet_search import Left, search
 from benchmarks.fleet_sim import play
 from hazelbend.fleet import leases as ls
@@ -386,3 +387,17 @@
 def test_every_order_of_events_is_tried_and_a_planted_mistake_found(defect, left, found):
     assert found in str(search(defect, left, 20_000)["broken"])
     assert not search("", left, 4_000)["broken"]
+
+
+def test_a_history_is_judged_by_whether_some_order_of_its_calls_could_be():
+    def judged(*calls: tuple[int, int, str, int]) -> bool:
+        return linearizable([Call(*each) for each in calls])
+
+    assert judged((0, 9, "held", 5), (1, 2, "held", 4)), "the longer one took effect later"
+    assert not judged((0, 1, "held", 5), (2, 3, "held", 4)), "a token that was passed holds no more"
+    assert judged((0, 1, "held", 5), (2, 3, "ended", 5), (4, 5, "held", 6))
+    assert not judged((0, 1, "held", 5), (2, 3, "ended", 5), (4, 5, "held", 5)), "what is over stays over"
+    assert not judged((0, 1, "released", 5), (2, 3, "read", 5)), "a stale read"
+    assert judged((0, 3, "released", 5), (2, 3, "read", 5)) and judged((0, 1, "held", 5), (2, 3, "read", 0))
+    late = [(n, 1_000, "held", 5) for n in range(40)] + [(50, 60, "released", 5), (70, 80, "read", 6)]
+    assert judged(*late), "many that overlap are not tried in every order"
