--- a/hazelbend/fleet/engine.py
+++ b/hazelbend/fleet/engine.py
@@ -116,6 +116,14 @@
             times += [self._tend_at, self.watch.due(self.leases)]
         return min(times)
 
+    @property
+    def leader(self) -> str:
+        """Who leads, as the record says; to one that does not vote, as the members tell each other."""
+        record, (epoch, _, told) = self.record, self.members.head
+        if record.leader or record.is_voter or epoch < record.memory.epoch or told in self.members.lost():
+            return record.leader
+        return told
+
     def tick(self, now: int) -> None:
         if now >= self.members.due:
             self.members.tick(now)
@@ -140,8 +148,7 @@
             return
         ticket = self.record.propose(encode(operation), now)
         if ticket is None:
-            leader = "" if self.record.leads else self.record.leader
-            self.answers.append((number, Reply(leader=leader)))
+            self.answers.append((number, Reply(leader="" if self.record.leads else self.leader)))
         else:
             self._tickets[ticket] = number
         self._collect()
@@ -189,7 +196,7 @@
             role=record.role.value if record.is_voter else "member",
             epoch=record.memory.epoch,
             term=record.memory.term,
-            leader=record.leader,
+            leader=self.leader,
             fresh=record.settled,
             open=self.leases.state.open,
             commit=record.commit,
@@ -235,6 +242,10 @@
                 record.change_voters(wish, now)
 
     def _collect(self) -> None:
+        record = self.record
+        if record.leader:
+            head = (record.memory.epoch, record.memory.term, record.leader)
+            self.members.head = max(self.members.head, head)
         for packet in self.members.out:
             self.out.append((mb.address_of(packet.to) or packet.to, packet))
         self.members.out.clear()
--- a/hazelbend/fleet/members.py
+++ b/hazelbend/fleet/members.py
@@ -79,6 +79,10 @@
     answer: bool
 
 
+Head = tuple[int, int, str]  # an epoch and a term of it, and who leads there
+NOBODY: Head = (0, 0, "")
+
+
 class Packet(msgspec.Struct, frozen=True, array_like=True):
     """`to`: an identity, or only an address where nobody there is known."""
 
@@ -87,6 +91,7 @@
     to: str
     body: Probe | Answer | Whole
     news: tuple[News, ...] = ()
+    head: Head = NOBODY
 
 
 @dataclass(slots=True, frozen=True)
@@ -152,6 +157,7 @@
         self.next_exchange = now
         self.next_knock = now
         self.leaving = False
+        self.head = NOBODY  # the newest that was heard of: for those that do not vote
 
     # --- what its owner asks ---
 
@@ -292,6 +298,8 @@
         if packet.to not in (self.me, address_of(self.me)) or packet.sender == self.me:
             return
         body = packet.body
+        if packet.head[:2] > self.head[:2]:
+            self.head = packet.head
         if packet.sender not in self.table:
             self._take(News(packet.sender, 1, Status.ALIVE), now)
         for news in packet.news:
@@ -392,7 +400,7 @@
             )
         else:
             news = self._gossip(to)
-        self.out.append(Packet(self.fleet, self.me, to, body, news))
+        self.out.append(Packet(self.fleet, self.me, to, body, news, self.head))
 
     def _gossip(self, to: str) -> tuple[News, ...]:
         """The least told first; who is suspected, or held dead, hears of it before all else, and can deny
--- a/hazelbend/fleet/settings.py
+++ b/hazelbend/fleet/settings.py
@@ -25,6 +25,13 @@
     clock_drift: Annotated[float, Meta(ge=0, le=0.5)] = 0.05
 
 
+class SnapshotSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    url: Annotated[str, Meta(pattern=r"^http://\d{1,3}(\.\d{1,3}){3}(:\d{1,5})?/\S*$")]
+    every_s: Annotated[float, Meta(ge=0.1, le=86_400)] = 60.0
+    ttl_s: Annotated[float, Meta(ge=0.1, le=3_600)] = 10.0
+    timeout_s: Annotated[float, Meta(ge=0.01, le=60)] = 2.0  # for one write
+
+
 class FleetSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     id: Name  # one word that all dispatchers of a fleet share, and no other fleet has
     listen: Address  # for peers and commands
@@ -34,6 +41,7 @@
     voters: int = 3
     store: str = ""  # a folder on a disk that lasts; without it a process that starts again is another member
     leases: LeaseLimits = LeaseLimits()
+    snapshot: SnapshotSettings | None = None
 
     @property
     def address(self) -> tuple[str, int]:
@@ -62,6 +70,11 @@
         raise ValueError("voters: 3, 5 or 7")
     if found.leases.shortest_s > found.leases.longest_s:
         raise ValueError("leases.shortest_s: longer than leases.longest_s")
+    snapshot, leases = found.snapshot, found.leases
+    if snapshot is not None and not leases.shortest_s <= snapshot.ttl_s <= leases.longest_s:
+        raise ValueError("snapshot.ttl_s: not from leases.shortest_s to leases.longest_s")
+    if snapshot is not None and snapshot.timeout_s > snapshot.ttl_s / 2:
+        raise ValueError("snapshot.timeout_s: over half of snapshot.ttl_s")
     if any(int(each.rpartition(":")[2]) > 65_535 for each in (found.listen, *found.seeds)):
         raise ValueError("listen, seeds: a port is at most 65535")
     return found
--- a/hazelbend/program/fleet.py
+++ b/hazelbend/program/fleet.py
@@ -9,13 +9,16 @@
 from collections.abc import Callable
 from pathlib import Path
 
+import aiohttp
+
 from hazelbend.fleet import memory_file
 from hazelbend.fleet.engine import Fleet, Reply, View
-from hazelbend.fleet.leases import Operation
-from hazelbend.fleet.members import Packet
+from hazelbend.fleet.leases import Answer, Operation
+from hazelbend.fleet.members import Packet, address_of
 from hazelbend.fleet.memory_file import Damaged
 from hazelbend.fleet.messages import Message
 from hazelbend.fleet.settings import FleetSettings
+from hazelbend.program.fleet_snapshot import SnapshotTask
 from hazelbend.transport.fleet_peers import FleetDoor, Peers
 from hazelbend.transport.fleet_store import FleetStore
 
@@ -37,6 +40,7 @@
         self._name, self._seed = name, seed
         self.engine = self._somebody_new()
         self.store: FleetStore | None = None
+        self.snapshot: SnapshotTask | None = None
         self._saving: asyncio.Task[None] | None = None
         self.peers = Peers(settings.address[0])
         self.door = FleetDoor(self._hear, self._ask, self._found, self._view)
@@ -89,6 +93,10 @@
         await self.door.listen(*self.settings.address)
         log.info("fleet %s: %s", self.settings.id, self.engine.me)
         self._pump()
+        if (conf := self.settings.snapshot) is not None:
+            limits, me = self.settings.plan().limits, self.engine.me
+            self.snapshot = SnapshotTask(conf, limits, me, self._clock, self.wish, self._view)
+            self.snapshot.start()
 
     def drain(self) -> None:
         """Another is to lead: work on this machine is about to begin."""
@@ -96,7 +104,9 @@
         self._pump()
 
     async def leave(self) -> None:
-        """Hand the lead over and tell the members, within `LEAVE_WAIT`."""
+        """Give up leases, hand the lead over and tell the members, within `LEAVE_WAIT` each."""
+        if self.snapshot is not None:
+            await self.snapshot.leave()
         end = time.monotonic() + LEAVE_WAIT
         while not self.engine.leave(self._clock()) and time.monotonic() < end:
             self._pump()
@@ -105,6 +115,8 @@
         self._pump()
 
     async def close(self) -> None:
+        if self.snapshot is not None:
+            await self.snapshot.close()
         self._closed = True
         if self._wake is not None:
             self._wake.cancel()
@@ -118,8 +130,11 @@
             self.store.close()
 
     def counts(self) -> dict[str, int]:
-        engine = self.engine
-        return {
+        engine, task = self.engine, self.snapshot
+        written = (
+            {} if task is None else {"fleet_snapshots": task.written, "fleet_snapshots_refused": task.refused}
+        )
+        return written | {
             "fleet_members": engine.members.size,
             "fleet_leads": int(engine.record.leads),
             "fleet_epoch": engine.record.memory.epoch,
@@ -174,6 +189,16 @@
         finally:
             del self._asked[number]
 
+    async def wish(self, operation: Operation) -> Answer | None:
+        """By this dispatcher's own tasks: to whoever leads. None: nobody that leads has answered."""
+        reply = await self._ask(operation)
+        if reply.answer is None and reply.leader not in ("", self.engine.me):
+            try:
+                reply = await self.peers.ask(address_of(reply.leader), operation, ANSWER_WAIT)
+            except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+                return None
+        return reply.answer
+
     def _found(self, anyway: bool) -> str:
         record = self.engine.record
         if not anyway and (record.leader or record.leads):
--- a/tests/test_fleet_site.py
+++ b/tests/test_fleet_site.py
@@ -216,6 +216,39 @@
     asyncio.run(run())
 
 
+def test_the_snapshot_is_written_by_its_token_and_given_up_when_the_store_knows_a_higher_one(tmp_path):
+    async def run():
+        store, port = Store(), free_port()
+        (tmp_path / "fleet.toml").write_text(
+            f'enabled = true\nid = "f"\nlisten = "127.0.0.1:{port}"\n[leases]\nlongest_s = 2.0\n[snapshot]\n'
+            f'url = "http://127.0.0.1:{store.server_address[1]}/f"\n'
+            "every_s = 0.1\nttl_s = 2.0\ntimeout_s = 1.0\n"
+        )
+        async with site(tmp_path, stomp="") as (app, _):
+            [part] = app.parts
+            task, leases = part.snapshot, part.engine.leases
+            part._found(False)
+
+            async def until(truth):
+                async with asyncio.timeout(60):
+                    while not truth():
+                        await asyncio.sleep(0.02)
+
+            await until(lambda: task.written > 3)
+            token = leases.state.leases["hazelbend.snapshot"].token
+            assert store.highest == {"/f": token} and app.figures().named()["fleet_snapshots"] > 3
+            store.put("/f", token + 1)  # somebody else's: this one is late, whatever it believes
+            await until(lambda: task.refused)
+            await until(lambda: store.highest["/f"] == token + 1 and task.written > 6)
+            assert store.took_lower == 0, "the next lease's token is the same as that one's, not lower"
+            await part.leave()
+            assert leases.state.leases == {}, "another need not wait for the end of its time"
+        store.shutdown()
+        store.server_close()
+
+    asyncio.run(run())
+
+
 def test_the_stand_in_store_and_the_check_of_acts_find_what_they_should(tmp_path):
     store = Store()
     assert [store.put("a", token) for token in (2, 3, 2, 3)] == [True, True, False, True]
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -12,7 +12,7 @@
 from benchmarks.fleet_sim import play
 from hazelbend.fleet import leases as ls
 from hazelbend.fleet import memory_file
-from hazelbend.fleet.engine import Fleet, Plan
+from hazelbend.fleet.engine import Fleet, Plan, Reply
 from hazelbend.fleet.holder import Holder, Stage
 from hazelbend.fleet.messages import Entry, Message, Put, Taken
 from hazelbend.fleet.record import Memory, Record, Timing, epoch_number
@@ -283,6 +283,29 @@
     assert holder.stage is Stage.ASKING and holder.due >= 2 * S // 12, "it asks again, after a pause"
 
 
+def test_one_that_does_not_vote_knows_who_leads():
+    """Five members, three of which vote: the others hear of the record only what members tell each other."""
+    names = [f"n{n}#1@h:{n}" for n in range(5)]
+    plan = Plan("f", ("h:0",), limits=LIMITS)
+    fleets = {f"h:{n}": Fleet(name, plan, n, 0) for n, name in enumerate(names)}
+    for now in range(0, 60 * S, S // 20):
+        if now == 20 * S:
+            fleets["h:0"].found(1.9e9, now)
+        for each in fleets.values():
+            each.tick(now)
+        while any(each.out for each in fleets.values()):
+            for each in fleets.values():
+                out, each.out = each.out, []
+                for address, item in out:
+                    fleets[address].receive(item, now)
+    leads = fleets["h:0"].record
+    others = [each for each in fleets.values() if not each.record.is_voter]
+    assert leads.leads and len(leads.voters) == 3 and len(others) == 2
+    for each in others:
+        each.ask(1, ls.Acquire("a", "x", 1, 2 * S), 60 * S)
+        assert each.answers == [(1, Reply(leader=names[0]))] and each.view(60 * S).leader == names[0]
+
+
 def test_what_is_meant_for_the_process_that_had_the_address_before_is_not_taken():
     fleet = Fleet("a#2@h:1", Plan("f", ()), 1, 0)
     fleet.receive(Message("b#1@h:2", "a#1@h:1", 5, 1, Put(0, 0, (Entry(1, ("a#1@h:1",)),), 0, 1)), 0)
