--- /dev/null
+++ b/benchmarks/fleet_gaps.py
@@ -0,0 +1,120 @@
+"""How long a lease is without a holder after its holder, or the dispatcher that leads, fails: real processes.
+
+    python -m benchmarks.fleet_gaps --kind kill-leader --times 20 --ttl 5
+
+Three dispatchers, behind relays; a task under a lease on the first machine, another that waits for it on the
+second, both writing a line every 20 ms. The gap is from the last act before the fault to the first act after
+it. Kinds: kill-task, stop-task (the task's `lease run` and its dispatcher's machine stay), kill-leader,
+stop-leader, cut-leader, term-leader. The last line is one JSON object: median and worst gap in milliseconds,
+beside the ttl.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import shutil
+import signal
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from benchmarks.fleet_rig import Machine, Site, wait_for
+
+KINDS = ("kill-task", "term-task", "kill-leader", "stop-leader", "cut-leader", "term-leader")
+ACT = """
+import os, sys, time
+while True:
+    with open(sys.argv[1], "a") as file:
+        print(time.clock_gettime_ns(time.CLOCK_MONOTONIC), os.environ["HAZELBEND_TOKEN"], file=file)
+    time.sleep(0.02)
+"""
+
+
+def acts(path: Path) -> list[tuple[int, int]]:
+    lines = path.read_text().splitlines() if path.exists() else []
+    return [(int(at), int(token)) for at, token in (line.split() for line in lines if line.count(" ") == 1)]
+
+
+def begin(machine: Machine, path: Path, ttl: float) -> subprocess.Popen[str]:
+    words = ("lease", "run", "gap", "--ttl", f"{ttl}s", "--wait", "10m", "--", sys.executable, "-c", ACT)
+    return machine.begin(*words, str(path))
+
+
+def one(site: Site, folder: Path, kind: str, ttl: float, number: int) -> float:
+    """Milliseconds between the last act before the fault and the first that follows a gap, or a new token."""
+    path = folder / f"acts-{number}"
+    leader = site.leader()
+    others = [each for each in site.machines if each is not leader]
+    holder = begin(others[0], path, ttl)
+    wait_for(lambda: len(acts(path)) > 5)
+    waiter = begin(others[1], path, ttl)
+    wait_for(lambda: waits(leader))
+    token, after = acts(path)[-1][1], time.monotonic_ns()
+    try:
+        if kind.endswith("task"):
+            holder.send_signal(signal.SIGKILL if kind == "kill-task" else signal.SIGTERM)
+            wait_for(lambda: acts(path)[-1][1] > token)
+        else:
+            fail(site, leader, others, kind)
+            time.sleep(2 * ttl)  # a lease that outlives it goes on; one that is lost has passed on by then
+            wait_for(lambda: acts(path)[-1][0] > after + 2e9 * ttl)
+    finally:
+        for task in (holder, waiter):
+            task.send_signal(signal.SIGTERM)
+        for task in (holder, waiter):
+            task.communicate(timeout=60)
+        mend(site, leader, kind)
+    times = [at for at, _ in acts(path) if at > after - 5e8]
+    return max(b - a for a, b in zip(times, times[1:], strict=False)) / 1e6
+
+
+def waits(machine: Machine) -> bool:
+    _, said, _ = machine.run("lease", "list", "--json")
+    return bool(said) and any(each["waiters"] for each in json.loads(said)["leases"])
+
+
+def fail(site: Site, leader: Machine, others: list[Machine], kind: str) -> None:
+    if kind == "kill-leader":
+        leader.end(signal.SIGKILL)
+    elif kind == "term-leader":
+        leader.send(signal.SIGTERM)
+    elif kind == "stop-leader":
+        leader.send(signal.SIGSTOP)
+    else:
+        pairs = {(leader.number, each.number) for each in others}
+        site.cuts |= pairs | {(b, a) for a, b in pairs}
+
+
+def mend(site: Site, leader: Machine, kind: str) -> None:
+    site.cuts.clear()
+    if kind == "stop-leader":
+        leader.send(signal.SIGCONT)
+    elif kind in ("kill-leader", "term-leader"):
+        leader.end(signal.SIGKILL)
+        leader.start()
+    seen = site.machines[leader.number - 1]
+    wait_for(lambda: len(seen.view().get("voters", ())) == 3 and seen.view()["leader"])
+
+
+def main() -> None:
+    raw = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=raw)
+    parser.add_argument("--kind", choices=KINDS, default="kill-leader")
+    parser.add_argument("--times", type=int, default=20)
+    parser.add_argument("--ttl", type=float, default=5.0)
+    args = parser.parse_args()
+    folder = Path(tempfile.mkdtemp(prefix="fleet-gaps-"))
+    with Site(folder, 3, longest=args.ttl) as site:
+        site.found()
+        gaps = [one(site, folder, args.kind, args.ttl, number) for number in range(args.times)]
+    shutil.rmtree(folder)
+    found = {"median_ms": round(statistics.median(gaps)), "worst_ms": round(max(gaps))}
+    print(json.dumps(vars(args) | found))
+
+
+if __name__ == "__main__":
+    main()
