Read through the fleet's parts: one driver of a holder, one way to the leader, nothing kept twice

Kept though it could be derived, or dead: applied beside commit, a ticket's term, a read's index, a peer's sent_at, a holder's place, a waiter's wait, engine.leave's loop. Done twice: the list of voters was looked for through the log at each entry, and the whole memory encoded at each save for the rare one that begins the file anew.

--- a/benchmarks/fleet_rig.py
+++ b/benchmarks/fleet_rig.py
@@ -38,6 +38,24 @@
 }
 
 
+# A task: a line for each act, when by the machine's one clock and by which token, until a file is there.
+ACT = """
+import os, sys, time
+while True:
+    with open(sys.argv[1], "a") as file:
+        print(time.clock_gettime_ns(time.CLOCK_MONOTONIC), os.environ["HAZELBEND_TOKEN"], file=file)
+    if os.path.exists(sys.argv[2]):
+        sys.exit(7)
+    time.sleep(0.02)
+"""
+
+
+def acts(path: Path) -> list[tuple[int, int]]:
+    """What such tasks wrote: nanoseconds, and tokens. A line that is being written is not there yet."""
+    lines = path.read_text().splitlines() if path.exists() else []
+    return [(int(at), int(token)) for at, token in (line.split() for line in lines if line.count(" ") == 1)]
+
+
 def free_port(host: str = "127.0.0.1") -> int:
     with socket.create_server((host, 0)) as server:
         return int(server.getsockname()[1])
--- a/hazelbend/cli/fleet.py
+++ b/hazelbend/cli/fleet.py
@@ -11,59 +11,29 @@
 import signal
 import sys
 import time
-import tomllib
 from collections.abc import Awaitable, Callable
-from pathlib import Path
 
 import aiohttp
 import msgspec
 
-from hazelbend.fleet.engine import Reply
 from hazelbend.fleet.holder import Holder, Stage
 from hazelbend.fleet.leases import Answer, ForceRelease, Operation
 from hazelbend.fleet.members import address_of
-from hazelbend.fleet.settings import FleetSettings, read_settings
-from hazelbend.program.config import DEPLOY_VARIABLE
-from hazelbend.transport.fleet_peers import Peers
+from hazelbend.fleet.settings import FleetSettings
+from hazelbend.program.config import ConfigError, fleet_settings
+from hazelbend.transport.fleet_peers import UNANSWERED, Asking, Peers
 
 OK, NOTHING, UNUSABLE, UNREACHABLE = 0, 1, 2, 3
 NOT_HELD, LOST = 75, 76  # of `lease run`: EX_TEMPFAIL and the next, which few commands use
 PR_SET_PDEATHSIG = 1  # of <linux/prctl.h>
 WAIT = 3.0  # seconds for one call
 LOOK = 0.02  # seconds between looks at the time while a command runs
-TRIES = 5
-UNANSWERED = (aiohttp.ClientError, OSError, TimeoutError, ValueError, msgspec.DecodeError)
-
-
-def settings() -> FleetSettings:
-    """Of the dispatcher on this machine. ValueError with what is wrong."""
-    path = Path(os.environ.get(DEPLOY_VARIABLE, "deploy")) / "fleet.toml"
-    try:
-        table = tomllib.loads(path.read_text())
-    except (OSError, tomllib.TOMLDecodeError) as error:
-        raise ValueError(f"{path}: {error}") from None
-    if not table.get("enabled"):
-        raise ValueError(f"{path}: not enabled")
-    return read_settings(table)
 
 
 def now() -> int:
     return time.monotonic_ns() // 1_000
 
 
-async def to_leader(peers: Peers, first: str, operation: Operation) -> Answer | None:
-    """Ask this dispatcher, and whoever it says leads. None: nobody that leads has answered."""
-    address = first
-    for _ in range(TRIES):
-        reply: Reply = await peers.ask(address, operation, WAIT)
-        if reply.answer is not None:
-            return reply.answer
-        if not reply.leader or address_of(reply.leader) == address:
-            return None
-        address = address_of(reply.leader)
-    return None
-
-
 class Way:
     """To whoever leads: by this machine's dispatcher, and by the others that it knows when that one is
     down."""
@@ -74,10 +44,8 @@
         self._turn = 0
 
     async def ask(self, operation: Operation) -> Answer | None:
-        try:
-            answer = await to_leader(self.peers, self.doors[self._turn % len(self.doors)], operation)
-        except UNANSWERED:
-            answer = None
+        door = self.doors[self._turn % len(self.doors)]
+        answer = await self.peers.ask_leader(door, operation, WAIT)
         if answer is None:
             self._turn += 1  # one that is no voter may not know who leads
         return answer
@@ -147,11 +115,10 @@
     """COMMAND under a lease: started when it is held, stopped before its time is over."""
 
     def __init__(self, way: Way, holder: Holder, command: tuple[str, ...], stopping: float) -> None:
-        self.way, self.holder, self.command = way, holder, command
+        self.holder, self.command = holder, command
         self.stopping = round(stopping * 1e6)
         self.process: asyncio.subprocess.Process | None = None
-        self._asking: set[asyncio.Task[None]] = set()
-        self.ended = asyncio.Event()
+        self._asking = Asking(way.ask, now)
 
     async def run(self) -> int:
         loop = asyncio.get_running_loop()
@@ -161,8 +128,8 @@
         terminated = False
         try:
             while True:
+                self._asking.tick(self.holder)
                 at = now()
-                self._ask(at)
                 if self.holder.stage is Stage.ENDED:
                     break
                 if (
@@ -190,8 +157,7 @@
             if waiting is not None and not waiting.done():
                 self._signal(signal.SIGKILL)
                 await waiting
-            for task in list(self._asking):
-                task.cancel()
+            await self._asking.close()
         if waiting is None:
             print(f"hazelbend: {self.holder.name}: not held: {self.holder.why}", file=sys.stderr)
             return NOT_HELD
@@ -222,16 +188,6 @@
             with contextlib.suppress(ProcessLookupError):
                 os.killpg(self.process.pid, number)
 
-    def _ask(self, at: int) -> None:
-        for request in self.holder.tick(at):
-            task = asyncio.create_task(self._one(request.number, request.operation))
-            self._asking.add(task)
-            task.add_done_callback(self._asking.discard)
-
-    async def _one(self, number: int, operation: Operation) -> None:
-        answer = await self.way.ask(operation)
-        self.holder.answered(number, answer, now())
-
 
 def _die_with_parent() -> None:
     """In the command, before it begins: it is killed when `lease run` is, as nobody would stop it in time."""
@@ -255,7 +211,7 @@
 
 def main(act: Callable[[FleetSettings, Peers], Awaitable[int]]) -> int:
     async def go() -> int:
-        conf = settings()
+        conf = fleet_settings()
         peers = Peers(conf.address[0])
         try:
             return await act(conf, peers)
@@ -267,6 +223,6 @@
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         print(f"hazelbend: no answer from this machine's dispatcher: {error!r}", file=sys.stderr)
         return UNREACHABLE
-    except ValueError as error:
+    except (ConfigError, ValueError) as error:
         print(f"hazelbend: {error}", file=sys.stderr)
         return UNUSABLE
--- a/hazelbend/cli/main.py
+++ b/hazelbend/cli/main.py
@@ -46,6 +46,9 @@
     raise SystemExit(run(config, as_json))
 
 
+UNITS = {"ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3_600.0, "": 1.0}
+
+
 class Time(click.ParamType):
     """`10s`, `1m`, `500ms`, or seconds."""
 
@@ -54,10 +57,9 @@
     def convert(self, value: object, param: click.Parameter | None, ctx: click.Context | None) -> float:
         text = str(value).strip()
         number = text.rstrip("smh")
-        factor = {"ms": 1e-3, "s": 1.0, "m": 60.0, "h": 3_600.0, "": 1.0}.get(text[len(number) :])
         try:
-            return float(number) * (factor or float("nan"))
-        except ValueError:
+            return float(number) * UNITS[text[len(number) :]]
+        except (ValueError, KeyError):
             self.fail(f"{text!r} is no time such as 10s, 1m or 500ms", param, ctx)
 
 
--- a/hazelbend/fleet/engine.py
+++ b/hazelbend/fleet/engine.py
@@ -96,8 +96,6 @@
         self.answers: list[tuple[int, Reply]] = []
         self._tickets: dict[int, tuple[int, Operation]] = {}  # of the record's: the driver's number, the wish
         self._parked: dict[int, tuple[Acquire, Answer, int]] = {}  # by the driver's number: until when
-        self._proposed: set[Operation] = set()
-        self._term = -1
         self._tend_at = self._now = now
         self._asks, self._asks_at = 2 * plan.asks_per_s, now
 
@@ -111,6 +109,12 @@
         record = self.record
         return bool(self.out or self.answers or record.promise_changed or record.unsaved is not None)
 
+    def take(self) -> tuple[list[tuple[str, mb.Packet | Message]], list[tuple[int, Reply]]]:
+        """What is to be sent, and answered, once what it rests on is saved."""
+        taken = self.out, self.answers
+        self.out, self.answers = [], []
+        return taken
+
     @property
     def due(self) -> int:
         times = [self.members.due, self.record.due]
@@ -178,18 +182,16 @@
         self._collect()
         return epoch
 
-    def leave(self, now: int) -> bool:
-        """Hand over, then tell the members. True once nothing is led here; call it again until then."""
-        if self.hand_over(now):
-            return False
-        if not self.members.leaving:
-            self.members.leave(now)
-            self._collect()
-        return True
+    def leave(self, now: int) -> None:
+        """Tell the members."""
+        self.members.leave(now)
+        self._collect()
 
     def hand_over(self, now: int) -> bool:
-        """Let another voter lead, if there is one that is well. False: it does not lead, or nobody can."""
-        others = [each for each in self.record.voters if each in self.members.well() and each != self.me]
+        """Let another voter lead, if there is one that is well; call it again until it is False: then it does
+        not lead, or nobody else can."""
+        well = self.members.well()
+        others = [each for each in self.record.voters if each in well and each != self.me]
         if not self.record.leads or not others:
             return False
         self.record.hand_over(others[0], now)
@@ -235,12 +237,8 @@
 
     def _lead(self, now: int) -> None:
         record = self.record
-        if record.memory.term != self._term:
-            self._term, self._proposed = record.memory.term, set()
-        over = set(self.watch.over(self.leases, now))
-        for operation in sorted(over - self._proposed, key=repr):
+        for operation in self.watch.to_ask(self.leases, record.memory.term, now):
             record.propose(encode(operation), now)
-        self._proposed = over
         if now >= self._tend_at:
             self._tend_at = now + TEND
             well = self.members.well()
--- a/hazelbend/fleet/holder.py
+++ b/hazelbend/fleet/holder.py
@@ -59,7 +59,7 @@
         self.name, self.holder, self.ask, self.ttl, self.wait = name, holder, ask, ttl, wait
         self.counted = round(ttl * (1 - limits.drift) / (1 + limits.drift))
         self.pause = ttl // (RENEWED * TRIES)
-        self.stage, self.why, self.place = Stage.ASKING, "", 0
+        self.stage, self.why = Stage.ASKING, ""
         self.token, self.until = 0, 0
         self.asked_at = now
         self.due = now
@@ -113,7 +113,7 @@
             if answer.why in ("lost", "free"):
                 self._end("lost")
         elif answer.place:
-            self.stage, self.place = Stage.WAITING, answer.place
+            self.stage = Stage.WAITING
             self.due = max(now, sent + self.pause)
         elif answer.why not in AGAIN:
             self._end(answer.why)
--- a/hazelbend/fleet/leases.py
+++ b/hazelbend/fleet/leases.py
@@ -3,7 +3,6 @@
 State of a lease (`Lease`), by operations in the record's order:
 
     free     --Acquire-->               held by it, a new token
-    free     --Acquire, others wait-->  held by the first that waits
     held     --Acquire by another-->    the same; with `wait`, the other waits at the end of the queue
     held     --Acquire, Renew by its holder-->  held, one more `renewals`: the grantor's time starts anew
     held     --Release, HandOver, ForceRelease-->  to the named one, else to the first that waits, else free
@@ -19,8 +18,8 @@
   If the lease was renewed meanwhile, by whatever leader, the numbers differ and nothing happens.
 
 So a lease ends for the fleet only after it has ended for its holder, whoever led in between and whatever a
-wall clock does. One that has been given a lease while it waited has no time yet: its next request, which the
-record counts as a renewal, starts it.
+wall clock does. One that has been given a lease while it waited learns of it by the answer to a request that
+left before (engine.py keeps it until then), or by its next one, which the record counts as a renewal.
 
 Tokens: the epoch, then a count that every grant adds one to. An epoch is higher than those before it, so that
 tokens only ever grow. A new epoch begins without leases, and grants none until the longest `ttl` has passed
@@ -126,7 +125,6 @@
     holder: str
     ask: int
     ttl: int
-    wait: int
     looks: int = 1  # how often it has asked: the grantor's time for it starts anew
 
 
@@ -225,7 +223,7 @@
             return Answer(why="held")
         if len(lease.waiters) >= limits.waiters:
             return Answer(why="too many wait")
-        lease.waiters.append(Waiter(wish.holder, wish.ask, wish.ttl, wish.wait))
+        lease.waiters.append(Waiter(wish.holder, wish.ask, wish.ttl))
         return Answer(place=len(lease.waiters))
 
     def _leave(self, operation: LeaveQueue | ExpireWait, lease: Lease) -> Answer:
@@ -265,6 +263,8 @@
     since: dict[tuple[str, int, int], int] = field(default_factory=dict)  # lease, token, renewals: applied at
     waits: dict[tuple[str, str, int, int], int] = field(default_factory=dict)  # lease, holder, ask, looks
     founded: tuple[int, int] = (0, 0)  # epoch, and since when it is known here
+    term: int = -1  # in which it has put to the record what is in `asked`
+    asked: set[Operation] = field(default_factory=set)
 
     def look(self, leases: Leases, now: int) -> None:
         """After entries were applied, or a snapshot taken: what is new has its time from now on."""
@@ -291,8 +291,14 @@
         times += [at + self.limits.longest for at in self.waits.values()]
         return min(times, default=1 << 62)
 
+    def to_ask(self, leases: Leases, term: int, now: int) -> list[Operation]:
+        """What one that leads in this term is to put to the record: what is over, each once."""
+        over = set(self.over(leases, now))
+        before = self.asked if term == self.term else set()
+        self.term, self.asked = term, over
+        return sorted(over - before, key=repr)
+
     def over(self, leases: Leases, now: int) -> list[Operation]:
-        """What the leader is to put to the record."""
         found: list[Operation] = [] if leases.state.open or now < self.opens() else [Open()]
         for (name, token, renewals), at in self.since.items():
             if now >= at + leases.state.leases[name].ttl:
--- a/hazelbend/fleet/members.py
+++ b/hazelbend/fleet/members.py
@@ -223,7 +223,7 @@
         """This process did not run for a while: what did not come meanwhile says nothing."""
         self.trial = None
         self.errands.clear()
-        self.doubt = min(self.doubt + 1, self.timing.most_doubt)
+        self._doubt(1)
         for each in self.table.values():
             if each.status is Status.SUSPECT:
                 each.since += gap
@@ -234,7 +234,8 @@
             self.random.shuffle(self.order)
         while self.order:
             target = self.order.pop()
-            if self.table[target].status <= Status.SUSPECT:
+            member = self.table.get(target)  # it may have been forgotten since the order was drawn
+            if member is not None and member.status <= Status.SUSPECT:
                 self.number += 1
                 self.trial = Trial(target, self.number, now)
                 self._send(target, Probe(self.number))
@@ -276,7 +277,7 @@
     def _knock(self) -> None:
         """At a seed where nobody is known, or at one held dead: a split heals only if somebody tries."""
         known = {address_of(each) for each in self.well()}
-        doors = [each for each in self.seeds if each not in known]
+        doors = list(self.seeds)
         doors += [address_of(each.identity) for each in self.table.values() if each.status is Status.DEAD]
         doors = [each for each in doors if each not in known]
         if doors:
@@ -305,7 +306,7 @@
         for news in packet.news:
             self._take(news, now)
         if isinstance(body, Answer):
-            self._answered(packet.sender, body)
+            self._answered(body)
         elif self.leaving:
             return
         elif isinstance(body, Whole):
@@ -318,7 +319,7 @@
             self.errands[self.number] = (packet.sender, body.number, now + self.timing.answer)
             self._send(body.target, Probe(self.number))
 
-    def _answered(self, sender: str, answer: Answer) -> None:
+    def _answered(self, answer: Answer) -> None:
         errand = self.errands.get(answer.number)
         if errand is not None:
             del self.errands[answer.number]
--- a/hazelbend/fleet/record.py
+++ b/hazelbend/fleet/record.py
@@ -67,7 +67,7 @@
     heartbeat: int = 200_000
     election: int = 1_000_000
     batch: int = 64  # entries in a message
-    kept: int = 256  # applied entries kept for members that are behind, before a snapshot takes their place
+    kept: int = 512  # entries that are committed, after which a snapshot takes their place
 
 
 class Machine(Protocol):
@@ -122,13 +122,11 @@
     match: int = 0
     heard_at: int = 0
     round: int = 0  # the last of the leader's rounds that it has answered
-    sent_at: int = -(10**12)
 
 
 @dataclass(slots=True)
 class Read:
     ticket: int
-    index: int
     round: int
 
 
@@ -147,7 +145,7 @@
         self.memory, self.machine, self.timing = memory, machine, timing
         self.random = random.Random(seed)
         self.role, self.leader = Role.FOLLOWER, ""
-        self.commit = self.applied = memory.base
+        self.commit = memory.base  # all up to it is applied
         machine.begin(memory.epoch)
         if memory.base:
             machine.restore(memory.base_state)
@@ -156,9 +154,8 @@
         self.done: list[Done] = []
         self.unsaved: int | None = None  # entries from this index on, and what is under them, are to be saved
         self.promise_changed = False  # epoch, term or vote are to be saved
-        self.watcher: Callable[[int], None] = lambda now: (
-            None
-        )  # after entries were applied, or all was replaced
+        # Called after entries were applied, or all was replaced.
+        self.watcher: Callable[[int], None] = lambda now: None
         self.heard_at = now - 2 * timing.election  # of a leader; not yet
         self.stands_at = 0
         self.votes: set[str] = set()
@@ -167,7 +164,7 @@
         self.round = 0
         self.beat_at = 0
         self.reads: list[Read] = []
-        self.tickets: dict[int, tuple[int, int]] = {}  # by index: term and ticket
+        self.tickets: dict[int, int] = {}  # by index, of the own term
         self.last_ticket = 0
         self.handing_to, self.handing_until = "", 0
         self._wait(now)
@@ -204,18 +201,16 @@
             raise ValueError(f"epoch {epoch} is not higher than {self.memory.epoch}")
         self._forget(epoch, now)
         self.memory.term, self.memory.vote = 1, self.me
-        self._append([Entry(1, (self.me,))])
+        self._append(Entry(1, (self.me,)))
         self._lead(now)
 
     def propose(self, op: bytes, now: int) -> int | None:
         """A ticket that `done` will name; None: it does not lead, or is handing over."""
         if not self.leads or self.handing_to:
             return None
-        self._append([Entry(self.memory.term, None, op)])
         self.last_ticket += 1
-        self.tickets[self.memory.last] = (self.memory.term, self.last_ticket)
-        self._broadcast(now)
-        self._advance(now)
+        self.tickets[self.memory.last + 1] = self.last_ticket
+        self._add(Entry(self.memory.term, None, op), now)
         return self.last_ticket
 
     def read(self, now: int) -> int | None:
@@ -224,7 +219,7 @@
             return None
         self.last_ticket += 1
         self.round += 1
-        self.reads.append(Read(self.last_ticket, self.commit, self.round))
+        self.reads.append(Read(self.last_ticket, self.round))
         self._broadcast(now)
         self._advance(now)
         return self.last_ticket
@@ -237,10 +232,7 @@
             return False
         if more and not self._caught_up(next(iter(more))):
             return False
-        self._append([Entry(self.memory.term, tuple(sorted(voters)))])
-        self._meet(now)
-        self._broadcast(now)
-        self._advance(now)
+        self._add(Entry(self.memory.term, tuple(sorted(voters))), now)
         return True
 
     def teach(self, learners: set[str], now: int) -> None:
@@ -312,7 +304,7 @@
         self.role, self.leader, self.handing_to = Role.FOLLOWER, leader, ""
         self.votes, self.peers = set(), {}
         if was_leading:  # whether they were taken is for the next leader to know
-            self.done += [Done(ticket, False) for _, ticket in self.tickets.values()]
+            self.done += [Done(ticket, False) for ticket in self.tickets.values()]
             self.done += [Done(read.ticket, False) for read in self.reads]
             self.tickets, self.reads = {}, []
         if leader:
@@ -370,7 +362,7 @@
         if self.role is Role.ASKING:
             self._stand(now, pre=False)
         elif self.role is Role.CANDIDATE:
-            self._append([Entry(self.memory.term)])
+            self._append(Entry(self.memory.term))
             self._lead(now)
 
     def _lead(self, now: int) -> None:
@@ -391,10 +383,18 @@
 
     # --- the log ---
 
-    def _append(self, entries: list[Entry]) -> None:
+    def _append(self, entry: Entry) -> None:
         self._dirty(self.memory.last + 1)
-        self.memory.entries += entries
-        self.voters = self.memory.voters_at(self.memory.last)
+        self.memory.entries.append(entry)
+        if entry.voters is not None:
+            self.voters = entry.voters
+
+    def _add(self, entry: Entry, now: int) -> None:
+        """The leader's own."""
+        self._append(entry)
+        self._meet(now)
+        self._broadcast(now)
+        self._advance(now)
 
     def _dirty(self, index: int) -> None:
         self.unsaved = index if self.unsaved is None else min(self.unsaved, index)
@@ -403,7 +403,7 @@
         """Begin another epoch, with nothing."""
         self._follow(self.memory.term, "", now)
         self.memory = Memory(self.memory.identity, epoch)
-        self.commit = self.applied = 0
+        self.commit = 0
         self.voters, self.promise_changed = (), True
         self._dirty(1)
         self.machine.begin(epoch)
@@ -428,7 +428,6 @@
 
     def _send(self, name: str, now: int) -> None:
         memory, peer = self.memory, self.peers[name]
-        peer.sent_at = now
         before = memory.term_at(peer.next - 1)
         if before is None:
             base = (memory.base, memory.base_term, memory.base_voters, memory.base_state)
@@ -457,7 +456,8 @@
             if index <= memory.last:
                 assert index > self.commit, "what is committed is never taken back"
                 del memory.entries[index - memory.base - 1 :]
-            self._append([entry])
+                self.voters = memory.voters_at(memory.last)
+            self._append(entry)
         match = put.before + len(put.entries)
         self._commit(min(put.commit, match), now)
         self._tell(message.sender, Taken(True, match, put.round))
@@ -470,7 +470,7 @@
             memory.entries = memory.entries[install.base - memory.base :] if keeps else []
             memory.base, memory.base_term = install.base, install.base_term
             memory.base_voters, memory.base_state = install.voters, install.state
-            self.commit = self.applied = install.base
+            self.commit = install.base
             self.voters = memory.voters_at(memory.last)
             self._dirty(install.base)
             self.machine.restore(install.state)
@@ -494,20 +494,22 @@
                 self._send(message.sender, now)
         self._hand_on()
 
-    def _advance(self, now: int) -> None:
-        """Commit what a majority has, of the own term; answer what may be read."""
+    def _majority_holds(self) -> int:
+        """All up to this index."""
         match = {name: peer.match for name, peer in self.peers.items()} | {self.me: self.memory.last}
         held = sorted((match.get(name, 0) for name in self.voters), reverse=True)
-        index = held[len(held) // 2]
+        return held[len(held) // 2]
+
+    def _advance(self, now: int) -> None:
+        """Commit what a majority has, of the own term; answer what may be read."""
+        index = self._majority_holds()
         if index > self.commit and self.memory.term_at(index) == self.memory.term:
             self._commit(index, now)
             if self.leads:
                 self._broadcast(now)
         if not self.leads:
             return
-        answered = [
-            read for read in self.reads if self._round_taken(read.round) and self.applied >= read.index
-        ]
+        answered = [read for read in self.reads if self._round_taken(read.round)]
         self.done += [Done(read.ticket, True) for read in answered]
         self.reads = [read for read in self.reads if read not in answered]
 
@@ -517,24 +519,21 @@
     def _commit(self, index: int, now: int) -> None:
         if index <= self.commit:
             return
-        self.commit = index
-        while self.applied < self.commit:
-            entry = self.memory.entries[self.applied - self.memory.base]
-            self.applied += 1
-            result = self.machine.apply(self.applied, entry.op) if entry.op else None
-            term, ticket = self.tickets.pop(self.applied, (0, 0))
-            if ticket:
-                self.done.append(Done(ticket, term == entry.term, result))
+        first, self.commit = self.commit + 1, index
+        for at in range(first, index + 1):
+            entry = self.memory.entries[at - self.memory.base - 1]
+            result = self.machine.apply(at, entry.op) if entry.op else None
+            if ticket := self.tickets.pop(at, 0):
+                self.done.append(Done(ticket, True, result))
         self.watcher(now)
-        if self.leads and self.memory.voters_at(self.commit) == self.voters and not self.is_voter:
+        if self.leads and not self.is_voter and self.memory.voters_at(self.commit) == self.voters:
             self._follow(self.memory.term, "", now)
         self._compact()
 
     def _compact(self) -> None:
-        memory = self.memory
-        if self.applied - memory.base < 2 * self.timing.kept:
+        memory, base = self.memory, self.commit
+        if base - memory.base < self.timing.kept:
             return
-        base = self.applied
         term = memory.term_at(base)
         assert term is not None
         state, voters = self.machine.snapshot(), memory.voters_at(base)
--- a/hazelbend/program/config.py
+++ b/hazelbend/program/config.py
@@ -316,6 +316,14 @@
     return Path(keys.get("socket", str))
 
 
+def fleet_settings(environment: Mapping[str, str] = os.environ) -> FleetSettings:
+    """Of the dispatcher on this machine, for commands beside it, by the same file."""
+    path = Path(environment.get(DEPLOY_VARIABLE, "deploy")) / "fleet.toml"
+    if (keys := _enabled(path)) is None:
+        raise ConfigError(f"{path}: does not enable a fleet")
+    return _fleet(keys)
+
+
 def _enabled(path: Path) -> Keys | None:
     """The keys of one of our files; None if it is not there or does not say `enabled = true`."""
     try:
--- a/hazelbend/program/fleet.py
+++ b/hazelbend/program/fleet.py
@@ -9,17 +9,14 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import aiohttp
-
 from hazelbend.fleet import memory_file
 from hazelbend.fleet.engine import Fleet, Reply, View
 from hazelbend.fleet.leases import Answer, Operation
-from hazelbend.fleet.members import Packet, address_of
+from hazelbend.fleet.members import address_of
 from hazelbend.fleet.memory_file import Damaged
-from hazelbend.fleet.messages import Message
 from hazelbend.fleet.settings import FleetSettings
 from hazelbend.program.fleet_snapshot import SnapshotTask
-from hazelbend.transport.fleet_peers import FleetDoor, Peers
+from hazelbend.transport.fleet_peers import FleetDoor, Item, Peers
 from hazelbend.transport.fleet_store import FleetStore
 
 log = logging.getLogger("hazelbend.fleet")
@@ -108,10 +105,10 @@
         if self.snapshot is not None:
             await self.snapshot.leave()
         end = time.monotonic() + LEAVE_WAIT
-        while not self.engine.leave(self._clock()) and time.monotonic() < end:
+        while self.engine.hand_over(self._clock()) and time.monotonic() < end:
             self._pump()
             await asyncio.sleep(LEAVE_LOOK)
-        self.engine.members.leave(self._clock())
+        self.engine.leave(self._clock())
         self._pump()
 
     async def close(self) -> None:
@@ -131,9 +128,9 @@
 
     def counts(self) -> dict[str, int]:
         engine, task = self.engine, self.snapshot
-        written = (
-            {} if task is None else {"fleet_snapshots": task.written, "fleet_snapshots_refused": task.refused}
-        )
+        written = {}
+        if task is not None:
+            written = {"fleet_snapshots": task.written, "fleet_snapshots_refused": task.refused}
         return written | {
             "fleet_members": engine.members.size,
             "fleet_leads": int(engine.record.leads),
@@ -150,16 +147,13 @@
         view = self._view()
         rows: list[tuple[object, ...]] = [("MEMBER", "STATE", "FOR", "INCARNATION", "PART")]
         for each in view.members:
-            votes = (
-                "leads" if each.identity == view.leader else "votes" if each.identity in view.voters else "-"
-            )
+            votes = "votes" if each.identity in view.voters else "-"
+            votes = "leads" if each.identity == view.leader else votes
             here = " (this one)" if each.identity == view.me else ""
             rows.append((each.identity + here, each.status, f"{each.for_s:.0f} s", each.incarnation, votes))
         rows += [(address, f"of fleet {fleet}", "-", "-", "-") for address, fleet in view.strangers.items()]
-        lag = f"{view.lag} entries not agreed on yet"
-        rows.append(
-            (f"epoch {view.epoch}", f"term {view.term}", "-", "-", lag if view.leader else "nobody leads")
-        )
+        state = f"{view.lag} entries not agreed on yet" if view.leader else "nobody leads"
+        rows.append((f"epoch {view.epoch}", f"term {view.term}", "-", "-", state))
         return rows
 
     def _lease_table(self) -> list[tuple[object, ...]]:
@@ -171,7 +165,7 @@
 
     # --- what comes ---
 
-    def _hear(self, item: Packet | Message) -> None:
+    def _hear(self, item: Item) -> None:
         self.engine.receive(item, self._clock())
         self._pump()
 
@@ -193,16 +187,12 @@
         """By this dispatcher's own tasks: to whoever leads. None: nobody that leads has answered."""
         reply = await self._ask(operation)
         if reply.answer is None and reply.leader not in ("", self.engine.me):
-            try:
-                reply = await self.peers.ask(address_of(reply.leader), operation, ANSWER_WAIT)
-            except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
-                return None
+            return await self.peers.ask_leader(address_of(reply.leader), operation, ANSWER_WAIT)
         return reply.answer
 
     def _found(self, anyway: bool) -> str:
-        record = self.engine.record
-        if not anyway and (record.leader or record.leads):
-            raise ValueError(f"{record.leader} leads epoch {record.memory.epoch}: nothing is lost")
+        if not anyway and (leader := self.engine.leader):
+            raise ValueError(f"{leader} leads: nothing is lost")
         epoch = self.engine.found(time.time(), self._clock())
         log.warning("fleet: epoch %d is started here by an operator", epoch)
         self._pump()
@@ -222,7 +212,7 @@
             engine.tick(now)
         if self.store is None:
             engine.record.unsaved, engine.record.promise_changed = None, False
-            self._say()
+            self._say(*engine.take())
         elif self._saving is None:
             self._saving = asyncio.create_task(self._save(self.store))
         self._tell_changes()
@@ -231,46 +221,36 @@
         wait = max((engine.due - self._clock()) / 1e6, SOON)
         self._wake = asyncio.get_running_loop().call_later(wait, self._pump)
 
-    def _say(self) -> None:
-        engine = self.engine
-        for address, item in engine.out:
+    def _say(self, out: list[tuple[str, Item]], answers: list[tuple[int, Reply]]) -> None:
+        for address, item in out:
             self.peers.tell(address, item)
-        engine.out.clear()
-        for number, reply in engine.answers:
+        for number, reply in answers:
             future = self._asked.get(number)
             if future is not None and not future.done():
                 future.set_result(reply)
-        engine.answers.clear()
 
     async def _save(self, store: FleetStore) -> None:
         """Say what there is to say once what it rests on is on the disk; what comes meanwhile goes next."""
         engine = self.engine
         try:
-            while (
-                engine.out
-                or engine.answers
-                or engine.record.promise_changed
-                or engine.record.unsaved is not None
-            ):
-                out, answers = engine.out, engine.answers
-                engine.out, engine.answers = [], []
-                if frames := memory_file.changed(engine.record):
-                    anew = memory_file.whole(engine.record.memory)
-                    if await asyncio.to_thread(store.add, frames):
-                        await asyncio.to_thread(store.begin, anew)
-                engine.out, engine.answers, later = out, answers, (engine.out, engine.answers)
-                self._say()
-                engine.out, engine.answers = later
+            while engine.has_to_say:
+                said = engine.take()
+                frames = memory_file.changed(engine.record)
+                large = bool(frames) and await asyncio.to_thread(store.add, frames)
+                if large:
+                    # What has changed meanwhile is in it too, and is added once more: that does no harm.
+                    await asyncio.to_thread(store.begin, memory_file.whole(engine.record.memory))
+                self._say(*said)
         except OSError as error:
             self._lose_store(store, error)
         finally:
             self._saving = None
 
     def _tell_changes(self) -> None:
-        members, record = self.engine.members, self.engine.record
+        members, leader = self.engine.members, self.engine.leader
         for each in members.changes:
             log.info("fleet: %s is %s", each.identity, each.status.name.lower())
         members.changes.clear()
-        if record.leader != self._led:
-            self._led = record.leader
-            log.info("fleet: %s leads", record.leader or "nobody")
+        if leader != self._led:
+            self._led = leader
+            log.info("fleet: %s leads", leader or "nobody")
--- a/hazelbend/program/fleet_snapshot.py
+++ b/hazelbend/program/fleet_snapshot.py
@@ -17,9 +17,10 @@
 from yarl import URL
 
 from hazelbend.fleet.engine import View
-from hazelbend.fleet.holder import Holder, Request, Stage
+from hazelbend.fleet.holder import Holder, Stage
 from hazelbend.fleet.leases import Answer, Limits, Operation
 from hazelbend.fleet.settings import SnapshotSettings
+from hazelbend.transport.fleet_peers import UNANSWERED, Asking
 
 log = logging.getLogger("hazelbend.fleet")
 
@@ -28,6 +29,7 @@
 REFUSED = (409, 412)
 QUEUED = 600_000_000  # microseconds for one wish; then it wishes again
 LOOK = 0.05  # seconds between looks at the time, at the shortest
+LEAVE_WAIT = 0.2  # seconds for the release to be heard
 REST = 1.0  # after a lease that ended
 
 
@@ -51,10 +53,10 @@
         view: Callable[[], View],
     ) -> None:
         self.settings, self.limits, self.me = settings, limits, me
-        self._clock, self._wish, self._view = clock, wish, view
+        self._clock, self._view = clock, view
         self._asks = 0
         self._holder = self._next_wish()
-        self._asking: set[asyncio.Task[None]] = set()
+        self._asking = Asking(wish, clock)
         self._task: asyncio.Task[None] | None = None
         self.written = self.refused = self.failed = 0
 
@@ -67,15 +69,14 @@
             self._task.cancel()
             await asyncio.wait([self._task])
         self._holder.let_go(self._clock())
-        self._ask()
-        if self._asking:
-            await asyncio.wait(self._asking, timeout=0.2)
+        self._asking.tick(self._holder)
+        await self._asking.finish(LEAVE_WAIT)
 
     async def close(self) -> None:
-        tasks = [*self._asking, *([self._task] if self._task is not None else [])]
-        for each in tasks:
-            each.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait([self._task])
+        await self._asking.close()
 
     def _next_wish(self) -> Holder:
         self._asks += 1
@@ -94,7 +95,7 @@
             session._retry_connection = False  # whether it was written is not known: the next one tells
             while True:
                 holder = self._holder
-                self._ask()
+                self._asking.tick(holder)
                 now = self._clock()
                 room = holder.until - now
                 if holder.may_act(now) and now >= write_at and room > self.settings.timeout_s * 1e6:
@@ -121,7 +122,7 @@
             ):
                 await response.read()
                 status = response.status
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        except UNANSWERED as error:
             self.failed += 1
             log.warning("fleet: snapshot: %s", str(error) or type(error).__name__)
             return True
@@ -135,14 +136,3 @@
         else:
             self.written += 1
         return True
-
-    def _ask(self) -> None:
-        holder = self._holder
-        for request in holder.tick(self._clock()):
-            task = asyncio.create_task(self._one(holder, request))
-            self._asking.add(task)
-            task.add_done_callback(self._asking.discard)
-
-    async def _one(self, holder: Holder, request: Request) -> None:
-        answer = await self._wish(request.operation)
-        holder.answered(request.number, answer, self._clock())
--- a/hazelbend/transport/fleet_peers.py
+++ b/hazelbend/transport/fleet_peers.py
@@ -22,8 +22,9 @@
 from yarl import URL
 
 from hazelbend.fleet.engine import Reply, View
-from hazelbend.fleet.leases import Operation
-from hazelbend.fleet.members import Packet
+from hazelbend.fleet.holder import Holder, Request
+from hazelbend.fleet.leases import Answer, Operation
+from hazelbend.fleet.members import Packet, address_of
 from hazelbend.fleet.messages import Message
 from hazelbend.transport.http_listener import HttpConnection, HttpListener
 
@@ -32,6 +33,8 @@
 BODY = 4 * 1024 * 1024  # most bytes of a request
 TELL_WAIT = 1.0  # seconds for one request to a peer; the engines have asked again by then
 IDLE = 30.0  # seconds that a connection to a peer is kept
+HOPS = 5  # from one that does not lead to the next that it names
+UNANSWERED = (aiohttp.ClientError, OSError, TimeoutError, ValueError)  # and nobody knows what became of it
 PACK = "application/msgpack"
 
 Item = Packet | Message
@@ -118,26 +121,39 @@
         waiting = self._waiting.setdefault(address, deque(maxlen=KEPT))
         waiting.append(item)
         if address not in self._senders:
-            task = self._senders[address] = asyncio.create_task(self._send(address, waiting))
-            task.add_done_callback(lambda _: self._senders.pop(address, None))
+            self._senders[address] = asyncio.create_task(self._send(address, waiting))
 
     async def _send(self, address: str, waiting: deque[Item]) -> None:
-        while waiting:
-            items = list(waiting)
-            waiting.clear()
-            packets = [each for each in items if isinstance(each, Packet)]
-            messages = [each for each in items if isinstance(each, Message)]
-            try:
-                await self._post(address, "tell", _encoder.encode((packets, messages)), TELL_WAIT)
-                self.sent += 1
-            except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
-                self.lost += 1
-        del self._waiting[address]
+        try:
+            while waiting:
+                items = list(waiting)
+                waiting.clear()
+                packets = [each for each in items if isinstance(each, Packet)]
+                messages = [each for each in items if isinstance(each, Message)]
+                try:
+                    await self._post(address, "tell", _encoder.encode((packets, messages)), TELL_WAIT)
+                    self.sent += 1
+                except UNANSWERED:
+                    self.lost += 1
+        finally:
+            # Here and not in a callback, which runs later: what came in between would wait for the next.
+            del self._waiting[address], self._senders[address]
 
     async def ask(self, address: str, operation: Operation, wait: float) -> Reply:
-        """OSError, TimeoutError, aiohttp.ClientError or ValueError if there is no answer."""
+        """One of UNANSWERED if there is no answer."""
         return _replies.decode(await self._post(address, "ask", _encoder.encode(operation), wait))
 
+    async def ask_leader(self, address: str, operation: Operation, wait: float) -> Answer | None:
+        """Ask this one, and whoever it says leads. None: nobody that leads has answered."""
+        with contextlib.suppress(*UNANSWERED):
+            for _ in range(HOPS):
+                reply = await self.ask(address, operation, wait)
+                leader = address_of(reply.leader)
+                if reply.answer is not None or leader in ("", address):
+                    return reply.answer
+                address = leader
+        return None
+
     async def found(self, address: str, anyway: bool, wait: float) -> str:
         return (await self._post(address, "found", b"anyway" if anyway else b"", wait)).decode()
 
@@ -179,3 +195,34 @@
         if self._session is not None:
             with contextlib.suppress(OSError):
                 await self._session.close()
+
+
+class Asking:
+    """Puts what holders want to whoever leads, each request a task, and gives them the answers."""
+
+    def __init__(
+        self, ask: Callable[[Operation], Awaitable[Answer | None]], clock: Callable[[], int]
+    ) -> None:
+        self._ask, self._clock = ask, clock
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def tick(self, holder: Holder) -> None:
+        for request in holder.tick(self._clock()):
+            task = asyncio.create_task(self._one(holder, request))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _one(self, holder: Holder, request: Request) -> None:
+        answer = await self._ask(request.operation)
+        holder.answered(request.number, answer, self._clock())
+
+    async def finish(self, wait: float) -> None:
+        """Let the answers that are due come, for so long."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=wait)
+
+    async def close(self) -> None:
+        tasks = list(self._tasks)
+        for each in tasks:
+            each.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -111,6 +111,16 @@
     assert crowd.alarms == 0
 
 
+def test_one_that_was_forgotten_before_its_turn_is_not_probed():
+    """The order of a large fleet takes longer to go through than the dead are remembered."""
+    member = Members(f"na@{A}", "f", (), Timing(), 1, 0)
+    member.receive(Packet("f", f"na@{B}", f"na@{A}", Probe(1)), 0)
+    member.order = ["ngone@10.0.0.9:1", f"na@{B}"][::-1]
+    member.out.clear()
+    member._probe(0)
+    assert [packet.to for packet in member.out] == [f"na@{B}"]
+
+
 NEWS = st.builds(
     News,
     st.sampled_from([f"n{life}@{address}" for life in "ab" for address in (A, B, C)]),
