The router fleet's whole path: configuration, workers, watches, the pair, streams

Cause: the operators' vendor ends the list service and the configuration tool (docs/design/0006-system.md). Change: control processes hold the configuration by Raft (fleet/record.py) in sqlite3, and a registry of workers by heartbeats; routers watch two of them and serve prompts by a prefill call and a decode call, both chosen by SED over expected_jobs of the decision module. What the clients' listener needs to be emptied is shared (DrainingListener), as is the check at the first byte. tests/test_layers.py: the new layers; orjson is barred in pure layers but in control, which checks the operators' JSON.

--- /dev/null
+++ b/hazelbend/control/messages.py
@@ -0,0 +1,90 @@
+"""What control processes say to each other and to routers: msgpack frames. Any message may be lost."""
+
+from __future__ import annotations
+
+import msgspec
+
+from hazelbend.control.workers import WorkerRecord
+from hazelbend.fleet.messages import Message as RaftMessage
+
+
+class Hello(msgspec.Struct, frozen=True, tag=True):
+    """A control process names itself to another, several times a second."""
+
+    identity: str
+    counted: bool  # whether it may vote
+    controls: tuple[str, ...]  # addresses of the control processes that it knows
+
+
+class Agreement(msgspec.Struct, frozen=True, tag=True):
+    """Messages of the replicated log."""
+
+    messages: tuple[RaftMessage, ...]
+
+
+class WorkerNews(msgspec.Struct, frozen=True, tag=True):
+    """Records that the sender has taken. `number` above 0: the sender waits for `WorkerNewsTaken`."""
+
+    number: int
+    records: tuple[WorkerRecord, ...]
+    ages: dict[str, int] = {}  # microseconds since each was heard
+
+
+class WorkerNewsTaken(msgspec.Struct, frozen=True, tag=True):
+    """The records of this number are held."""
+
+    number: int
+
+
+class Ages(msgspec.Struct, frozen=True, tag=True):
+    """Microseconds since each worker was heard, and the routers that watch the sender."""
+
+    ages: dict[str, int]
+    routers: tuple[str, ...] = ()
+
+
+class Watch(msgspec.Struct, frozen=True, tag=True):
+    """A router asks for all news from now on; `version`: the configuration that it has."""
+
+    router: str
+    version: int
+
+
+class Ping(msgspec.Struct, frozen=True, tag=True):
+    """A sign of life on a connection that has nothing else to say."""
+
+
+class ConfigNews(msgspec.Struct, frozen=True, tag=True):
+    """A configuration in force; `body` is compressed."""
+
+    version: int
+    body: bytes
+
+
+class FleetNews(msgspec.Struct, frozen=True, tag=True):
+    """To routers, now and then: the control processes that are alive (addresses of `portRange`), how many
+    routers there are, and microseconds since each worker was heard."""
+
+    controls: tuple[str, ...]
+    routers: int
+    ages: dict[str, int]
+
+
+Body = Hello | Agreement | WorkerNews | WorkerNewsTaken | Ages | Watch | Ping | ConfigNews | FleetNews
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Body)
+
+
+def encode(body: Body) -> bytes:
+    """One frame's content."""
+    return _encoder.encode(body)
+
+
+def decode(content: bytes) -> Body:
+    """The message of a frame.
+
+    Raises:
+        msgspec.DecodeError: it is none.
+    """
+    return _decoder.decode(content)
--- /dev/null
+++ b/hazelbend/control/workers.py
@@ -0,0 +1,130 @@
+"""What is known of workers: records that merge the same way in any order, and the registry that holds them.
+
+A record is ordered by (ended, `seq`) within its instance, so a late heartbeat changes nothing and `GONE` is
+final. Times are microseconds of this process's monotonic clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+import msgspec
+
+SILENT_BEATS = 2.2  # heartbeats that may be missing before a worker is marked as silent
+EXPIRY_BEATS = 10.0  # after which it is no longer listed
+TOMBSTONE = 60_000_000  # how long the end of an instance is remembered
+
+
+class WorkerState(IntEnum):
+    """Whether a worker takes new requests."""
+
+    READY = 0
+    DRAINING = 1
+    GONE = 2
+
+
+class WorkerRecord(msgspec.Struct, frozen=True):
+    """The last word of, or about, one instance of a worker."""
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    state: WorkerState
+    seq: int
+    capacity: int = 1
+    phase: str = ""  # "prefill" or "decode"; empty for workers without phases
+    models: tuple[str, ...] = ()
+    cold_left_ms: int = 0
+
+    @property
+    def rank(self) -> tuple[bool, int]:
+        """Of two records of an instance, the one with the greater rank holds."""
+        return self.state is WorkerState.GONE, self.seq
+
+
+@dataclass(slots=True)
+class Listed:
+    """A record and when the worker was last heard, by whichever control process."""
+
+    record: WorkerRecord
+    heard_at: int
+
+
+class WorkerRegistry:
+    """The workers of all services, by instance."""
+
+    def __init__(self, heartbeat: int) -> None:
+        """`heartbeat`: microseconds between two heartbeats of a worker."""
+        self.heartbeat = heartbeat
+        self.listed: dict[str, Listed] = {}
+        self._by_address: dict[str, str] = {}
+
+    def merge(self, record: WorkerRecord, heard_at: int) -> list[WorkerRecord]:
+        """Take a record; the records that changed by it, which are to be told to others."""
+        known = self.listed.get(record.instance)
+        if known is not None and record.rank <= known.record.rank:
+            known.heard_at = max(known.heard_at, heard_at)
+            return []
+        changed = []
+        if record.state is not WorkerState.GONE:
+            changed = self._end_others_at(record, heard_at)
+        if known is None or _differs(known.record, record):
+            changed.append(record)
+        self.listed[record.instance] = Listed(record, max(heard_at, known.heard_at if known else 0))
+        return changed
+
+    def _end_others_at(self, record: WorkerRecord, now: int) -> list[WorkerRecord]:
+        other = self._by_address.get(record.address)
+        self._by_address[record.address] = record.instance
+        if other is None or other == record.instance or other not in self.listed:
+            return []
+        before = self.listed[other].record
+        if before.state is WorkerState.GONE:
+            return []
+        ended = msgspec.structs.replace(before, state=WorkerState.GONE)
+        self.listed[other] = Listed(ended, now)
+        return [ended]
+
+    def ended(self, instance: str) -> WorkerRecord | None:
+        """The record that says that this instance has left; None where it is not known."""
+        known = self.listed.get(instance)
+        return None if known is None else msgspec.structs.replace(known.record, state=WorkerState.GONE)
+
+    def hear(self, instance: str, heard_at: int) -> None:
+        """Another process has heard of it."""
+        known = self.listed.get(instance)
+        if known is not None:
+            known.heard_at = max(known.heard_at, heard_at)
+
+    def expire(self, now: int) -> None:
+        """Drop what has been silent for too long."""
+        for instance, each in list(self.listed.items()):
+            gone = each.record.state is WorkerState.GONE
+            if now - each.heard_at > (TOMBSTONE if gone else EXPIRY_BEATS * self.heartbeat):
+                del self.listed[instance]
+                if self._by_address.get(each.record.address) == instance:
+                    del self._by_address[each.record.address]
+
+    def is_silent(self, listed: Listed, now: int) -> bool:
+        """Whether its heartbeats have been missing for longer than chance explains."""
+        return now - listed.heard_at > SILENT_BEATS * self.heartbeat
+
+    def records(self) -> tuple[WorkerRecord, ...]:
+        """All that is known, ends included."""
+        return tuple(each.record for each in self.listed.values())
+
+    def ages(self, now: int) -> dict[str, int]:
+        """Microseconds since each worker that has not ended was heard."""
+        return {
+            instance: max(now - each.heard_at, 0)
+            for instance, each in self.listed.items()
+            if each.record.state is not WorkerState.GONE
+        }
+
+
+def _differs(before: WorkerRecord, after: WorkerRecord) -> bool:
+    """Whether a router has to know of it: not of each `seq`, nor of each millisecond of warming up."""
+    unseen = {"seq": 0, "cold_left_ms": 0}
+    return msgspec.structs.replace(before, **unseen) != msgspec.structs.replace(after, **unseen)
--- a/hazelbend/fleet/memory_file.py
+++ b/hazelbend/fleet/memory_file.py
@@ -69,12 +69,21 @@
 
 def whole(memory: Memory) -> bytes:
     """A new file's content."""
-    bodies: list[Promise | Entries | Base] = [_promise(memory), _base(memory)]
-    return MAGIC + b"".join(map(frame, [*bodies, _entries(memory, memory.base + 1)]))
+    return MAGIC + b"".join(map(frame, whole_parts(memory)))
+
+
+def whole_parts(memory: Memory) -> list[Promise | Entries | Base]:
+    """All of a memory, to be taken in this order."""
+    return [_promise(memory), _base(memory), _entries(memory, memory.base + 1)]
 
 
 def changed(record: Record) -> bytes:
-    """What is to be added for what has changed since the last call; the record's marks are taken off."""
+    """The frames to be added for what has changed since the last call."""
+    return b"".join(map(frame, changed_parts(record)))
+
+
+def changed_parts(record: Record) -> list[Promise | Entries | Base]:
+    """What has changed since the last call, to be taken in this order; the record's marks are taken off."""
     memory, first = record.memory, record.unsaved
     parts: list[Promise | Entries | Base] = []
     if record.promise_changed:
@@ -84,7 +93,7 @@
             parts.append(_base(memory))
         parts.append(_entries(memory, max(first, memory.base + 1)))
     record.unsaved, record.promise_changed = None, False
-    return b"".join(map(frame, parts))
+    return parts
 
 
 def _promise(memory: Memory) -> Promise:
@@ -114,7 +123,7 @@
         if len(body) < length:
             break
         try:
-            _take(memory, _decoder.decode(body))
+            take(memory, _decoder.decode(body))
         except msgspec.DecodeError as error:
             raise DamagedError(f"at {at}: {error}") from None
         at += HEAD + length
@@ -123,7 +132,8 @@
     return memory, at
 
 
-def _take(memory: Memory, body: Promise | Entries | Base) -> None:
+def take(memory: Memory, body: Promise | Entries | Base) -> None:
+    """Let a stored part take effect. DamagedError if it cannot stand here."""
     if isinstance(body, Promise):
         if body.epoch != memory.epoch:  # another epoch begins with nothing
             memory.entries, memory.base, memory.base_term = [], 0, 0
--- a/hazelbend/fleet/voters.py
+++ b/hazelbend/fleet/voters.py
@@ -11,12 +11,13 @@
 
 
 def next_voters(
-    voters: Sequence[str], me: str, members: Sequence[str], lost: set[str], wanted: int
+    voters: Sequence[str], me: str, members: Sequence[str], lost: set[str], wanted: int, least: int = 3
 ) -> tuple[str, ...] | None:
     """The list to agree on next, or None.
 
     `members`: those well and known to be of this epoch, the longest there first; `lost`: those held to be
-    gone. `wanted`: how many are to vote, odd. The leader never removes itself: it hands over first.
+    gone. `wanted`: how many are to vote; `least`: how many must be left that are well for one to be removed.
+    The leader never removes itself: it hands over first.
     """
     well = [each for each in voters if each not in lost]
     fresh = [each for each in members if each not in voters and each not in lost]
@@ -25,7 +26,7 @@
     gone = [each for each in voters if each in lost and each != me]
     # Less only where enough are left, or nobody can take the place and the number is even, which gains
     # nothing.
-    if gone and (len(well) >= min(wanted, 3) or len(voters) % 2 == 0):
+    if gone and (len(well) >= min(wanted, least) or len(voters) % 2 == 0):
         return tuple(each for each in voters if each != gone[0])
     if len(well) > wanted:
         last = next((each for each in reversed(voters) if each != me), None)
--- /dev/null
+++ b/hazelbend/forwarding/forwarder.py
@@ -0,0 +1,368 @@
+"""The life of a request, from top to bottom: route, prompt, attempts, answer.
+
+An attempt is an intention until its first byte: `_may_write` looks again at what allowed it once the
+connection is there. A request gets one final answer: what the worker said, or 503 with `Retry-After` where it
+surely never ran, 502 where it may have run, 504 where its time is over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from hazelbend.forwarding.event_stream import EventSplitter
+from hazelbend.forwarding.ports import (
+    BrokenError,
+    ClientReply,
+    ClientRequest,
+    Headers,
+    NotSentError,
+    WorkerAnswer,
+    WorkerCall,
+    WorkerClient,
+)
+from hazelbend.placement.engine import Choice, Placement, Stage
+from hazelbend.placement.estimates import Send
+from hazelbend.placement.prompt import Prompt, read_prompt
+from hazelbend.placement.retry_budget import RetryBudget
+from hazelbend.placement.routes import Route, RouteTable
+
+MARGIN = 8_000  # microseconds of the client's time that are kept for the way back
+MOST_SENDS = 3  # arrivals at workers that one try may cause
+MOST_TRIES = 6  # workers that one try may turn to, those that were not reached included
+LEAST_LEFT = 30_000  # microseconds below which nothing is sent any more
+RETRY_AFTER_S = 0.25  # where nothing better is known
+RETRY_AFTER_STARTING_S = 0.5
+REASONS = {404: b"no such route\n", 502: b"a worker failed\n", 503: b"refused\n", 504: b"too late\n"}
+
+
+class _PrefillResult(msgspec.Struct):
+    handle: str = msgspec.field(name="kvHandle")
+    tokens: int = 0
+
+
+_prefill_results = msgspec.json.Decoder(_PrefillResult)
+
+
+@dataclass(slots=True, frozen=True)
+class Handle:
+    """A prompt's memory, kept by the worker that has read it."""
+
+    address: str
+    name: str
+
+    @property
+    def source(self) -> str:
+        """What `Kv-From` says."""
+        return f"{self.address}/{self.name}"
+
+
+@dataclass(slots=True, eq=False)
+class Flow:
+    """One request, and what has become of it so far."""
+
+    request: ClientRequest
+    route: Route
+    service: str
+    prompt: Prompt
+    deadline: int
+    tried: set[str] = field(default_factory=set)  # instances
+    sends: int = 0  # that may have arrived at a worker, beyond the reading of the prompt
+    reads: int = 0
+    may_have_run: int = 0  # of the sends
+    handle: Handle | None = None
+    begun: bool = False  # the head of the answer has gone to the client
+    events: EventSplitter | None = None
+
+
+class FleetState:
+    """What a router knows of the fleet. Changed by the watch, read by the forwarder."""
+
+    def __init__(self, placement: Placement) -> None:
+        self.placement = placement
+        self.table: RouteTable | None = None
+        self.routers = 1  # the most that there have been
+        self.is_current = False  # the control plane was heard of late
+
+    def use(self, table: RouteTable) -> bool:
+        """Put a configuration in force. False: a newer one is."""
+        if self.table is not None and table.configuration.version <= self.table.configuration.version:
+            return False
+        self.table = table
+        self.placement.services = table.services
+        return True
+
+
+class Forwarder:
+    """Serves requests, each in the task that calls `serve`."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        client: WorkerClient,
+        clock: Callable[[], int],
+        budget: Callable[[], RetryBudget],
+        seed: int,
+    ) -> None:
+        self._state, self._client, self._clock, self._new_budget = state, client, clock, budget
+        self._random = random.Random(seed)
+        self._budgets: dict[str, RetryBudget] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.open = 0
+
+    async def serve(self, request: ClientRequest, reply: ClientReply) -> None:
+        """Give the request its one final answer."""
+        table = self._state.table
+        route = table.find(request.host, request.path) if table is not None else None
+        if table is None or (route is None and not self._state.is_current):
+            await self._refuse(reply, RETRY_AFTER_STARTING_S)
+            return
+        if route is None:
+            await self._fail(reply, 404)
+            return
+        flow = self._flow(request, route)
+        self._budget(flow.service).request(self._clock())
+        self.open += 1
+        try:
+            left = flow.deadline - self._clock()
+            async with asyncio.timeout(max(left, 0) / 1e6):
+                await self._run(flow, reply)
+        except TimeoutError:
+            if flow.begun:
+                reply.abort()
+            elif flow.may_have_run or flow.sends:
+                await self._fail(reply, 504)
+            else:
+                await self._refuse(reply, RETRY_AFTER_S)
+        finally:
+            self.open -= 1
+            self._free(flow)
+
+    def _flow(self, request: ClientRequest, route: Route) -> Flow:
+        patience = route.timeout_ms * 1_000
+        if request.patience is not None:
+            patience = min(patience, request.patience)
+        return Flow(
+            request=request,
+            route=route,
+            service=route.service(self._random),
+            prompt=read_prompt(request.token_usage, request.prefix_hash),
+            deadline=request.arrived_at + patience - min(MARGIN, patience // 10),
+        )
+
+    async def _run(self, flow: Flow, reply: ClientReply) -> None:
+        if flow.route.is_stream and self._state.placement.has_phases(flow.service):
+            await self._read_prompt(flow)
+        for _ in range(MOST_TRIES):
+            if self._left(flow) < LEAST_LEFT:
+                break
+            if flow.sends and not self._may_send_again(flow):
+                break
+            choice = self._choose(flow)
+            if choice is None:
+                break
+            if await self._attempt(flow, choice, reply):
+                return
+        await self._give_up(flow, reply)
+
+    async def _give_up(self, flow: Flow, reply: ClientReply) -> None:
+        if flow.begun:
+            reply.abort()
+        elif flow.may_have_run:
+            await self._fail(reply, 502)
+        else:
+            await self._refuse(reply, RETRY_AFTER_S)
+
+    # --- the prompt ---
+
+    async def _read_prompt(self, flow: Flow) -> None:
+        """Have a worker read the prompt; without success the worker that makes the tokens reads it."""
+        placement = self._state.placement
+        tried: set[str] = set()
+        for _ in range(MOST_TRIES):
+            if flow.reads and (flow.reads >= 2 or not self._spend(flow)):
+                return
+            choice = placement.choose_reader(flow.service, flow.prompt, self._clock(), tried)
+            if choice is None:
+                return
+            tried.add(choice.worker.record.instance)
+            handle = await self._read_at(flow, choice)
+            if handle is not None:
+                flow.handle = handle
+                return
+
+    async def _read_at(self, flow: Flow, choice: Choice) -> Handle | None:
+        worker, placement = choice.worker, self._state.placement
+        send = placement.sent(choice, self._clock())
+        reads = flow.reads
+        call = self._call(flow, choice, (("Phase", Stage.PREFILL.value),))
+        try:
+            answer = await self._client.send(call, lambda: self._may_write(flow, choice, reading=True))
+            try:
+                self._hear(choice, answer)
+                if answer.status != 200:
+                    return None
+                result = _prefill_results.decode(await answer.body())
+            finally:
+                answer.close()
+        except NotSentError as error:
+            flow.reads = reads
+            self._not_reached(choice, error)
+            return None
+        except (BrokenError, msgspec.DecodeError):
+            return None
+        finally:
+            worker.ended(send)
+        placement.read(send, flow.prompt, self._clock())
+        return Handle(worker.record.address, result.handle)
+
+    def _free(self, flow: Flow) -> None:
+        """A handle that nobody has taken keeps memory from others."""
+        if flow.handle is not None:
+            self._spawn(self._client.free_handle(flow.handle.address, flow.handle.name))
+            flow.handle = None
+
+    # --- attempts ---
+
+    def _choose(self, flow: Flow) -> Choice | None:
+        placement = self._state.placement
+        stage = Stage.WHOLE
+        if flow.route.is_stream and placement.has_decoders(flow.service):
+            stage = Stage.DECODE
+        return placement.choose(flow.service, stage, self._clock(), flow.tried)
+
+    async def _attempt(self, flow: Flow, choice: Choice, reply: ClientReply) -> bool:
+        """One attempt. True: the client has its answer."""
+        placement = self._state.placement
+        flow.tried.add(choice.worker.record.instance)
+        send = placement.sent(choice, self._clock())
+        extra: Headers = ()
+        if flow.handle is not None:
+            extra += (("Kv-From", flow.handle.source),)
+        if flow.events is not None and flow.events.last_id:
+            extra += (("Last-Event-Id", flow.events.last_id),)
+        sends = flow.sends
+        try:
+            call = self._call(flow, choice, extra)
+            answer = await self._client.send(call, lambda: self._may_write(flow, choice))
+            try:
+                self._hear(choice, answer)
+                return await self._pass_on(flow, send, answer, reply)
+            finally:
+                answer.close()
+        except NotSentError as error:
+            flow.sends = sends
+            self._not_reached(choice, error)
+            return False
+        except BrokenError:
+            flow.may_have_run += 1
+            flow.handle = None
+            return False
+        finally:
+            choice.worker.ended(send)
+
+    async def _pass_on(self, flow: Flow, send: Send, answer: WorkerAnswer, reply: ClientReply) -> bool:
+        if answer.not_executed:
+            return False
+        flow.handle = None  # taken
+        if flow.route.is_stream and 200 <= answer.status < 300:
+            await self._stream(flow, answer, reply)
+        elif flow.begun:
+            raise BrokenError  # a resumed run that failed: nothing of it is for the client
+        else:
+            body = await answer.body()
+            await reply.answer(answer.status, answer.headers, body)
+        if answer.status < 500:
+            self._state.placement.served(send, self._clock())
+        return True
+
+    async def _stream(self, flow: Flow, answer: WorkerAnswer, reply: ClientReply) -> None:
+        if not flow.begun:
+            flow.begun = True
+            await reply.begin(answer.status, answer.headers)
+        if not flow.route.resume:
+            async for chunk in answer.chunks():
+                await reply.write(chunk)
+        else:
+            if flow.events is None:
+                flow.events = EventSplitter()
+            flow.events.restart()
+            async for chunk in answer.chunks():
+                if whole := flow.events.feed(chunk):
+                    await reply.write(whole)
+            if flow.events.has_rest:
+                raise BrokenError
+        await reply.finish()
+
+    def _call(self, flow: Flow, choice: Choice, extra: Headers) -> WorkerCall:
+        record = choice.worker.record
+        return WorkerCall(record.address, flow.request, (("Expect-Instance", record.instance), *extra))
+
+    def _may_write(self, flow: Flow, choice: Choice, reading: bool = False) -> int | None:
+        """The connection is there: what is left, or None where the worker must not get the request now."""
+        left, current = self._left(flow), self._state.placement.workers.get(choice.worker.record.instance)
+        if left < LEAST_LEFT or current is None or not current.takes_work:
+            return None
+        if reading:
+            flow.reads += 1
+        else:
+            flow.sends += 1
+        return left
+
+    def _hear(self, choice: Choice, answer: WorkerAnswer) -> None:
+        if answer.held is not None:
+            choice.worker.reported(answer.held, self._clock())
+
+    def _not_reached(self, choice: Choice, error: NotSentError) -> None:
+        if not error.withdrawn:
+            choice.worker.failed(self._clock())
+
+    # --- bounds ---
+
+    def _left(self, flow: Flow) -> int:
+        return flow.deadline - self._clock()
+
+    def _may_send_again(self, flow: Flow) -> bool:
+        if flow.sends >= MOST_SENDS:
+            return False
+        if flow.may_have_run:
+            again = flow.route.is_idempotent and flow.may_have_run < flow.route.retries
+            if not again or (flow.begun and flow.events is None):
+                return False
+        return self._spend(flow)
+
+    def _spend(self, flow: Flow) -> bool:
+        return self._budget(flow.service).spend(self._clock(), self._state.routers)
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = self._new_budget()
+        return budget
+
+    # --- answers of our own ---
+
+    async def _refuse(self, reply: ClientReply, after: float) -> None:
+        await reply.answer(503, (("Retry-After", f"{after:.3f}"),), REASONS[503])
+
+    async def _fail(self, reply: ClientReply, status: int) -> None:
+        await reply.answer(status, (), REASONS[status])
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """End what is still under way beside requests."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/hazelbend/placement/prompt.py
@@ -0,0 +1,48 @@
+"""What a request says of its prompt: `Token-Usage` and `Prefix-Hash`."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Part:
+    """A part of a prompt; prompts with the same parts before it share it."""
+
+    id: str
+    tokens: int
+
+
+@dataclass(slots=True, frozen=True)
+class Prompt:
+    """Sizes in tokens. The last part is the request's own, or its session's."""
+
+    tokens: int = 0
+    most_out: int = 0
+    parts: tuple[Part, ...] = ()
+
+    @property
+    def shared(self) -> tuple[Part, ...]:
+        """The parts that other requests may have."""
+        return self.parts[:-1]
+
+    @property
+    def subject(self) -> str:
+        """The last part that other requests may have; empty where there is none."""
+        return self.parts[-2].id if len(self.parts) > 1 else ""
+
+
+def read_prompt(usage: str | None, parts: str | None) -> Prompt:
+    """The prompt that these fields tell; what can't be read counts as not said."""
+    tokens, _, most_out = (usage or "").partition(",")
+    found = []
+    for text in (parts or "").split(","):
+        name, _, size = text.strip().partition(":")
+        if name and size.isdecimal():
+            found.append(Part(name, int(size)))
+    return Prompt(_whole(tokens), _whole(most_out), tuple(found))
+
+
+def _whole(text: str) -> int:
+    text = text.strip()
+    return int(text) if text.isascii() and text.isdecimal() else 0
--- /dev/null
+++ b/hazelbend/system/__init__.py
@@ -0,0 +1,1 @@
+"""The router fleet's processes: settings, wiring, command line."""
--- /dev/null
+++ b/hazelbend/system/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m hazelbend.system`."""
+
+from hazelbend.system.main import run
+
+run()
--- /dev/null
+++ b/hazelbend/system/main.py
@@ -0,0 +1,128 @@
+"""The command line of the router fleet: `python -m hazelbend.system ROLE`."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from collections.abc import Awaitable
+from pathlib import Path
+from typing import Protocol
+
+import picologging
+from absl import app, flags
+
+from hazelbend.system.settings import ENVIRONMENT, Settings, SettingsError, read_settings
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("settings", None, f"Settings file; without it, the one that {ENVIRONMENT} names.")
+flags.DEFINE_enum("log_level", "INFO", ["DEBUG", "INFO", "WARNING", "ERROR"], "Least level that is logged.")
+
+SETTINGS_LOOK = 1.0  # seconds between looks at whether the settings file has changed
+LOG_FORMAT = "%(created)f %(levelname)s %(message)s"  # asctime is broken in picologging 0.9.3
+USAGE_ERROR = 2
+
+log = picologging.getLogger("hazelbend")
+
+
+class Daemon(Protocol):
+    """A role's process."""
+
+    def start(self) -> Awaitable[None]:
+        """Serve."""
+
+    def close(self) -> Awaitable[None]:
+        """End as planned."""
+
+    def reload(self, settings: Settings) -> None:
+        """The settings have changed."""
+
+
+def _daemon(role: str, settings: Settings) -> Daemon:
+    """Only what the role uses is imported: a start costs time."""
+    if role == "control":
+        from hazelbend.system.control_daemon import ControlDaemon
+
+        return ControlDaemon(settings)
+    from hazelbend.system.router_daemon import RouterDaemon
+
+    return RouterDaemon(settings)
+
+
+async def _serve(role: str, path: Path, settings: Settings) -> None:
+    loop = asyncio.get_running_loop()
+    ending, changed = asyncio.Event(), asyncio.Event()
+    loop.add_signal_handler(signal.SIGTERM, ending.set)
+    loop.add_signal_handler(signal.SIGINT, ending.set)
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
+    daemon = _daemon(role, settings)
+    await daemon.start()
+    gc.freeze()
+    watching = asyncio.create_task(_watch_settings(daemon, path, changed))
+    await ending.wait()
+    log.info("%s: ending", role)
+    watching.cancel()
+    await daemon.close()
+
+
+async def _watch_settings(daemon: Daemon, path: Path, changed: asyncio.Event) -> None:
+    """The file may change with or without a signal."""
+    before = path.stat().st_mtime_ns
+    while True:
+        try:
+            async with asyncio.timeout(SETTINGS_LOOK):
+                await changed.wait()
+        except TimeoutError:
+            pass
+        signalled = changed.is_set()
+        changed.clear()
+        try:
+            stamp = path.stat().st_mtime_ns
+            if stamp == before and not signalled:
+                continue
+            before = stamp
+            daemon.reload(read_settings(path.read_text()))
+            log.info("settings: read again")
+        except OSError as error:
+            log.warning("settings: %s", error)
+        except SettingsError as error:
+            for finding in error.findings:
+                log.error("settings: %s", finding)
+
+
+def _settings_path() -> Path:
+    return Path(FLAGS.settings or os.environ.get(ENVIRONMENT, ""))
+
+
+def _read(path: Path) -> Settings | None:
+    try:
+        return read_settings(path.read_text())
+    except OSError as error:
+        print(f"settings: {error}", file=sys.stderr)
+    except SettingsError as error:
+        for finding in error.findings:
+            print(f"settings: {finding}", file=sys.stderr)
+    return None
+
+
+def _main(arguments: list[str]) -> int:
+    commands = ("router", "control")
+    if len(arguments) != 2 or arguments[1] not in commands:
+        print(f"usage: python -m hazelbend.system {{{','.join(commands)}}}", file=sys.stderr)
+        return USAGE_ERROR
+    path = _settings_path()
+    settings = _read(path)
+    if settings is None:
+        return USAGE_ERROR
+    logging.getLogger().setLevel(logging.WARNING)  # of libraries, which log by the standard module
+    picologging.basicConfig(level=getattr(picologging, FLAGS.log_level), format=LOG_FORMAT, stream=sys.stderr)
+    asyncio.run(_serve(arguments[1], path, settings))
+    return 0
+
+
+def run() -> None:
+    """Entry point."""
+    app.run(_main)
--- /dev/null
+++ b/hazelbend/system/router_daemon.py
@@ -0,0 +1,136 @@
+"""The router process: watches, placement, forwarder, listeners, wired together."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+import zlib
+
+import msgspec
+import picologging
+
+from hazelbend.control import messages as m
+from hazelbend.control.workers import EXPIRY_BEATS, SILENT_BEATS
+from hazelbend.forwarding.forwarder import FleetState, Forwarder
+from hazelbend.placement.engine import Placement
+from hazelbend.placement.retry_budget import RetryBudget
+from hazelbend.placement.routes import read_table
+from hazelbend.system.settings import Settings, split_address
+from hazelbend.system.watch import Watches
+from hazelbend.transport.asgi_server import AsgiServer, HttpAnswer, HttpCall
+from hazelbend.transport.request_listener import RequestListener
+from hazelbend.transport.worker_client import HttpWorkerClient
+
+log = picologging.getLogger("hazelbend.router")
+
+RESERVED_DESCRIPTORS = 64
+CURRENT = 3.0  # seconds since a control process was heard in which what it told counts as current
+PLATFORM_NOTICES = 2.6  # seconds until the platform sends no new connections to one that is not ready
+LAST_WORD = 0.8  # seconds of the grace that are kept for closing
+SMALL_BODY = 64 * 1024
+CLOSE_LOOK = 0.02
+
+
+def clock() -> int:
+    """Microseconds of this process's monotonic clock."""
+    return time.monotonic_ns() // 1_000
+
+
+class RouterDaemon:
+    """Everything that runs in a router process. Implements `watch.News`."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        seed = secrets.randbits(63)
+        self._placement = Placement(settings.zone, seed)
+        self._state = FleetState(self._placement)
+        half = (settings.max_descriptors - RESERVED_DESCRIPTORS) // 2
+        self._client: HttpWorkerClient
+        self._forwarder: Forwarder
+        self._listener: RequestListener
+        self._connections = half
+        self._readiness = AsgiServer(self._ready, SMALL_BODY)
+        self._watches = Watches(settings.node, settings.seed_peers, self, seed)
+        self._seed = seed
+
+    # --- its life ---
+
+    async def start(self) -> None:
+        """Serve; ready once a configuration is known."""
+        self._client = HttpWorkerClient(self._connections)
+        self._forwarder = Forwarder(self._state, self._client, clock, self._new_budget, self._seed)
+        self._listener = RequestListener(self._forwarder.serve, clock, self._connections)
+        self._watches.start()
+        await self._listener.listen(*split_address(self._settings.http))
+        await self._readiness.listen(*split_address(self._settings.readiness))
+        log.info("router: %s serves at %s", self._settings.node, self._settings.http)
+
+    async def close(self) -> None:
+        """Not ready from now on; every request that was read is answered; then the end."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._settings.grace / 1e6 - LAST_WORD
+        noticed = loop.time() + PLATFORM_NOTICES
+        self._listener.empty(noticed, noticed)
+        await asyncio.sleep(PLATFORM_NOTICES)
+        self._listener.stop_accepting()
+        while self._forwarder.open and loop.time() < end:
+            await asyncio.sleep(CLOSE_LOOK)
+        await self._listener.close()
+        await self._watches.close()
+        await self._readiness.close()
+        await self._forwarder.close()
+        await self._client.close()
+
+    def reload(self, settings: Settings) -> None:
+        """The settings file has changed: the seeds may be others."""
+        self._settings = settings
+        self._watches.seeds = settings.seed_peers
+
+    def _new_budget(self) -> RetryBudget:
+        settings = self._settings
+        return RetryBudget(settings.retry_ratio, settings.retry_slack, settings.retry_window)
+
+    async def _ready(self, call: HttpCall) -> HttpAnswer:
+        if call.path != "/readyz":
+            return HttpAnswer(404, b"no such call\n")
+        if self._state.table is None or not self._listener.takes_clients:
+            return HttpAnswer(503, b"not ready\n")
+        return HttpAnswer(200, b"ready\n")
+
+    # --- news of the fleet ---
+
+    def version(self) -> int:
+        """See `watch.News`."""
+        return self._state.table.configuration.version if self._state.table is not None else 0
+
+    def config(self, news: m.ConfigNews) -> None:
+        """See `watch.News`."""
+        if news.version <= self.version():
+            return
+        try:
+            table = read_table(zlib.decompress(news.body))
+        except (msgspec.DecodeError, zlib.error) as error:
+            log.error("router: configuration %d can't be read: %s", news.version, error)
+            return
+        if self._state.use(table):
+            limits = table.configuration.limits
+            self._listener.largest_body = limits.max_body_bytes
+            self._listener.largest_head = limits.max_header_bytes
+            log.info("router: configuration %d is in force", news.version)
+
+    def workers(self, news: m.WorkerNews) -> None:
+        """See `watch.News`."""
+        for record in news.records:
+            self._placement.merge(record)
+        self._heard(news.ages)
+
+    def fleet(self, news: m.FleetNews) -> None:
+        """See `watch.News`."""
+        self._watches.learn(news.controls)
+        self._state.routers = max(self._state.routers, news.routers)
+        self._state.is_current = True
+        self._heard(news.ages)
+
+    def _heard(self, ages: dict[str, int]) -> None:
+        self._placement.heard(ages, self._settings.heartbeat, EXPIRY_BEATS, SILENT_BEATS)
--- /dev/null
+++ b/hazelbend/system/watch.py
@@ -0,0 +1,121 @@
+"""A router's watches: connections to control processes over which all news of the fleet comes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+import picologging
+
+from hazelbend.control import messages as m
+from hazelbend.transport.frame_link import FrameLink
+
+log = picologging.getLogger("hazelbend.watch")
+
+WATCHES = 2  # control processes that a router listens to, so that the loss of one loses no time
+LOOK = 0.2  # seconds between looks at the watches
+PING = 0.4  # seconds between signs of life
+SILENT = 1.3  # seconds without a word after which a watch is made anew, elsewhere
+
+
+class News(Protocol):
+    """Who hears what comes."""
+
+    def config(self, news: m.ConfigNews) -> None:
+        """A configuration is in force."""
+
+    def workers(self, news: m.WorkerNews) -> None:
+        """Workers have changed."""
+
+    def fleet(self, news: m.FleetNews) -> None:
+        """What is told now and then."""
+
+    def version(self) -> int:
+        """The configuration that is in force here."""
+
+
+class _Watch:
+    """One connection to one control process."""
+
+    def __init__(self, address: str, router: str, news: News, now: Callable[[], float]) -> None:
+        self.address, self._router, self._news, self._now = address, router, news, now
+        self.heard_at = self.begun_at = now()
+        self.pinged_at = 0.0
+        self.link = FrameLink(address, self._hear, self._opened)
+
+    def _opened(self) -> None:
+        self.link.send(m.encode(m.Watch(self._router, self._news.version())))
+
+    def _hear(self, frame: bytes) -> None:
+        try:
+            body = m.decode(frame)
+        except msgspec.DecodeError as error:
+            log.warning("watch: %s: no message: %s", self.address, error)
+            self.link.restart()
+            return
+        self.heard_at = self._now()
+        match body:
+            case m.ConfigNews():
+                self._news.config(body)
+            case m.WorkerNews():
+                self._news.workers(body)
+            case m.FleetNews():
+                self._news.fleet(body)
+
+
+class Watches:
+    """Keeps `WATCHES` of them open, on control processes that answer."""
+
+    def __init__(self, router: str, seeds: tuple[str, ...], news: News, seed: int) -> None:
+        self._router, self._news = router, news
+        self._random = random.Random(seed)
+        self.seeds = seeds
+        self._known: tuple[str, ...] = ()  # as control processes tell
+        self._open: dict[str, _Watch] = {}
+        self._failed_at: dict[str, float] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin."""
+        self._task = asyncio.create_task(self._keep())
+
+    def learn(self, controls: tuple[str, ...]) -> None:
+        """Control processes that are alive."""
+        self._known = controls
+
+    @property
+    def heard_at(self) -> float:
+        """Loop time at which any control process was last heard."""
+        return max((each.heard_at for each in self._open.values() if each.link.is_open), default=0.0)
+
+    async def _keep(self) -> None:
+        while True:
+            await self._look(asyncio.get_running_loop().time())
+            await asyncio.sleep(LOOK)
+
+    async def _look(self, now: float) -> None:
+        for address, watch in list(self._open.items()):
+            if now - watch.heard_at > SILENT:
+                del self._open[address]
+                self._failed_at[address] = now
+                await watch.link.close()
+            elif now - watch.pinged_at > PING:
+                watch.pinged_at = now
+                watch.link.send(m.encode(m.Ping()))
+        candidates = [each for each in {*self.seeds, *self._known} if each not in self._open]
+        self._random.shuffle(candidates)
+        # The alive first, then those of which nothing is known; who failed last comes last.
+        candidates.sort(key=lambda each: (self._failed_at.get(each, 0.0), each not in self._known))
+        for address in candidates[: WATCHES - len(self._open)]:
+            clock = asyncio.get_running_loop().time
+            self._open[address] = _Watch(address, self._router, self._news, clock)
+
+    async def close(self) -> None:
+        """End all of them."""
+        if self._task is not None:
+            self._task.cancel()
+        for watch in self._open.values():
+            await watch.link.close()
--- a/hazelbend/transport/aiohttp_client.py
+++ b/hazelbend/transport/aiohttp_client.py
@@ -34,16 +34,19 @@
 
     `before_first_byte` is asked when the connection is there: it returns the microseconds that are left, or
     None where the request may no longer be sent. `tell` hears once that the last byte was written.
+    `time_field` is the field of the head that tells what is left, in milliseconds.
     """
 
-    __slots__ = ("_tell", "before_first_byte", "has_body", "reused_connection", "whole")
+    __slots__ = ("_tell", "before_first_byte", "has_body", "reused_connection", "time_field", "whole")
 
     def __init__(
         self,
         has_body: bool,
         before_first_byte: Callable[[], int | None],
         tell: Callable[[Forwarded], None],
+        time_field: str = TIMEOUT_HEADER,
     ) -> None:
+        self.time_field = time_field
         self.has_body, self.before_first_byte, self._tell = has_body, before_first_byte, tell
         self.whole = False
         self.reused_connection = False
@@ -83,7 +86,7 @@
             if left is None:
                 conn.release()  # unused, so fit for the next request
                 raise WithdrawnError
-            self.headers[TIMEOUT_HEADER] = str(max(left // 1_000, 1))
+            self.headers[self.writing.time_field] = str(max(left // 1_000, 1))
         return await super().send(conn)
 
 
--- a/hazelbend/transport/client_listener.py
+++ b/hazelbend/transport/client_listener.py
@@ -18,7 +18,7 @@
 from hazelbend.routing.ports import Answer, Job, Verdict
 from hazelbend.routing.router import Router
 from hazelbend.transport.client_connection import ClientConnection
-from hazelbend.transport.http_listener import HttpListener
+from hazelbend.transport.draining_listener import DrainingListener
 
 log = logging.getLogger("hazelbend.client_listener")
 
@@ -45,57 +45,13 @@
 HttpGate: TypeAlias = Callable[[Job, MultiMapping[str]], Open]
 
 
-class ClientListener(HttpListener):
-    """The clients' address.
-
-    While it is being emptied, connections that come are still served, and none is kept: each closes with its
-    next answer, and one that has been used and is idle closes by itself once clients know.
-    """
+class ClientListener(DrainingListener):
+    """The clients' address."""
 
     def __init__(self, router: Router, catalogue: Catalogue, limit: int) -> None:
         super().__init__(limit)
         self._router, self.catalogue = router, catalogue
         self.gate: HttpGate | None = None  # where jobs may wait
-        self.leaving = False
-        self.emptying = False
-        self.idle_until = self.part_until = math.inf  # loop time from which such connections are closed
-
-    @property
-    def takes_clients(self) -> bool:
-        """Whether clients should come: what /healthz says."""
-        return self._listener is not None and not self.emptying and not self.leaving
-
-    def stop_listening(self) -> None:
-        """The listener is another process's from now on; what was accepted here is served here."""
-        super().stop_accepting()
-
-    def empty(self, idle_until: float, part_until: float) -> None:
-        """Send clients away. `idle_until`: loop time from which idle connections close; `part_until`: from
-        which those close too that have not sent a whole request."""
-        self.emptying, self.idle_until, self.part_until = True, idle_until, part_until
-
-    def refill(self) -> None:
-        """Take clients again."""
-        self.emptying, self.idle_until, self.part_until = False, math.inf, math.inf
-
-    def stop_accepting(self) -> None:
-        """No new connections; idle ones close, the others after their answer. One that has sent nothing
-        yet is no idle one: its first request may be on its way, and a close without an answer would lose
-        it."""
-        self.leaving = True
-        super().stop_accepting()
-        for connection in list(self._open):
-            if connection.asked or connection.bad:
-                connection.close_if_idle()
-
-    def _look(self, connection: ClientConnection, now: float) -> None:
-        if now >= self.part_until and connection.part and connection.due is not None:
-            connection.due = min(connection.due, now)
-        connection.look(now)
-        # One that has sent nothing yet is no kept one: its first request may be on its way.
-        until = self.idle_until if connection.asked or connection.bad else self.part_until
-        if now >= until:
-            connection.close_if_idle()
 
     # --- requests ---
 
@@ -109,8 +65,7 @@
             # The same again as soon as it is turned away: its own next answers wait, others are served.
             await asyncio.sleep(min(BAD_PAUSE * connection.bad, LONGEST_PAUSE))
         connection.answer(taken=not bad)
-        if self.leaving or self.emptying or self.connections > self.limit:
-            # Over its share of the descriptors, connections are not kept: new ones and servers need room.
+        if not self.keeps_connections:
             response.force_close()
         return response
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,15 +17,20 @@
     "waiting": {"decisions", "routing", "schema"},
     "fleet": {"schema"},
     "quotas": set(),
-    "protocol": {"decisions", "routing", "names", "waiting"},
-    "transport": {"decisions", "routing", "names", "membership", "protocol", "fleet"},
+    "control": {"fleet"},
+    "placement": {"decisions", "control"},
+    "forwarding": {"placement"},
+    "protocol": {"decisions", "routing", "names", "waiting", "control"},
+    "transport": {"decisions", "routing", "names", "membership", "protocol", "fleet", "forwarding"},
+    "system": {"fleet", "control", "placement", "forwarding", "protocol", "transport"},
     "program": {"decisions", "routing", "names", "membership", "waiting", "fleet", "protocol", "transport"},
     "console": {"program"},
     "benchlink": {"decisions"},
     "standins": set(),
     "cli": {"names", "fleet", "protocol", "transport", "program", "standins"},
 }
-WIRES = {"aiohttp", "yarl", "orjson", "socket", "pysnmp", "prompt_toolkit", "json", "struct"}
+WIRES = {"aiohttp", "yarl", "socket", "pysnmp", "prompt_toolkit", "json", "struct", "uvicorn", "sqlite3"}
+TEXT = {"orjson"}  # of the operators' configuration, which is the control layer's to check
 
 
 def imports(path: Path) -> set[str]:
@@ -49,10 +54,13 @@
         assert own <= ALLOWED[layer] | {layer}, path
 
 
-@pytest.mark.parametrize("layer", ["decisions", "routing", "membership", "fleet", "quotas"])
+@pytest.mark.parametrize(
+    "layer", ["decisions", "routing", "membership", "fleet", "quotas", "control", "placement", "forwarding"]
+)
 def test_the_core_imports_no_wire(layer):
     for path in (PACKAGE / layer).glob("*.py"):
-        assert not {name.split(".")[0] for name in imports(path)} & WIRES, path
+        barred = WIRES if layer == "control" else WIRES | TEXT
+        assert not {name.split(".")[0] for name in imports(path)} & barred, path
 
 
 def test_every_part_of_the_package_is_a_known_layer():
@@ -64,13 +72,18 @@
     code = "import sys, hazelbend.program.app; print(*sys.modules)"
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, check=True, cwd=PACKAGE.parent)
     loaded = done.stdout.decode().split()
-    assert not {"pysnmp", "prompt_toolkit", "dns", "msgspec", "immutables", "click"} & set(loaded)
+    unused = {"pysnmp", "prompt_toolkit", "dns", "msgspec", "immutables", "click", "uvicorn", "marshmallow"}
+    assert not unused & set(loaded)
     off = (
         "hazelbend.schema",
         "hazelbend.names",
         "hazelbend.membership",
         "hazelbend.standins",
         "hazelbend.cli",
+        "hazelbend.control",
+        "hazelbend.placement",
+        "hazelbend.forwarding",
+        "hazelbend.system",
     )
     off += (
         "hazelbend.fleet",
