Routers share their unfinished work and caches; the pair is chosen by expected first event

Ruled out: the makers of tokens (first event 18 to 39 ms after the send). Change: routers tell control processes their unfinished work and the parts that they have read; these tell each router the sum over all others (n0 at t0). The pair is the argmin of the expected time to the first event, a worker that makes tokens included as its own reader.

--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hazelbend.control.load_table import LoadNews, RouterLoad
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.fleet.messages import Message as RaftMessage
 
@@ -70,7 +71,19 @@
     ages: dict[str, int]
 
 
-Body = Hello | Agreement | WorkerNews | WorkerNewsTaken | Ages | Watch | Ping | ConfigNews | FleetNews
+Body = (
+    Hello
+    | Agreement
+    | WorkerNews
+    | WorkerNewsTaken
+    | Ages
+    | Watch
+    | Ping
+    | ConfigNews
+    | FleetNews
+    | RouterLoad
+    | LoadNews
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Body)
--- a/hazelbend/forwarding/forwarder.py
+++ b/hazelbend/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 
 import msgspec
 
+from hazelbend.control.workers import WorkerRecord
 from hazelbend.forwarding.event_stream import EventSplitter
 from hazelbend.forwarding.ports import (
     BrokenError,
@@ -27,8 +28,7 @@
     WorkerCall,
     WorkerClient,
 )
-from hazelbend.placement.engine import Choice, Placement, Stage
-from hazelbend.placement.estimates import Send
+from hazelbend.placement.engine import Choice, Placement, Send, Stage
 from hazelbend.placement.prompt import Prompt, read_prompt
 from hazelbend.placement.retry_budget import RetryBudget
 from hazelbend.placement.routes import Route, RouteTable
@@ -54,13 +54,13 @@
 class Handle:
     """A prompt's memory, kept by the worker that has read it."""
 
-    address: str
+    reader: WorkerRecord
     name: str
 
     @property
     def source(self) -> str:
         """What `Kv-From` says."""
-        return f"{self.address}/{self.name}"
+        return f"{self.reader.address}/{self.name}"
 
 
 @dataclass(slots=True, eq=False)
@@ -71,6 +71,7 @@
     route: Route
     service: str
     prompt: Prompt
+    has_phases: bool  # its prompt may be read by one worker and answered by another
     deadline: int
     tried: set[str] = field(default_factory=set)  # instances
     sends: int = 0  # that may have arrived at a worker, beyond the reading of the prompt
@@ -148,16 +149,18 @@
         patience = route.timeout_ms * 1_000
         if request.patience is not None:
             patience = min(patience, request.patience)
+        service = route.service(self._random)
         return Flow(
             request=request,
             route=route,
-            service=route.service(self._random),
+            service=service,
+            has_phases=route.is_stream and self._state.placement.has_phases(service),
             prompt=read_prompt(request.token_usage, request.prefix_hash),
             deadline=request.arrived_at + patience - min(MARGIN, patience // 10),
         )
 
     async def _run(self, flow: Flow, reply: ClientReply) -> None:
-        if flow.route.is_stream and self._state.placement.has_phases(flow.service):
+        if flow.has_phases:
             await self._read_prompt(flow)
         for _ in range(MOST_TRIES):
             if self._left(flow) < LEAST_LEFT:
@@ -188,18 +191,18 @@
         for _ in range(MOST_TRIES):
             if flow.reads and (flow.reads >= 2 or not self._spend(flow)):
                 return
-            choice = placement.choose_reader(flow.service, flow.prompt, self._clock(), tried)
-            if choice is None:
+            pair = placement.choose_pair(flow.service, flow.prompt, self._clock(), tried)
+            if pair is None or pair.reader is None:
                 return
-            tried.add(choice.worker.record.instance)
-            handle = await self._read_at(flow, choice)
+            tried.add(pair.reader.worker.record.instance)
+            handle = await self._read_at(flow, pair.reader)
             if handle is not None:
                 flow.handle = handle
                 return
 
     async def _read_at(self, flow: Flow, choice: Choice) -> Handle | None:
         worker, placement = choice.worker, self._state.placement
-        send = placement.sent(choice, self._clock())
+        send = placement.sent(choice, False, flow.prompt, self._clock())
         reads = flow.reads
         call = self._call(flow, choice, (("Phase", Stage.PREFILL.value),))
         try:
@@ -209,6 +212,8 @@
                 if answer.status != 200:
                     return None
                 result = _prefill_results.decode(await answer.body())
+                placement.read(send, self._clock())
+                return Handle(worker.record, result.handle)
             finally:
                 answer.close()
         except NotSentError as error:
@@ -218,30 +223,28 @@
         except (BrokenError, msgspec.DecodeError):
             return None
         finally:
-            worker.ended(send)
-        placement.read(send, flow.prompt, self._clock())
-        return Handle(worker.record.address, result.handle)
+            placement.ended(send)
 
     def _free(self, flow: Flow) -> None:
         """A handle that nobody has taken keeps memory from others."""
         if flow.handle is not None:
-            self._spawn(self._client.free_handle(flow.handle.address, flow.handle.name))
+            self._spawn(self._client.free_handle(flow.handle.reader.address, flow.handle.name))
             flow.handle = None
 
     # --- attempts ---
 
     def _choose(self, flow: Flow) -> Choice | None:
-        placement = self._state.placement
-        stage = Stage.WHOLE
-        if flow.route.is_stream and placement.has_decoders(flow.service):
-            stage = Stage.DECODE
-        return placement.choose(flow.service, stage, self._clock(), flow.tried)
+        placement, now = self._state.placement, self._clock()
+        if not flow.has_phases:
+            return placement.choose(flow.service, now, flow.tried)
+        source = flow.handle.reader if flow.handle is not None else None
+        return placement.choose_runner(flow.service, flow.prompt, source, now, flow.tried)
 
     async def _attempt(self, flow: Flow, choice: Choice, reply: ClientReply) -> bool:
         """One attempt. True: the client has its answer."""
         placement = self._state.placement
         flow.tried.add(choice.worker.record.instance)
-        send = placement.sent(choice, self._clock())
+        send = placement.sent(choice, True, flow.prompt, self._clock())
         extra: Headers = ()
         if flow.handle is not None:
             extra += (("Kv-From", flow.handle.source),)
@@ -265,14 +268,16 @@
             flow.handle = None
             return False
         finally:
-            choice.worker.ended(send)
+            placement.ended(send)
 
     async def _pass_on(self, flow: Flow, send: Send, answer: WorkerAnswer, reply: ClientReply) -> bool:
         if answer.not_executed:
             return False
-        flow.handle = None  # taken
+        if flow.handle is not None:
+            self._state.placement.moved(send, flow.prompt)
+            flow.handle = None  # taken
         if flow.route.is_stream and 200 <= answer.status < 300:
-            await self._stream(flow, answer, reply)
+            await self._stream(flow, send, answer, reply)
         elif flow.begun:
             raise BrokenError  # a resumed run that failed: nothing of it is for the client
         else:
@@ -282,24 +287,31 @@
             self._state.placement.served(send, self._clock())
         return True
 
-    async def _stream(self, flow: Flow, answer: WorkerAnswer, reply: ClientReply) -> None:
+    async def _stream(self, flow: Flow, send: Send, answer: WorkerAnswer, reply: ClientReply) -> None:
         if not flow.begun:
             flow.begun = True
             await reply.begin(answer.status, answer.headers)
         if not flow.route.resume:
             async for chunk in answer.chunks():
+                self._first_event(send)
                 await reply.write(chunk)
         else:
             if flow.events is None:
                 flow.events = EventSplitter()
             flow.events.restart()
             async for chunk in answer.chunks():
+                self._first_event(send)
                 if whole := flow.events.feed(chunk):
                     await reply.write(whole)
             if flow.events.has_rest:
                 raise BrokenError
         await reply.finish()
 
+    def _first_event(self, send: Send) -> None:
+        if send.units:  # it has read the prompt itself
+            self._state.placement.read(send, self._clock())
+            self._state.placement.has_read(send)
+
     def _call(self, flow: Flow, choice: Choice, extra: Headers) -> WorkerCall:
         record = choice.worker.record
         return WorkerCall(record.address, flow.request, (("Expect-Instance", record.instance), *extra))
@@ -316,8 +328,9 @@
         return left
 
     def _hear(self, choice: Choice, answer: WorkerAnswer) -> None:
-        if answer.held is not None:
-            choice.worker.reported(answer.held, self._clock())
+        worker = choice.worker
+        if answer.held is not None and not worker.record.phase:
+            worker.running.reported(max(answer.held - worker.running.own, 0), self._clock())
 
     def _not_reached(self, choice: Choice, error: NotSentError) -> None:
         if not error.withdrawn:
--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -14,6 +14,7 @@
 from hazelbend.control.config_machine import ChangeResult, StoredConfig, plain_body
 from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
 from hazelbend.control.engine import Answer, ControlEngine, ControlPlan, PutDone, ReadDone, Spoken, WorkerDone
+from hazelbend.control.load_table import CachedPart, LoadTable
 from hazelbend.fleet import memory_file
 from hazelbend.fleet.members import address_of
 from hazelbend.fleet.record import Memory
@@ -31,6 +32,7 @@
 LEADER_LOOK = 0.02
 STORE_PAUSE = 0.2  # seconds until a disk that refused is tried again
 FLEET_NEWS_EVERY = 0.5  # seconds between two words to routers on the fleet
+LOADS_EVERY, LOADS_EVERY_PER_ROUTER = 0.03, 0.0015  # seconds between two reports of load to routers
 SHORTEST_WAIT = 0.001  # seconds between two ticks
 LEAVE_WAIT = 0.6  # seconds at the end in which another may take the lead
 JSON = "application/json"
@@ -71,7 +73,10 @@
         self._saving: asyncio.Task[None] | None = None
         self._store_begun = False  # the whole memory is in the store
         self._wake: asyncio.TimerHandle | None = None
-        self._news_task: asyncio.Task[None] | None = None
+        self._telling: list[asyncio.Task[None]] = []
+        self._loads = LoadTable()
+        self._loads_changed = False
+        self._cached: list[CachedPart] = []  # not told yet
         self._led = ""
         self._closed = False
         self._engine: ControlEngine
@@ -87,7 +92,7 @@
         log.info("control: this is %s, %s", self._engine.me, "recalled" if memory else "new")
         await self._server.listen(*split_address(self._plan.address))
         await self._api.listen(*split_address(self._settings.control))
-        self._news_task = asyncio.create_task(self._tell_routers())
+        self._telling = [asyncio.create_task(each()) for each in (self._tell_routers, self._tell_loads)]
         self._pump()
 
     async def _recall(self) -> Memory | None:
@@ -110,8 +115,8 @@
         self._closed = True
         if self._wake is not None:
             self._wake.cancel()
-        if self._news_task is not None:
-            self._news_task.cancel()
+        for task in self._telling:
+            task.cancel()
         if self._saving is not None:
             await asyncio.wait([self._saving], timeout=LEAVE_WAIT)
         await self._server.close()
@@ -179,6 +184,9 @@
             self._link(address).send(m.encode(body))
         for answer in said.answers:
             self._answer(answer)
+        for record in said.news:
+            state = record.state.name.lower()
+            log.info("control: worker %s %s %s %s", record.instance, record.service, record.phase, state)
         if said.news:
             self._tell(m.WorkerNews(0, tuple(said.news)))
         if said.config.version > self._config.version:
@@ -211,6 +219,8 @@
                 self._watch(connection, body)
             case m.Ping():
                 connection.send(frame)
+            case m.RouterLoad():
+                self._take_load(connection, body)
             case m.Hello():
                 sender = self._senders.setdefault(connection, address_of(body.identity))
                 self._engine.receive(sender, body, clock())
@@ -233,6 +243,30 @@
         if self._watchers.pop(connection, None) is not None:
             self._engine.own_routers = {each.router for each in self._watchers.values()}
 
+    def _take_load(self, connection: FrameConnection, load: m.RouterLoad) -> None:
+        if not self._loads.merge(load, clock()):
+            return
+        self._cached += load.cached
+        self._loads_changed = True
+        if connection in self._watchers:  # from the router itself: others may not watch this process
+            frame = m.encode(load)
+            for address in self._engine.alive(clock()):
+                self._link(address).send(frame)
+
+    async def _tell_loads(self) -> None:
+        while True:
+            routers = len(self._watchers)
+            await asyncio.sleep(max(LOADS_EVERY, LOADS_EVERY_PER_ROUTER * routers))
+            self._loads.expire(clock())
+            if not self._loads_changed:
+                continue
+            self._loads_changed = False
+            cached, self._cached = tuple(self._cached), []
+            totals = self._loads.totals()
+            for connection, watcher in list(self._watchers.items()):
+                loads = self._loads.without(totals, watcher.router)
+                connection.send(m.encode(m.LoadNews(loads, cached)))
+
     def _tell(self, body: m.Body) -> None:
         frame = m.encode(body)
         for connection in list(self._watchers):
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -29,6 +29,7 @@
 PLATFORM_NOTICES = 2.6  # seconds until the platform sends no new connections to one that is not ready
 LAST_WORD = 0.8  # seconds of the grace that are kept for closing
 SMALL_BODY = 64 * 1024
+TELL_LOAD_AFTER = 0.015  # seconds in which changes of the own load are told together
 CLOSE_LOOK = 0.02
 
 
@@ -53,6 +54,9 @@
         self._readiness = AsgiServer(self._ready, SMALL_BODY)
         self._watches = Watches(settings.node, settings.seed_peers, self, seed)
         self._seed = seed
+        self._telling: asyncio.TimerHandle | None = None
+        self._load_seq = clock()  # rises over restarts too
+        self._placement.load_changed = self._load_changed
 
     # --- its life ---
 
@@ -131,6 +135,23 @@
         self._state.routers = max(self._state.routers, news.routers)
         self._state.is_current = True
         self._heard(news.ages)
+        self._load_changed()  # told again now and then, as words may be lost
+
+    def loads(self, news: m.LoadNews) -> None:
+        """See `watch.News`."""
+        self._placement.reported(news.loads, news.cached, clock())
+
+    def _load_changed(self) -> None:
+        if self._telling is None:
+            self._telling = asyncio.get_running_loop().call_later(TELL_LOAD_AFTER, self._tell_load)
+
+    def _tell_load(self) -> None:
+        """Let other routers know what this one has under way."""
+        self._telling = None
+        self._load_seq += 1
+        cached, self._placement.newly_cached = tuple(self._placement.newly_cached), []
+        loads = self._placement.own_loads()
+        self._watches.send(m.RouterLoad(self._settings.node, self._load_seq, loads, cached))
 
     def _heard(self, ages: dict[str, int]) -> None:
         self._placement.heard(ages, self._settings.heartbeat, EXPIRY_BEATS, SILENT_BEATS)
--- a/hazelbend/system/watch.py
+++ b/hazelbend/system/watch.py
@@ -33,6 +33,9 @@
     def fleet(self, news: m.FleetNews) -> None:
         """What is told now and then."""
 
+    def loads(self, news: m.LoadNews) -> None:
+        """What other routers have under way."""
+
     def version(self) -> int:
         """The configuration that is in force here."""
 
@@ -64,6 +67,8 @@
                 self._news.workers(body)
             case m.FleetNews():
                 self._news.fleet(body)
+            case m.LoadNews():
+                self._news.loads(body)
 
 
 class Watches:
@@ -82,6 +87,12 @@
         """Begin."""
         self._task = asyncio.create_task(self._keep())
 
+    def send(self, body: m.Body) -> None:
+        """Tell all control processes that are watched."""
+        frame = m.encode(body)
+        for watch in self._open.values():
+            watch.link.send(frame)
+
     def learn(self, controls: tuple[str, ...]) -> None:
         """Control processes that are alive."""
         self._known = controls
