--- a/hazelbend/control/load_table.py
+++ b/hazelbend/control/load_table.py
@@ -1,7 +1,7 @@
 """What routers have under way at workers, by router: the sums are the load reports of the fleet.
 
 A router tells its unfinished work when it changes. Control processes pass that on to each other, and tell
-each router the sum over all others: a report is n0 at t0 without the router's own sends, which it knows better.
+each router the sum over all others: n0 at t0, without the router's own sends, which it knows better.
 """
 
 from __future__ import annotations
--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -2,8 +2,8 @@
 
 For a pair the expected time to the first event is the delay of reading, (E[N] + cost) / mu at the reader, the
 cost being the tokens that are not believed to be cached there, then the move of the memory and the delay of
-the worker that makes the tokens. A worker that makes tokens may read too, more slowly: a pair of one. The least
-wins. What a choice costs beside time is added as the time that it is worth.
+the worker that makes the tokens. A worker that makes tokens may read too, more slowly: a pair of one. The
+least wins. What a choice costs beside time is added as the time that it is worth.
 """
 
 from __future__ import annotations
--- a/hazelbend/placement/estimates.py
+++ b/hazelbend/placement/estimates.py
@@ -1,7 +1,7 @@
 """What a router believes of each worker: the delayed-information estimates of its work, its rates, its cache.
 
-A count is that of the decision module: `expected_jobs` of the last report (n0 at t0, all other routers' work),
-own later unfinished sends, and Poisson departures since. Times are microseconds.
+A count is that of the decision module: `expected_jobs` of the last report (n0 at t0: the work of all other
+routers), own later unfinished sends, and Poisson departures since. Times are microseconds.
 """
 
 from __future__ import annotations
--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -14,7 +14,7 @@
 from hazelbend.control.config_machine import ChangeResult, StoredConfig, plain_body
 from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
 from hazelbend.control.engine import Answer, ControlEngine, ControlPlan, PutDone, ReadDone, Spoken, WorkerDone
-from hazelbend.control.load_table import CachedPart, LoadTable
+from hazelbend.control.load_table import CachedPart, LoadNews, LoadTable, RouterLoad
 from hazelbend.fleet import memory_file
 from hazelbend.fleet.members import address_of
 from hazelbend.fleet.record import Memory
@@ -219,7 +219,7 @@
                 self._watch(connection, body)
             case m.Ping():
                 connection.send(frame)
-            case m.RouterLoad():
+            case RouterLoad():
                 self._take_load(connection, body)
             case m.Hello():
                 sender = self._senders.setdefault(connection, address_of(body.identity))
@@ -243,7 +243,7 @@
         if self._watchers.pop(connection, None) is not None:
             self._engine.own_routers = {each.router for each in self._watchers.values()}
 
-    def _take_load(self, connection: FrameConnection, load: m.RouterLoad) -> None:
+    def _take_load(self, connection: FrameConnection, load: RouterLoad) -> None:
         if not self._loads.merge(load, clock()):
             return
         self._cached += load.cached
@@ -265,7 +265,7 @@
             totals = self._loads.totals()
             for connection, watcher in list(self._watchers.items()):
                 loads = self._loads.without(totals, watcher.router)
-                connection.send(m.encode(m.LoadNews(loads, cached)))
+                connection.send(m.encode(LoadNews(loads, cached)))
 
     def _tell(self, body: m.Body) -> None:
         frame = m.encode(body)
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -11,6 +11,7 @@
 import picologging
 
 from hazelbend.control import messages as m
+from hazelbend.control.load_table import LoadNews, RouterLoad
 from hazelbend.control.workers import EXPIRY_BEATS, SILENT_BEATS
 from hazelbend.forwarding.forwarder import FleetState, Forwarder
 from hazelbend.placement.engine import Placement
@@ -137,7 +138,7 @@
         self._heard(news.ages)
         self._load_changed()  # told again now and then, as words may be lost
 
-    def loads(self, news: m.LoadNews) -> None:
+    def loads(self, news: LoadNews) -> None:
         """See `watch.News`."""
         self._placement.reported(news.loads, news.cached, clock())
 
@@ -151,7 +152,7 @@
         self._load_seq += 1
         cached, self._placement.newly_cached = tuple(self._placement.newly_cached), []
         loads = self._placement.own_loads()
-        self._watches.send(m.RouterLoad(self._settings.node, self._load_seq, loads, cached))
+        self._watches.send(RouterLoad(self._settings.node, self._load_seq, loads, cached))
 
     def _heard(self, ages: dict[str, int]) -> None:
         self._placement.heard(ages, self._settings.heartbeat, EXPIRY_BEATS, SILENT_BEATS)
--- a/hazelbend/system/watch.py
+++ b/hazelbend/system/watch.py
@@ -11,6 +11,7 @@
 import picologging
 
 from hazelbend.control import messages as m
+from hazelbend.control.load_table import LoadNews
 from hazelbend.transport.frame_link import FrameLink
 
 log = picologging.getLogger("hazelbend.watch")
@@ -33,7 +34,7 @@
     def fleet(self, news: m.FleetNews) -> None:
         """What is told now and then."""
 
-    def loads(self, news: m.LoadNews) -> None:
+    def loads(self, news: LoadNews) -> None:
         """What other routers have under way."""
 
     def version(self) -> int:
@@ -67,7 +68,7 @@
                 self._news.workers(body)
             case m.FleetNews():
                 self._news.fleet(body)
-            case m.LoadNews():
+            case LoadNews():
                 self._news.loads(body)
 
 
