Pace and overhead of reading are learnt; reports count what is left of prompts

After all processes were killed nobody knew which worker keeps what. Change: ReadModel (least squares with bounded samples); subjects of which nothing is known go to a home by rendezvous, whose presence is learnt; own reads count by what is left of them; long reads beside running streams are priced.

--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -12,18 +12,30 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum
+from hashlib import blake2b
 
 from hazelbend.control.load_table import CachedPart, Load
 from hazelbend.control.workers import WorkerRecord, WorkerState
+from hazelbend.decisions.formulas import key_rank
+from hazelbend.decisions.records import Mean
 from hazelbend.placement.estimates import UNIT, Estimate, WorkerEstimate
 from hazelbend.placement.prompt import Part, Prompt
+from hazelbend.placement.read_model import ReadModel
 from hazelbend.placement.routes import Engine, Service
 
-FIRST_READ_RATE = 0.03  # tokens a microsecond, until runs have told
-WHOLE_PACE = 0.45  # of that, at a worker that makes tokens in between
+FIRST_PACE = UNIT / 0.03  # microseconds to read a unit, until runs have told
+FIRST_OVERHEAD = 22_000  # microseconds of a call to read, whatever it reads, until runs have told
+WHOLE_PACE = 2.2  # times as long, at a worker that makes tokens in between
 FIRST_RUN = 200_000  # microseconds that a request is taken to run until runs have told
-READ_OVERHEAD = 22_000  # microseconds of a call to read, whatever it reads
-LEAST_SAMPLE = 3 * UNIT  # tokens that a run must have read to tell of a rate
+SLOWNESS_MEMORY, SLOWNESS_PRIOR = 20.0, 4.0  # samples that a worker's slowness rests on
+CLEAR = 0.25  # part of a sample's reading that may have been estimated to lie before it
+PRESENT_PRIOR, PRESENT_MEMORY = 3.0, 20.0  # samples of whether a home has what nobody has told of
+PRESENT_FIRST = 0.5  # the part of homes that have it, until runs have told
+LEAST_SHARED = 2 * UNIT  # tokens that must be shared for a run to tell of that
+MOST_READ = 0.9  # of a prompt that counts as read before its worker has said so
+HOME_BONUS = 4_000  # microseconds: of workers that are alike, all routers take the same
+READ_BESIDE = 0.5  # of the time of a read at a worker that makes tokens, that it costs others there
+LONG_READ, LONG_READ_PRICE = 6.0, 20_000  # units before streams there pause; microseconds a unit beyond
 CROSS_ZONE = 3_000  # microseconds that a worker of another zone is further away
 CROSS_ZONE_MOVE = 2.0  # times as long, a move between zones
 MOVE_PRICE = 40.0  # microseconds that a megabyte of moved memory is worth
@@ -67,6 +79,14 @@
     runs: bool  # whether it takes a place among the requests that run
     sent_at: int
     ahead: float  # units of reading that were expected before it
+    whole: float  # units of its whole prompt
+    guessed: float  # units of shared parts that its worker may have had, without anybody having told
+    pace: float  # microseconds a unit that were expected there
+
+    def remaining(self, now: int) -> float:
+        """Units that are still to be read, as far as the worker reads in the order of arrival."""
+        read = (now - self.sent_at) / self.pace - self.ahead
+        return self.units - min(max(read, 0.0), MOST_READ * self.units)
 
 
 class Placement:
@@ -75,6 +95,9 @@
     def __init__(self, zone: str, seed: int) -> None:
         self._zone = zone
         self._random = random.Random(seed)
+        self._models: dict[tuple[str, str], ReadModel] = {}  # by service and phase
+        self._reads: dict[str, dict[Send, None]] = {}  # own reads under way, by instance
+        self._present: dict[str, Mean] = {}  # by service: whether homes have what nobody has told of
         self.workers: dict[str, WorkerEstimate] = {}  # by instance
         self.services: dict[str, Service] = {}
         self.newly_cached: list[CachedPart] = []  # not told to other routers yet
@@ -100,8 +123,7 @@
             for each in self.workers.values()
             if (each.record.service, each.record.phase) == (record.service, record.phase)
         ]
-        pace = 1.0 if record.phase == Stage.PREFILL.value else WHOLE_PACE
-        read = _mean([each.reading.rate for each in alike], pace * FIRST_READ_RATE / UNIT)
+        read = 1 / self._model(record).pace
         run = _mean([each.running.rate for each in alike], record.capacity / FIRST_RUN)
         return WorkerEstimate(record, Estimate(read, 1.0), Estimate(run, float(record.capacity)))
 
@@ -128,14 +150,22 @@
             if worker is not None:
                 worker.remember([Part(part.part, part.tokens)], self._memory(worker))
 
-    def own_loads(self) -> dict[str, Load]:
+    def own_loads(self, now: int) -> dict[str, Load]:
         """This router's unfinished work by worker."""
         return {
-            instance: Load(each.running.own, round(each.reading.counts.load * UNIT))
+            instance: Load(each.running.own, round(self._own_unread(each, now) * UNIT))
             for instance, each in self.workers.items()
             if each.busy
         }
 
+    def _own_unread(self, worker: WorkerEstimate, now: int) -> float:
+        return sum(send.remaining(now) for send in self._reads.get(worker.record.instance, ()))
+
+    def _unread(self, worker: WorkerEstimate, now: int) -> float:
+        """E[N] of reading: own sends less what has been read of them, and what others have there."""
+        worker.reading.counts.load = self._own_unread(worker, now)
+        return worker.reading.expected(now)
+
     # --- decisions ---
 
     def candidates(self, service: str, stage: Stage, now: int, tried: set[str]) -> list[WorkerEstimate]:
@@ -181,19 +211,46 @@
         for each in runners:
             alone = self._runner(each, prompt, None, kept, now)
             yield Pair(None, alone, alone.delay)
-        for each in self.candidates(service, Stage.PREFILL, now, tried):
-            reader = self._reader(each, prompt, kept, now)
+        readers = self.candidates(service, Stage.PREFILL, now, tried)
+        home = _home(readers, prompt.subject)
+        for each in readers:
+            reader = self._reader(each, prompt, kept, home, now)
             moved = [self._runner(runner, prompt, each.record, kept, now) for runner in runners]
             best = min(moved, key=lambda choice: (choice.delay, self._random.random()), default=None)
             if best is not None:
                 yield Pair(reader, best, reader.delay + best.delay)
 
-    def _reader(self, worker: WorkerEstimate, prompt: Prompt, kept: int, now: int) -> Choice:
+    def _reader(
+        self, worker: WorkerEstimate, prompt: Prompt, kept: int, home: WorkerEstimate | None, now: int
+    ) -> Choice:
         cached = worker.holds(prompt.shared)
+        bonus = 0.0
+        if worker is home:
+            bonus = HOME_BONUS
+            if not kept:
+                present = self._presence(worker.record.service).beside(PRESENT_FIRST, PRESENT_PRIOR)
+                cached = round(present * sum(part.tokens for part in prompt.shared))
         tokens = max(prompt.tokens - cached, 0)
-        delay = worker.reading.delay(tokens / UNIT, now) + READ_OVERHEAD + self._distance(worker)
+        delay = self._read_delay(worker, tokens, now) + self._distance(worker) - bonus
         return Choice(worker, tokens, delay + AGAIN_PRICE * max(kept - cached, 0))
 
+    def _read_delay(self, worker: WorkerEstimate, tokens: int, now: int) -> float:
+        """Microseconds until a prompt is read of which so many tokens are not cached."""
+        model = self._model(worker.record)
+        slowness = worker.slowness.beside(1.0, SLOWNESS_PRIOR)
+        worker.reading.rate = 1 / (model.pace * slowness)
+        return model.overhead + (self._unread(worker, now) + tokens / UNIT) / worker.reading.rate
+
+    def _model(self, record: WorkerRecord) -> ReadModel:
+        key = (record.service, record.phase)
+        if key not in self._models:
+            times = 1.0 if record.phase == Stage.PREFILL.value else WHOLE_PACE
+            self._models[key] = ReadModel(FIRST_OVERHEAD, times * FIRST_PACE)
+        return self._models[key]
+
+    def _presence(self, service: str) -> Mean:
+        return self._present.setdefault(service, Mean())
+
     def _runner(
         self, worker: WorkerEstimate, prompt: Prompt, source: WorkerRecord | None, kept: int, now: int
     ) -> Choice:
@@ -202,7 +259,11 @@
             return Choice(worker, 0, first_token + self._move(worker, prompt, source))
         cached = worker.holds(prompt.shared)
         tokens = max(prompt.tokens - cached, 0)
-        delay = first_token + worker.reading.delay(tokens / UNIT, now)
+        units = tokens / UNIT
+        read = self._read_delay(worker, tokens, now)
+        beside = READ_BESIDE * units / worker.reading.rate
+        excess = max(self._unread(worker, now) + units - LONG_READ, 0.0)
+        delay = first_token + read + beside + LONG_READ_PRICE * excess
         return Choice(worker, tokens, delay + AGAIN_PRICE * max(kept - cached, 0))
 
     def _move(self, worker: WorkerEstimate, prompt: Prompt, source: WorkerRecord) -> float:
@@ -245,8 +306,14 @@
     def sent(self, choice: Choice, runs: bool, prompt: Prompt, now: int) -> Send:
         """The request is on its way to the chosen worker."""
         worker, units = choice.worker, choice.tokens / UNIT
-        send = Send(worker, units, runs, now, worker.reading.expected(now))
+        cached = prompt.tokens - choice.tokens
+        guessed = bool(cached) and not worker.holds(prompt.shared)
+        shared = sum(part.tokens for part in prompt.shared) if guessed else 0
+        whole = prompt.tokens / UNIT
+        ahead, pace = self._unread(worker, now), 1 / worker.reading.rate
+        send = Send(worker, units, runs, now, ahead, whole, shared / UNIT, pace)
         if units:
+            self._reads.setdefault(worker.record.instance, {})[send] = None
             worker.reading.add(units)
             self._remember(worker, prompt)
         if runs:
@@ -257,6 +324,10 @@
     def has_read(self, send: Send) -> None:
         """Its prompt is read, or never will be."""
         if send.units:
+            reads = self._reads[send.worker.record.instance]
+            del reads[send]
+            if not reads:
+                del self._reads[send.worker.record.instance]
             send.worker.reading.remove(send.units)
             send.units = 0.0
             self.load_changed()
@@ -270,10 +341,19 @@
 
     def read(self, send: Send, now: int) -> None:
         """The prompt was read there: a sample of the rate."""
-        send.worker.answered()
-        if send.units * UNIT >= LEAST_SAMPLE:
-            elapsed = max(now - send.sent_at - READ_OVERHEAD, 1_000)
-            send.worker.reading.sample((send.ahead + send.units) / elapsed)
+        worker, elapsed = send.worker, now - send.sent_at
+        worker.answered()
+        model = self._model(worker.record)
+        if send.ahead > CLEAR * (send.units + 1):
+            return  # what lay before it is an estimate itself
+        if send.guessed:
+            if send.guessed * UNIT >= LEAST_SHARED:
+                present = elapsed < model.expected(send.ahead + send.whole - send.guessed / 2)
+                self._presence(worker.record.service).add(float(present), PRESENT_MEMORY)
+            return
+        read = send.ahead + send.units
+        worker.slowness.add(min(max(elapsed / model.expected(read), 0.3), 3.0), SLOWNESS_MEMORY)
+        model.sample(read, elapsed)
 
     def moved(self, send: Send, prompt: Prompt) -> None:
         """The worker that makes the tokens keeps the prompt's parts as well."""
@@ -291,5 +371,17 @@
             self.newly_cached.append(CachedPart(instance, part.id, part.tokens))
 
 
+def _home(workers: list[WorkerEstimate], subject: str) -> WorkerEstimate | None:
+    """The worker to which all routers send prompts of a subject of which nothing is known."""
+    if not subject:
+        return None
+    key = int.from_bytes(blake2b(subject.encode(), digest_size=8).digest())
+    return min(workers, key=lambda each: key_rank(_number(each), key), default=None)
+
+
+def _number(worker: WorkerEstimate) -> int:
+    return int.from_bytes(blake2b(worker.record.instance.encode(), digest_size=8).digest())
+
+
 def _mean(values: list[float], otherwise: float) -> float:
     return sum(values) / len(values) if values else otherwise
--- a/hazelbend/placement/estimates.py
+++ b/hazelbend/placement/estimates.py
@@ -71,6 +71,7 @@
     reading: Estimate
     running: Estimate
     silent: bool = False
+    slowness: Mean = field(default_factory=Mean)  # of its reads, over what workers of its kind take
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)  # tokens by part, longest unused first
     cached_tokens: int = 0
     shut_until: int = 0
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -151,7 +151,7 @@
         self._telling = None
         self._load_seq += 1
         cached, self._placement.newly_cached = tuple(self._placement.newly_cached), []
-        loads = self._placement.own_loads()
+        loads = self._placement.own_loads(clock())
         self._watches.send(RouterLoad(self._settings.node, self._load_seq, loads, cached))
 
     def _heard(self, ages: dict[str, int]) -> None:
