A planner of phases, soft state over restarts, committed index kept, requests wait for a start

Change: PhasePlanner in the leader (one lease after it leads, confirmed by a read, fencing token from epoch and term); routers and control processes that start are told all caches; workers and caches are kept in a file without sync; the committed index is stored, so that what was in force is again before an election; the first election comes sooner.

--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -6,12 +6,15 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from hazelbend.control import messages as m
 from hazelbend.control.config_machine import ChangeResult, ConfigMachine, StoredConfig, change_entry
-from hazelbend.control.workers import WorkerRecord, WorkerRegistry, WorkerState
+from hazelbend.control.load_table import Load
+from hazelbend.control.phase_planner import PhaseOrder, PhasePlanner
+from hazelbend.control.workers import SILENT_BEATS, WorkerRecord, WorkerRegistry, WorkerState
 from hazelbend.fleet.members import address_of
 from hazelbend.fleet.messages import Message
 from hazelbend.fleet.record import Memory, Record, Timing, epoch_number
@@ -25,6 +28,9 @@
 FORGOTTEN = 60_000_000  # an address that has been silent for so long is not greeted any more
 NO_SEED_COUNTS = 2_000_000  # after which one that is no seed may found, where no seed may vote
 ACK_WAIT = 900_000  # how long a worker's call waits until enough processes hold its word
+FIRST_ELECTION = (120_000, 400_000)  # after a start, until one that hears of no leader stands
+TERM_BITS = 16  # of a fencing token, below the epoch
+LEASE_MARGIN = 1_500_000  # beyond a lease, from when a process leads until its first order
 TIMING = Timing(heartbeat=100_000, election=500_000, batch=32, kept=48)
 
 
@@ -38,6 +44,7 @@
     may_found: bool
     tolerance: int  # counted machines that may be lost at one time
     heartbeat: int  # microseconds between two heartbeats of a worker
+    lease: int = 0  # microseconds that must lie between orders of two leaders
 
 
 @dataclass(slots=True)
@@ -48,6 +55,7 @@
     counted: bool = False
     heard_at: int = 0
     routers: tuple[str, ...] = ()  # that watch it
+    switching: tuple[str, ...] = ()  # workers that it has ordered to another part
 
 
 @dataclass(slots=True, frozen=True)
@@ -110,9 +118,13 @@
         self.plan, self._unix_seconds = plan, unix_seconds
         self.machine = ConfigMachine()
         self.record = Record(memory or Memory(identity), self.machine, TIMING, seed, now)
+        if memory is not None:
+            self.record.stand_by(now + random.Random(seed).randint(*FIRST_ELECTION))
         self.registry = WorkerRegistry(plan.heartbeat)
         self.peers: dict[str, Peer] = {each: Peer() for each in plan.seeds if each != plan.address}
         self.own_routers: set[str] = set()  # those that watch this process
+        self.planner = PhasePlanner()
+        self._led_term, self._led_since = 0, now
         self._said = Spoken()
         self._born = now
         self._hello_at = self._ages_at = self._tend_at = now
@@ -147,6 +159,12 @@
         """The identity of the leader, as far as it is known."""
         return self.record.leader
 
+    @property
+    def fencing_token(self) -> int:
+        """Of orders to workers: rises with each leader, also where the record was founded anew."""
+        memory = self.record.memory
+        return (memory.epoch << TERM_BITS) + min(memory.term, (1 << TERM_BITS) - 1)
+
     @property
     def acknowledges(self) -> bool:
         """Whether a majority of the voters is more copies than may be lost."""
@@ -160,7 +178,29 @@
         """What routers are told now and then."""
         alive = self.alive(now)
         routers = self.own_routers.union(*(peer.routers for peer in alive.values()))
-        return m.FleetNews((self.plan.address, *alive), len(routers), self.registry.ages(now))
+        switching = {*self.planner.switching, *(name for peer in alive.values() for name in peer.switching)}
+        addresses = (self.plan.address, *alive)
+        return m.FleetNews(addresses, len(routers), self.registry.ages(now), tuple(switching))
+
+    def recall_workers(self, records: tuple[WorkerRecord, ...], now: int) -> None:
+        """Workers known before a restart: listed as silent until they are heard, or expire."""
+        heard_at = now - round(SILENT_BEATS * self.plan.heartbeat)
+        for record in records:
+            if record.state is not WorkerState.GONE:
+                self._tell(self.registry.merge(record, heard_at))
+
+    def phase_orders(self, loads: dict[str, Load], now: int) -> list[PhaseOrder]:
+        """Orders to give to workers now; none unless this process has surely led alone for a lease."""
+        if not self.record.settled or self.record.memory.term != self._led_term:
+            self._led_term = self.record.memory.term if self.record.settled else 0
+            self._led_since = now
+        if not self._led_term:
+            self.planner.forget()
+            return []
+        if now - self._led_since < self.plan.lease + LEASE_MARGIN:
+            return []
+        heard = [each for each in self.registry.listed.values() if not self.registry.is_silent(each, now)]
+        return self.planner.plan([each.record for each in heard], loads, now)
 
     def take(self) -> Spoken:
         """All that is to be said, once the record's changes are stored."""
@@ -239,7 +279,7 @@
         if now >= self._ages_at:
             self._ages_at = now + AGES_EVERY
             self.registry.expire(now)
-            ages = m.Ages(self.registry.ages(now), tuple(self.own_routers))
+            ages = m.Ages(self.registry.ages(now), tuple(self.own_routers), self.planner.switching)
             self._said.out += [(address, ages) for address in self.alive(now)]
         if now >= self._tend_at:
             self._tend_at = now + TEND_EVERY
@@ -268,9 +308,9 @@
                 held.holders.add(sender)
                 if len(held.holders) >= self.plan.tolerance:
                     self._settle(number, held)
-            case m.Ages(ages=ages, routers=routers):
+            case m.Ages(ages=ages, routers=routers, switching=switching):
                 if sender in self.peers:
-                    self.peers[sender].routers = routers
+                    self.peers[sender].routers, self.peers[sender].switching = routers, switching
                 for instance, age in ages.items():
                     self.registry.hear(instance, now - age)
 
--- a/hazelbend/control/load_table.py
+++ b/hazelbend/control/load_table.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
 
+MOST_PARTS = 2_000  # of a worker that are remembered
 EXPIRY = 3_000_000  # microseconds after which a router's word is dropped
 
 
@@ -44,6 +46,34 @@
     cached: tuple[CachedPart, ...] = ()
 
 
+class CacheTable:
+    """Which worker keeps which parts, as routers have told: for routers that have just started."""
+
+    def __init__(self) -> None:
+        self._parts: dict[str, dict[str, int]] = {}  # tokens by part by instance, longest unused first
+
+    def add(self, cached: Iterable[CachedPart]) -> None:
+        """Parts that were read."""
+        for each in cached:
+            parts = self._parts.setdefault(each.instance, {})
+            parts.pop(each.part, None)
+            parts[each.part] = each.tokens
+            while len(parts) > MOST_PARTS:
+                del parts[next(iter(parts))]
+
+    def forget(self, instance: str) -> None:
+        """A worker has ended."""
+        self._parts.pop(instance, None)
+
+    def all(self) -> tuple[CachedPart, ...]:
+        """All that is known."""
+        return tuple(
+            CachedPart(instance, part, tokens)
+            for instance, parts in self._parts.items()
+            for part, tokens in parts.items()
+        )
+
+
 @dataclass(slots=True)
 class _Known:
     load: RouterLoad
--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from hazelbend.control.load_table import LoadNews, RouterLoad
+from hazelbend.control.load_table import CachedPart, LoadNews, RouterLoad
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.fleet.messages import Message as RaftMessage
 
@@ -42,6 +42,7 @@
 
     ages: dict[str, int]
     routers: tuple[str, ...] = ()
+    switching: tuple[str, ...] = ()  # instances of which the sender has ordered another part
 
 
 class Watch(msgspec.Struct, frozen=True, tag=True):
@@ -69,6 +70,14 @@
     controls: tuple[str, ...]
     routers: int
     ages: dict[str, int]
+    switching: tuple[str, ...] = ()  # instances that are changing their part
+
+
+class SoftState(msgspec.Struct, frozen=True):
+    """What a control process keeps for its next start, beside what must last."""
+
+    workers: tuple[WorkerRecord, ...]
+    cached: tuple[CachedPart, ...]
 
 
 Body = (
@@ -87,6 +96,7 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Body)
+_soft_states = msgspec.msgpack.Decoder(SoftState)
 
 
 def encode(body: Body) -> bytes:
@@ -94,6 +104,20 @@
     return _encoder.encode(body)
 
 
+def encode_soft_state(state: SoftState) -> bytes:
+    """The content of its file."""
+    return _encoder.encode(state)
+
+
+def decode_soft_state(content: bytes) -> SoftState:
+    """The state in a file.
+
+    Raises:
+        msgspec.DecodeError: it is none.
+    """
+    return _soft_states.decode(content)
+
+
 def decode(content: bytes) -> Body:
     """The message of a frame.
 
--- a/hazelbend/fleet/record.py
+++ b/hazelbend/fleet/record.py
@@ -204,6 +204,14 @@
         self._append(Entry(1, (self.me,)))
         self._lead(now)
 
+    def recall_commit(self, index: int, now: int) -> None:
+        """After a start: all up to this index of the recalled memory was known to be committed."""
+        self._commit(min(index, self.memory.last), now)
+
+    def stand_by(self, at: int) -> None:
+        """Stand for election at this time, where no leader is heard before. Others that hear one refuse."""
+        self.stands_at = min(self.stands_at, at)
+
     def propose(self, op: bytes, now: int) -> int | None:
         """A ticket that `done` will name; None: it does not lead, or is handing over."""
         if not self.leads or self.handing_to:
--- a/hazelbend/forwarding/forwarder.py
+++ b/hazelbend/forwarding/forwarder.py
@@ -37,8 +37,12 @@
 MOST_SENDS = 3  # arrivals at workers that one try may cause
 MOST_TRIES = 6  # workers that one try may turn to, those that were not reached included
 LEAST_LEFT = 30_000  # microseconds below which nothing is sent any more
+WORKER_WAIT = 700_000  # microseconds that a request waits for any worker of its service to be known
+TABLE_WAIT = 1_200_000  # and until a configuration is
+WORKER_LOOK = 0.02  # seconds
 RETRY_AFTER_S = 0.25  # where nothing better is known
 RETRY_AFTER_STARTING_S = 0.5
+READ_RANKS = (1_000, 2_500, 6_000, 12_000, 25_000)  # tokens from which a read waits for shorter ones
 REASONS = {404: b"no such route\n", 502: b"a worker failed\n", 503: b"refused\n", 504: b"too late\n"}
 
 
@@ -82,6 +86,11 @@
     events: EventSplitter | None = None
 
 
+def rank_of_read(tokens: int) -> int:
+    """Short reads go first: they hold up the others least."""
+    return sum(tokens >= bound for bound in READ_RANKS)
+
+
 class FleetState:
     """What a router knows of the fleet. Changed by the watch, read by the forwarder."""
 
@@ -119,7 +128,7 @@
 
     async def serve(self, request: ClientRequest, reply: ClientReply) -> None:
         """Give the request its one final answer."""
-        table = self._state.table
+        table = self._state.table or await self._wait_for_table(request)
         route = table.find(request.host, request.path) if table is not None else None
         if table is None or (route is None and not self._state.is_current):
             await self._refuse(reply, RETRY_AFTER_STARTING_S)
@@ -145,6 +154,13 @@
             self.open -= 1
             self._free(flow)
 
+    async def _wait_for_table(self, request: ClientRequest) -> RouteTable | None:
+        """No configuration is known: after a start it is about to come."""
+        patience = TABLE_WAIT if request.patience is None else min(TABLE_WAIT, request.patience // 2)
+        while self._state.table is None and self._clock() < request.arrived_at + patience:
+            await asyncio.sleep(WORKER_LOOK)
+        return self._state.table
+
     def _flow(self, request: ClientRequest, route: Route) -> Flow:
         patience = route.timeout_ms * 1_000
         if request.patience is not None:
@@ -168,6 +184,8 @@
             if flow.sends and not self._may_send_again(flow):
                 break
             choice = self._choose(flow)
+            if choice is None and not flow.tried:
+                choice = await self._wait_for_worker(flow)
             if choice is None:
                 break
             if await self._attempt(flow, choice, reply):
@@ -204,7 +222,9 @@
         worker, placement = choice.worker, self._state.placement
         send = placement.sent(choice, False, flow.prompt, self._clock())
         reads = flow.reads
-        call = self._call(flow, choice, (("Phase", Stage.PREFILL.value),))
+        call = self._call(
+            flow, choice, (("Phase", Stage.PREFILL.value), ("Priority", str(rank_of_read(choice.tokens))))
+        )
         try:
             answer = await self._client.send(call, lambda: self._may_write(flow, choice, reading=True))
             try:
@@ -233,6 +253,16 @@
 
     # --- attempts ---
 
+    async def _wait_for_worker(self, flow: Flow) -> Choice | None:
+        """No worker of the service is known: after a start they are about to be."""
+        end = min(self._clock() + WORKER_WAIT, flow.deadline - LEAST_LEFT)
+        while self._clock() < end:
+            await asyncio.sleep(WORKER_LOOK)
+            choice = self._choose(flow)
+            if choice is not None:
+                return choice
+        return None
+
     def _choose(self, flow: Flow) -> Choice | None:
         placement, now = self._state.placement, self._clock()
         if not flow.has_phases:
--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -100,6 +100,7 @@
         self._present: dict[str, Mean] = {}  # by service: whether homes have what nobody has told of
         self.workers: dict[str, WorkerEstimate] = {}  # by instance
         self.services: dict[str, Service] = {}
+        self.switching: set[str] = set()  # instances that are changing their part
         self.newly_cached: list[CachedPart] = []  # not told to other routers yet
         self.load_changed: Callable[[], None] = lambda: None  # own work has changed
 
@@ -177,6 +178,7 @@
             if each.record.service == service
             and each.takes_work
             and instance not in tried
+            and instance not in self.switching
             and (not phase or each.record.phase == phase)
         ]
         return [each for each in listed if now >= each.shut_until] or listed
--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -14,7 +14,9 @@
 from hazelbend.control.config_machine import ChangeResult, StoredConfig, plain_body
 from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
 from hazelbend.control.engine import Answer, ControlEngine, ControlPlan, PutDone, ReadDone, Spoken, WorkerDone
-from hazelbend.control.load_table import CachedPart, LoadNews, LoadTable, RouterLoad
+from hazelbend.control.load_table import CachedPart, CacheTable, LoadNews, LoadTable, RouterLoad
+from hazelbend.control.phase_planner import PhaseOrder
+from hazelbend.control.workers import WorkerState
 from hazelbend.fleet import memory_file
 from hazelbend.fleet.members import address_of
 from hazelbend.fleet.record import Memory
@@ -23,6 +25,8 @@
 from hazelbend.transport.asgi_server import AsgiServer, HttpAnswer, HttpCall
 from hazelbend.transport.control_store import ControlStore, Part, StoreError
 from hazelbend.transport.frame_link import FrameConnection, FrameLink, FrameServer
+from hazelbend.transport.soft_state_file import read_soft_state, write_soft_state
+from hazelbend.transport.worker_orders import Order, OrderResult, send_order
 
 log = picologging.getLogger("hazelbend.control")
 
@@ -30,7 +34,10 @@
 ANSWER_WAIT = 0.9  # seconds that a call waits for an answer of the engine
 LEADER_WAIT = 0.7  # seconds that a call waits for a leader to be known
 LEADER_LOOK = 0.02
+SOFT_STATE = "soft-state"  # file beside the store
+SOFT_STATE_EVERY = 0.7  # seconds between two writes of it
 STORE_PAUSE = 0.2  # seconds until a disk that refused is tried again
+PLAN_EVERY = 0.5  # seconds between two looks at the parts that workers play
 FLEET_NEWS_EVERY = 0.5  # seconds between two words to routers on the fleet
 LOADS_EVERY, LOADS_EVERY_PER_ROUTER = 0.03, 0.0015  # seconds between two reports of load to routers
 SHORTEST_WAIT = 0.001  # seconds between two ticks
@@ -61,6 +68,7 @@
             may_found=settings.bootstrap,
             tolerance=settings.tolerance,
             heartbeat=settings.heartbeat,
+            lease=settings.lease,
         )
         self._store = ControlStore(settings.data_folder) if settings.data_folder else None
         self._server = FrameServer(self._hear, self._gone)
@@ -71,12 +79,16 @@
         self._waiting: dict[int, asyncio.Future[Answer]] = {}
         self._config = StoredConfig()  # what routers may be told
         self._saving: asyncio.Task[None] | None = None
+        self._stored_commit = 0
         self._store_begun = False  # the whole memory is in the store
         self._wake: asyncio.TimerHandle | None = None
         self._telling: list[asyncio.Task[None]] = []
         self._loads = LoadTable()
         self._loads_changed = False
         self._cached: list[CachedPart] = []  # not told yet
+        self._caches = CacheTable()
+        self._soft_path = settings.data_folder / SOFT_STATE if settings.data_folder else None
+        self._soft_written = b""
         self._led = ""
         self._closed = False
         self._engine: ControlEngine
@@ -85,17 +97,24 @@
 
     async def start(self) -> None:
         """Recall, then serve."""
-        memory = await self._recall()
+        recalled = await self._recall()
+        memory = recalled[0] if recalled is not None else None
         identity = f"{secrets.token_hex(4)}@{self._plan.address}"
         self._store_begun = memory is not None
         self._engine = ControlEngine(identity, self._plan, secrets.randbits(63), clock(), time.time, memory)
+        if recalled is not None:
+            self._engine.record.recall_commit(recalled[1], clock())
+            self._stored_commit = recalled[1]
+            self._config = self._engine.machine.current
         log.info("control: this is %s, %s", self._engine.me, "recalled" if memory else "new")
         await self._server.listen(*split_address(self._plan.address))
         await self._api.listen(*split_address(self._settings.control))
-        self._telling = [asyncio.create_task(each()) for each in (self._tell_routers, self._tell_loads)]
+        self._recall_soft_state()
+        upkeep = (self._tell_routers, self._tell_loads, self._plan_phases, self._keep_soft_state)
+        self._telling = [asyncio.create_task(each()) for each in upkeep]
         self._pump()
 
-    async def _recall(self) -> Memory | None:
+    async def _recall(self) -> tuple[Memory, int] | None:
         while self._store is not None:
             try:
                 return await self._store.open(self._plan.address)
@@ -104,6 +123,31 @@
                 await asyncio.sleep(STORE_PAUSE)
         return None
 
+    def _recall_soft_state(self) -> None:
+        content = read_soft_state(self._soft_path) if self._soft_path is not None else None
+        if content is None:
+            return
+        try:
+            state = m.decode_soft_state(content)
+        except msgspec.DecodeError as error:
+            log.warning("control: soft state: %s; not used", error)
+            return
+        self._engine.recall_workers(state.workers, clock())
+        self._caches.add(state.cached)
+
+    async def _keep_soft_state(self) -> None:
+        while self._soft_path is not None:
+            await asyncio.sleep(SOFT_STATE_EVERY)
+            state = m.SoftState(self._engine.registry.records(), self._caches.all())
+            content = m.encode_soft_state(state)
+            if content == self._soft_written:
+                continue
+            try:
+                await asyncio.to_thread(write_soft_state, self._soft_path, content)
+                self._soft_written = content
+            except OSError as error:
+                log.warning("control: soft state: %s", error)
+
     async def close(self) -> None:
         """Hand the lead over and end."""
         if self._engine.hand_over(clock()):
@@ -157,6 +201,8 @@
                 if parts and self._store is not None and not await self._stored(parts):
                     return
                 self._say(said)
+            if self._store is not None and engine.record.commit != self._stored_commit:
+                await self._stored([])
         finally:
             self._saving = None
 
@@ -167,7 +213,9 @@
         try:
             if not self._store_begun:
                 parts = memory_file.whole_parts(engine.record.memory)
-            await self._store.save(parts)
+            commit = engine.record.commit
+            await self._store.save(parts, commit)
+            self._stored_commit = commit
             self._store_begun = True
             return True
         except StoreError as error:
@@ -185,6 +233,8 @@
         for answer in said.answers:
             self._answer(answer)
         for record in said.news:
+            if record.state is WorkerState.GONE:
+                self._caches.forget(record.instance)
             state = record.state.name.lower()
             log.info("control: worker %s %s %s %s", record.instance, record.service, record.phase, state)
         if said.news:
@@ -235,6 +285,9 @@
         now, registry = clock(), self._engine.registry
         connection.send(m.encode(self._engine.fleet_news(now)))
         connection.send(m.encode(m.WorkerNews(0, registry.records(), registry.ages(now))))
+        connection.send(
+            m.encode(LoadNews(self._loads.without(self._loads.totals(), watch.router), self._caches.all()))
+        )
         if self._config.version > watch.version:
             connection.send(m.encode(m.ConfigNews(self._config.version, self._config.body)))
 
@@ -247,6 +300,7 @@
         if not self._loads.merge(load, clock()):
             return
         self._cached += load.cached
+        self._caches.add(load.cached)
         self._loads_changed = True
         if connection in self._watchers:  # from the router itself: others may not watch this process
             frame = m.encode(load)
@@ -267,6 +321,27 @@
                 loads = self._loads.without(totals, watcher.router)
                 connection.send(m.encode(LoadNews(loads, cached)))
 
+    async def _plan_phases(self) -> None:
+        while True:
+            await asyncio.sleep(PLAN_EVERY)
+            for order in self._engine.phase_orders(self._loads.totals(), clock()):
+                await self._order(order)
+
+    async def _order(self, order: PhaseOrder) -> None:
+        """Let routers know first, then order, if this process still leads."""
+        self._tell(self._engine.fleet_news(clock()))
+        number = self._engine.read(clock())
+        self._pump()
+        confirmed = await self._wait_for(number) if number is not None else None
+        if not isinstance(confirmed, ReadDone) or confirmed.config is None:
+            self._engine.planner.refused(order)
+            return
+        call = Order("phase", order.phase, self._engine.me, self._engine.fencing_token)
+        result = await send_order(order.address, order.instance, call)
+        log.info("control: %s is to %s: %s", order.instance, order.phase, result.value)
+        if result is OrderResult.REFUSED:
+            self._engine.planner.refused(order)
+
     def _tell(self, body: m.Body) -> None:
         frame = m.encode(body)
         for connection in list(self._watchers):
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -135,6 +135,7 @@
         self._watches.learn(news.controls)
         self._state.routers = max(self._state.routers, news.routers)
         self._state.is_current = True
+        self._placement.switching = set(news.switching)
         self._heard(news.ages)
         self._load_changed()  # told again now and then, as words may be lost
 
--- a/hazelbend/system/settings.py
+++ b/hazelbend/system/settings.py
@@ -59,6 +59,7 @@
     retryRatio = fields.Float(load_default=0.2)  # noqa: N815
     retryWindowS = fields.Float(load_default=10, validate=validate.Range(min=0.1))  # noqa: N815
     retrySlack = fields.Float(load_default=10)  # noqa: N815
+    leaseMs = fields.Float(load_default=3_000)  # noqa: N815
 
 
 class _Settings(_Table):
@@ -108,6 +109,7 @@
     retry_ratio: float
     retry_window: int
     retry_slack: float
+    lease: int
 
     @property
     def control_peer(self) -> str:
@@ -170,4 +172,5 @@
         retry_ratio=bounds["retryRatio"],
         retry_window=round(bounds["retryWindowS"] * SECOND),
         retry_slack=bounds["retrySlack"],
+        lease=round(bounds["leaseMs"] * MILLISECOND),
     )
--- a/hazelbend/transport/control_store.py
+++ b/hazelbend/transport/control_store.py
@@ -46,22 +46,23 @@
         self._folder = folder
         self._thread = ThreadPoolExecutor(1, "control-store")
         self._connection: sqlite3.Connection | None = None
+        self._commit = 0  # as read
 
-    async def open(self, address: str) -> Memory | None:
-        """The memory that is kept there, if it is of this address.
+    async def open(self, address: str) -> tuple[Memory, int] | None:
+        """The memory that is kept there, if it is of this address, and up to which index it was committed.
 
         Raises:
             sqlite3.Error, OSError: the disk refuses; it may be tried again.
         """
         return await self._run(self._open, address)
 
-    async def save(self, parts: Sequence[Part]) -> None:
-        """On the disk when it returns, all or nothing.
+    async def save(self, parts: Sequence[Part], commit: int) -> None:
+        """On the disk when it returns, all or nothing. `commit`: all up to this index is committed.
 
         Raises:
             sqlite3.Error, OSError: nothing was changed.
         """
-        await self._run(self._save, parts)
+        await self._run(self._save, parts, commit)
 
     async def close(self) -> None:
         """Wait for the command that runs, and let the file go."""
@@ -73,7 +74,7 @@
 
     # --- in the store's thread ---
 
-    def _open(self, address: str) -> Memory | None:
+    def _open(self, address: str) -> tuple[Memory, int] | None:
         self._close()
         self._folder.mkdir(parents=True, exist_ok=True)
         try:
@@ -88,7 +89,7 @@
             raise
         if memory is None or not memory.identity.endswith(f"@{address}"):
             return None
-        return memory
+        return memory, self._commit
 
     def _connect(self) -> None:
         connection = sqlite3.connect(
@@ -112,6 +113,7 @@
         rows = dict(self._connection.execute("SELECT kind, content FROM part"))
         if "promise" not in rows:
             return None
+        self._commit = int(rows.get("commit", b"0"))
         memory = Memory("")
         try:
             memory_file.take(memory, _promises.decode(rows["promise"]))
@@ -124,7 +126,7 @@
             raise DamagedError(str(error)) from None
         return memory
 
-    def _save(self, parts: Sequence[Part]) -> None:
+    def _save(self, parts: Sequence[Part], commit: int) -> None:
         connection = self._connection
         if connection is None:
             self._connect()
@@ -134,6 +136,7 @@
         try:
             for part in parts:
                 self._write(connection, part)
+            connection.execute("INSERT OR REPLACE INTO part VALUES ('commit', ?)", (b"%d" % commit,))
             connection.execute("COMMIT")
         except BaseException:
             if connection.in_transaction:
--- a/hazelbend/transport/frame_link.py
+++ b/hazelbend/transport/frame_link.py
@@ -12,6 +12,7 @@
 UNSENT = 4 * 1024 * 1024  # bytes that may wait to be sent; more is dropped, as the other side does not read
 USER_TIMEOUT_MS = 1_200  # without a sign that bytes have arrived, the connection ends
 KEEPALIVE_S, KEEPALIVE_PROBES = 1, 2
+MOST_UNSENT = 16  # frames that wait for a connection
 CONNECT_WAIT = 0.5  # seconds
 FIRST_PAUSE, LONGEST_PAUSE = 0.05, 0.4  # seconds between two tries to connect
 
@@ -107,7 +108,9 @@
         self.address = address
         self._hear, self._opened, self._closed = hear, opened, closed
         self._connection: FrameConnection | None = None
+        self._connecting = True
         self._ended = asyncio.Event()
+        self._unsent: list[bytes] = []  # while it is being connected
         self._task = asyncio.create_task(self._keep())
 
     @property
@@ -121,8 +124,13 @@
         return self._connection.heard_at if self._connection is not None else 0.0
 
     def send(self, content: bytes) -> bool:
-        """Send a frame if there is a connection; else it is lost: False."""
-        return self._connection is not None and self._connection.send(content)
+        """Send a frame. While a connection is being made a few may wait; else it is lost: False."""
+        if self._connection is not None:
+            return self._connection.send(content)
+        if self._connecting and len(self._unsent) < MOST_UNSENT:
+            self._unsent.append(content)
+            return True
+        return False
 
     def restart(self) -> None:
         """The other side is silent: end the connection and make another."""
@@ -135,12 +143,15 @@
         pause = FIRST_PAUSE
         while True:
             self._ended.clear()
+            self._connecting = True
             try:
                 async with asyncio.timeout(CONNECT_WAIT):
                     _, connection = await loop.create_connection(
                         lambda: FrameConnection(self._heard, self._up, self._down), host, int(port)
                     )
             except (OSError, TimeoutError):
+                self._connecting = False
+                self._unsent.clear()
                 await asyncio.sleep(pause)
                 pause = min(pause * 2, LONGEST_PAUSE)
                 continue
@@ -153,8 +164,11 @@
         self._hear(frame)
 
     def _up(self, connection: FrameConnection) -> None:
-        self._connection = connection
+        self._connection, self._connecting = connection, False
         self._opened()
+        for content in self._unsent:
+            connection.send(content)
+        self._unsent.clear()
 
     def _down(self, connection: FrameConnection) -> None:
         if self._connection is connection:
