Simulated fleets of control processes; tests of configuration, workers, phases, placement

Need: agreement shown by search and not by luck. Found by the new tests: the choice between a pair and one worker left out the second call's time to its first event (a prompt of 400 tokens was read apart); now learnt.

--- a/hazelbend/forwarding/forwarder.py
+++ b/hazelbend/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -322,15 +322,13 @@
             flow.begun = True
             await reply.begin(answer.status, answer.headers)
         if not flow.route.resume:
-            async for chunk in answer.chunks():
-                self._first_event(send)
+            async for chunk in _after_first(answer.chunks(), lambda: self._first_event(send)):
                 await reply.write(chunk)
         else:
             if flow.events is None:
                 flow.events = EventSplitter()
             flow.events.restart()
-            async for chunk in answer.chunks():
-                self._first_event(send)
+            async for chunk in _after_first(answer.chunks(), lambda: self._first_event(send)):
                 if whole := flow.events.feed(chunk):
                     await reply.write(whole)
             if flow.events.has_rest:
@@ -338,9 +336,12 @@
         await reply.finish()
 
     def _first_event(self, send: Send) -> None:
+        placement, now = self._state.placement, self._clock()
         if send.units:  # it has read the prompt itself
-            self._state.placement.read(send, self._clock())
-            self._state.placement.has_read(send)
+            placement.read(send, now)
+            placement.has_read(send)
+        else:
+            placement.first_event(send, now)
 
     def _call(self, flow: Flow, choice: Choice, extra: Headers) -> WorkerCall:
         record = choice.worker.record
@@ -409,3 +410,13 @@
             task.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _after_first(chunks: AsyncIterator[bytes], tell: Callable[[], None]) -> AsyncIterator[bytes]:
+    """The same chunks; `tell` is called as the first one comes."""
+    first = True
+    async for chunk in chunks:
+        if first:
+            first = False
+            tell()
+        yield chunk
--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -28,6 +28,8 @@
 WHOLE_PACE = 2.2  # times as long, at a worker that makes tokens in between
 FIRST_RUN = 200_000  # microseconds that a request is taken to run until runs have told
 SLOWNESS_MEMORY, SLOWNESS_PRIOR = 20.0, 4.0  # samples that a worker's slowness rests on
+FIRST_TOKEN = 20_000  # microseconds from a send whose prompt is read to its first event, until runs tell
+FIRST_TOKEN_PRIOR, FIRST_TOKEN_MEMORY = 4.0, 30.0  # samples that this rests on
 CLEAR = 0.25  # part of a sample's reading that may have been estimated to lie before it
 PRESENT_PRIOR, PRESENT_MEMORY = 3.0, 20.0  # samples of whether a home has what nobody has told of
 PRESENT_FIRST = 0.5  # the part of homes that have it, until runs have told
@@ -97,6 +99,7 @@
         self._random = random.Random(seed)
         self._models: dict[tuple[str, str], ReadModel] = {}  # by service and phase
         self._reads: dict[str, dict[Send, None]] = {}  # own reads under way, by instance
+        self._first_tokens: dict[str, Mean] = {}  # by service: from a send with its prompt read to its event
         self._present: dict[str, Mean] = {}  # by service: whether homes have what nobody has told of
         self.workers: dict[str, WorkerEstimate] = {}  # by instance
         self.services: dict[str, Service] = {}
@@ -250,6 +253,9 @@
             self._models[key] = ReadModel(FIRST_OVERHEAD, times * FIRST_PACE)
         return self._models[key]
 
+    def _first_token(self, service: str) -> Mean:
+        return self._first_tokens.setdefault(service, Mean())
+
     def _presence(self, service: str) -> Mean:
         return self._present.setdefault(service, Mean())
 
@@ -258,7 +264,8 @@
     ) -> Choice:
         first_token = worker.running.delay(1.0, now) + self._distance(worker)
         if source is not None:
-            return Choice(worker, 0, first_token + self._move(worker, prompt, source))
+            overhead = self._first_token(worker.record.service).beside(FIRST_TOKEN, FIRST_TOKEN_PRIOR)
+            return Choice(worker, 0, overhead + first_token + self._move(worker, prompt, source))
         cached = worker.holds(prompt.shared)
         tokens = max(prompt.tokens - cached, 0)
         units = tokens / UNIT
@@ -357,6 +364,11 @@
         worker.slowness.add(min(max(elapsed / model.expected(read), 0.3), 3.0), SLOWNESS_MEMORY)
         model.sample(read, elapsed)
 
+    def first_event(self, send: Send, now: int) -> None:
+        """Its first event has come, of a prompt that was read elsewhere."""
+        mean = self._first_token(send.worker.record.service)
+        mean.add(min(now - send.sent_at, 10 * FIRST_TOKEN), FIRST_TOKEN_MEMORY)
+
     def moved(self, send: Send, prompt: Prompt) -> None:
         """The worker that makes the tokens keeps the prompt's parts as well."""
         self._remember(send.worker, prompt)
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,399 @@
+"""The control plane's engines: configurations and their findings, workers, agreement under faults."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from benchmarks import control_sim
+from benchmarks.control_sim import MS, Fleet, Operators, S, play, whole
+from hazelbend.control import messages as m
+from hazelbend.control.config_machine import ChangeResult, ConfigMachine, change_entry, plain_body
+from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
+from hazelbend.control.load_table import CachedPart, CacheTable, Load, LoadTable, RouterLoad
+from hazelbend.control.phase_planner import PhaseOrder, PhasePlanner
+from hazelbend.control.workers import WorkerRecord, WorkerRegistry, WorkerState
+
+NO_WEIGHT = {"split": [{"backend": "s", "weight": 0}]}
+ROUTE = {"name": "r", "host": "a.example", "prefix": "/x/", "kind": "safe", "timeoutMs": 100, "backend": "s"}
+
+
+def configuration(**changes: object) -> dict[str, object]:
+    return {"version": 3, "routes": [dict(ROUTE)], "services": [{"name": "s"}]} | changes
+
+
+def findings(document: object) -> list[str]:
+    with pytest.raises(InvalidConfigurationError) as caught:
+        check_configuration(json.dumps(document).encode())
+    return [each.place for each in caught.value.findings]
+
+
+# --- configurations ---
+
+
+def test_a_configuration_that_is_right_tells_its_version_and_unknown_fields_are_ignored():
+    document = configuration(colour="red")
+    document["routes"][0]["shape"] = "round"
+    assert check_configuration(json.dumps(document).encode()) == 3
+
+
+@pytest.mark.parametrize(
+    ("changes", "place"),
+    [
+        ({"version": 0}, "version"),
+        ({"version": "3"}, "version"),
+        ({"routes": [ROUTE | {"backend": "nobody"}]}, "routes[0].backend"),
+        ({"routes": [ROUTE, ROUTE | {"name": "q"}]}, "routes[1].prefix"),
+        ({"routes": [ROUTE | {"timeoutMs": 0}]}, "routes[0].timeoutMs"),
+        ({"routes": [ROUTE | {"prefix": "x"}]}, "routes[0].prefix"),
+        ({"routes": [{k: v for k, v in ROUTE.items() if k != "backend"}]}, "routes[0]"),
+        ({"routes": [{k: v for k, v in ROUTE.items() if k != "backend"} | NO_WEIGHT]}, "routes[0].split"),
+        ({"routes": [{k: v for k, v in ROUTE.items() if k != "kind"}]}, "routes[0].kind"),
+        ({"services": [{"name": "s"}, {"name": "s"}]}, "services[1].name"),
+        ({"limits": {"maxBodyBytes": 0}}, "limits.maxBodyBytes"),
+    ],
+)  # fmt: skip
+def test_each_fault_is_found_at_its_place(changes, place):
+    assert findings(configuration(**changes)) == [place]
+
+
+def test_all_faults_are_reported_together():
+    routes = [ROUTE | {"timeoutMs": 0}, ROUTE | {"kind": "odd"}]
+    assert findings(configuration(version=-1, routes=routes)) == [
+        "version", "routes[0].timeoutMs", "routes[1].kind"]  # fmt: skip
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[]", b'{"version":3'])
+def test_what_is_no_whole_document_is_refused(body):
+    with pytest.raises(InvalidConfigurationError):
+        check_configuration(body)
+
+
+def test_a_change_is_taken_on_the_version_that_it_builds_on_and_again_for_ever():
+    machine = ConfigMachine()
+    first, second, rival = b'{"v":4}', b'{"v":7}', b'{"v":8}'
+    assert machine.apply(1, change_entry(0, 4, first)) is ChangeResult.ACCEPTED
+    assert machine.apply(2, change_entry(0, 5, rival)) is ChangeResult.CONFLICT
+    assert machine.apply(3, change_entry(4, 4, rival)) is ChangeResult.NOT_ABOVE
+    assert machine.apply(4, change_entry(4, 7, second)) is ChangeResult.ACCEPTED
+    assert machine.apply(5, change_entry(0, 4, first)) is ChangeResult.ACCEPTED, "sent again, versions later"
+    assert machine.apply(6, change_entry(0, 4, rival)) is ChangeResult.CONFLICT, "another one of that number"
+    other = ConfigMachine()
+    other.restore(machine.snapshot())
+    assert plain_body(other.current) == second
+    assert other.apply(7, change_entry(0, 4, first)) is ChangeResult.ACCEPTED, "also from a snapshot"
+
+
+# --- workers ---
+
+
+def record(instance: str = "i-1", seq: int = 1, **more: object) -> WorkerRecord:
+    values = {"service": "s", "address": "10.9.0.1:80", "zone": "z", "state": WorkerState.READY} | more
+    return WorkerRecord(instance=instance, seq=seq, **values)
+
+
+def test_records_merge_alike_in_any_order_and_the_end_is_final():
+    history = [
+        record(seq=1),
+        record(seq=5, state=WorkerState.DRAINING),
+        record(seq=3),
+        record(seq=2, state=WorkerState.GONE),
+        record(seq=9),
+    ]
+    for order in (history, history[::-1], history[2:] + history[:2]):
+        registry = WorkerRegistry(S)
+        for each in order:
+            registry.merge(each, 0)
+        assert registry.listed["i-1"].record.state is WorkerState.GONE
+
+
+def test_a_late_heartbeat_changes_nothing_and_tells_nobody():
+    registry = WorkerRegistry(S)
+    assert registry.merge(record(seq=4, state=WorkerState.DRAINING), 10) == [
+        record(seq=4, state=WorkerState.DRAINING)
+    ]
+    assert registry.merge(record(seq=3), 20) == []
+    assert registry.listed["i-1"].record.state is WorkerState.DRAINING
+    assert registry.merge(record(seq=5, state=WorkerState.DRAINING), 30) == [], (
+        "nothing that a router must know"
+    )
+
+
+def test_a_new_instance_at_an_address_ends_the_old_one():
+    registry = WorkerRegistry(S)
+    registry.merge(record(), 0)
+    changed = registry.merge(record("i-2"), 0)
+    assert [(each.instance, each.state) for each in changed] == [
+        ("i-1", WorkerState.GONE), ("i-2", WorkerState.READY)]  # fmt: skip
+
+
+def test_silence_is_a_mark_first_and_an_end_much_later():
+    registry = WorkerRegistry(S)
+    registry.merge(record(), 0)
+    listed = registry.listed["i-1"]
+    assert not registry.is_silent(listed, 2 * S) and registry.is_silent(listed, 3 * S)
+    registry.expire(9 * S)
+    assert "i-1" in registry.listed
+    registry.hear("i-1", 8 * S)
+    registry.expire(11 * S)
+    assert "i-1" in registry.listed, "another process has heard it"
+    registry.expire(30 * S)
+    assert "i-1" not in registry.listed
+
+
+# --- loads and caches ---
+
+
+def test_a_router_is_told_what_all_others_have_under_way():
+    table = LoadTable()
+    table.merge(RouterLoad("a", 1, {"i": Load(2, 300), "j": Load(1, 0)}), 0)
+    table.merge(RouterLoad("b", 1, {"i": Load(1, 50)}), 0)
+    assert table.totals() == {"i": Load(3, 350), "j": Load(1, 0)}
+    assert table.without(table.totals(), "a") == {"i": Load(1, 50)}
+    assert table.without(table.totals(), "new") == table.totals()
+    assert not table.merge(RouterLoad("a", 1, {}), 1), "an old word"
+    assert table.merge(RouterLoad("a", 2, {}), 1)
+    table.expire(10 * S)
+    assert table.totals() == {}
+
+
+def test_caches_are_known_by_worker_until_it_ends():
+    table = CacheTable()
+    table.add([CachedPart("i", "p", 10), CachedPart("j", "q", 20)])
+    table.forget("i")
+    assert table.all() == (CachedPart("j", "q", 20),)
+
+
+def test_soft_state_and_messages_survive_their_encoding():
+    state = m.SoftState((record(),), (CachedPart("i", "p", 1),))
+    assert m.decode_soft_state(m.encode_soft_state(state)) == state
+    for body in (m.Ping(), m.Watch("r", 3), m.WorkerNews(1, (record(),), {"i-1": 5}), RouterLoad("a", 1, {})):
+        assert m.decode(m.encode(body)) == body
+
+
+# --- agreement: stories ---
+
+
+@pytest.fixture
+def fleet() -> Fleet:
+    """Three machines that have come together."""
+    made = Fleet(7, loss=0.0)
+    assert made.until(lambda: whole(made, 3), 5 * S)
+    return made
+
+
+def results_of(fleet: Fleet, *, base: int, version: int, body: bytes, at: str | None = None) -> list[object]:
+    """Given a fleet, when a change is sent to a machine (the leader), then: what it is told."""
+    told: list[object] = []
+    fleet.put(at or fleet.leader.address, base, version, body, told.append)
+    fleet.until(lambda: bool(told), 2 * S)
+    return told
+
+
+@pytest.mark.parametrize("machines", [1, 2, 3, 4, 5, 6, 7])
+def test_a_first_start_brings_all_together_under_one_leader(machines):
+    fleet = Fleet(3, machines, tolerance=(machines - 1) // 2)
+    assert fleet.until(
+        lambda: fleet.leader is not None and len(fleet.leader.engine.record.voters) == machines, 4 * S
+    )
+    assert len({each.engine.record.memory.epoch for each in fleet.alive}) == 1
+    fleet.run(2 * S)
+    assert sum(each.engine.record.leads for each in fleet.alive) == 1
+
+
+def test_nothing_is_acknowledged_by_too_few_copies():
+    fleet = Fleet(5)
+    fleet.run(1)
+    for address in fleet.addresses[1:]:
+        fleet.kill(address)
+        fleet.machines[address].removed = True
+    fleet.run(5 * S)
+    assert fleet.leader.engine.record.voters == (fleet.leader.engine.me,)
+    assert results_of(fleet, base=0, version=1, body=b"{}") == [None]
+
+
+def test_a_wiped_machine_never_founds_and_comes_back_as_somebody_new(fleet):
+    victim = next(each for each in fleet.alive if each is not fleet.leader)
+    before = victim.engine.me
+    fleet.wipe(victim.address)
+    fleet.run(200 * MS)
+    fleet.start(victim.address)
+    assert fleet.until(lambda: victim.engine.me in fleet.leader.engine.record.voters, 4 * S)
+    assert fleet.until(lambda: before not in fleet.leader.engine.record.voters, 4 * S)
+
+
+def test_a_machine_at_a_new_address_takes_the_place_of_one_that_is_gone(fleet):
+    gone = fleet.leader.address
+    new = fleet.replace(gone)
+    assert fleet.until(lambda: fleet.machines[new].engine is not None, 2 * S)
+    assert fleet.until(
+        lambda: (
+            fleet.leader is not None
+            and {each.rpartition("@")[2] for each in fleet.leader.engine.record.voters}
+            == {*fleet.addresses, new} - {gone}
+        ),
+        8 * S,
+    )
+
+
+def test_what_was_acknowledged_outlives_power_and_a_disk(fleet):
+    operators = Operators(fleet)
+    assert results_of(fleet, base=0, version=2, body=b'{"a":1}') == [ChangeResult.ACCEPTED]
+    operators.acknowledged[2], operators.newest = (0, b'{"a":1}'), 2
+    leader = fleet.leader.address
+    for machine in list(fleet.alive):
+        fleet.kill(machine.address)
+    fleet.wipe(leader)
+    for address in fleet.addresses:
+        fleet.at(500 * MS, lambda address=address: fleet.start(address))
+    fleet.run(4 * S)
+    operators.check_end()
+
+
+def test_what_was_in_force_is_again_before_anybody_leads(fleet):
+    assert results_of(fleet, base=0, version=2, body=b'{"a":1}') == [ChangeResult.ACCEPTED]
+    assert results_of(fleet, base=2, version=3, body=b'{"a":2}') == [ChangeResult.ACCEPTED]
+    follower = next(each for each in fleet.alive if each is not fleet.leader)
+    fleet.run(1 * S)
+    fleet.kill(follower.address)
+    for other in fleet.addresses:
+        fleet.cut(follower.address, other)
+    fleet.start(follower.address)
+    assert follower.engine.machine.current.version >= 2
+
+
+def test_a_change_that_is_sent_again_to_another_leader_is_still_taken(fleet):
+    body = b'{"a":1}'
+    assert results_of(fleet, base=0, version=2, body=body) == [ChangeResult.ACCEPTED]
+    assert results_of(fleet, base=2, version=5, body=b'{"a":2}') == [ChangeResult.ACCEPTED]
+    old = fleet.leader.address
+    fleet.kill(old)
+    assert fleet.until(lambda: fleet.leader is not None and fleet.leader.address != old, 4 * S)
+    assert results_of(fleet, base=0, version=2, body=body) == [ChangeResult.ACCEPTED]
+    assert results_of(fleet, base=0, version=2, body=b'{"a":9}') == [ChangeResult.CONFLICT]
+
+
+def test_a_disk_that_is_full_silences_its_machine_and_another_leads(fleet):
+    old = fleet.leader
+    old.disk.full = True
+    results_of(fleet, base=0, version=2, body=b"{}")
+    assert fleet.until(lambda: fleet.leader is not None and fleet.leader is not old, 4 * S)
+    assert results_of(fleet, base=0, version=2, body=b"{}") == [ChangeResult.ACCEPTED]
+    assert old.engine is not None, "its process goes on"
+    old.disk.full = False
+    fleet.run(3 * S)
+    assert old.engine.machine.current.version == 2
+
+
+def test_a_drain_is_acknowledged_once_another_machine_holds_it(fleet):
+    told: list[bool] = []
+    drains = record(seq=4, state=WorkerState.DRAINING)
+    fleet.worker(fleet.addresses[1], drains, told.append)
+    assert told == []
+    fleet.run(100 * MS)
+    assert told == [True]
+    assert all(
+        each.engine.registry.listed["i-1"].record.state is WorkerState.DRAINING for each in fleet.alive
+    )
+
+
+def test_a_drain_that_nobody_else_can_hold_is_not_acknowledged(fleet):
+    lonely = fleet.addresses[1]
+    for other in fleet.addresses:
+        fleet.cut(lonely, other)
+    told: list[bool] = []
+    fleet.worker(lonely, record(seq=4, state=WorkerState.DRAINING), told.append)
+    fleet.run(2 * S)
+    assert told == [False]
+    fleet.worker(lonely, record(seq=5), told.append)
+    assert told == [False, True], "that a worker is ready needs nobody else"
+
+
+@pytest.mark.parametrize("first", [1, 11, 21])
+def test_histories_with_faults_keep_the_rules(first):
+    for seed in range(first, first + 8):
+        play(seed, length=25 * S)
+
+
+@pytest.mark.parametrize(("machines", "tolerance"), [(4, 1), (5, 2), (6, 2)])
+def test_histories_of_larger_cores_keep_the_rules(machines, tolerance):
+    for seed in range(2):
+        play(seed, machines, tolerance, length=20 * S)
+
+
+def test_the_checks_find_a_state_machine_that_compares_nothing(monkeypatch):
+    def apply(self, index, op):
+        from hazelbend.control.config_machine import StoredConfig, _changes
+
+        change = _changes.decode(op)
+        self.current = StoredConfig(change.version, change.body)
+        return ChangeResult.ACCEPTED
+
+    monkeypatch.setattr(ConfigMachine, "apply", apply)
+    with pytest.raises(control_sim.BrokenRuleError):
+        for seed in range(20):
+            play(seed)
+
+
+def test_the_checks_find_an_acknowledgement_before_the_majority(monkeypatch):
+    monkeypatch.setattr(control_sim.ce.Record, "_majority_holds", lambda self: self.memory.last)
+    with pytest.raises(control_sim.BrokenRuleError):
+        for seed in range(40):
+            play(seed)
+
+
+# --- phases ---
+
+
+def model_worker(number: int, phase: str) -> WorkerRecord:
+    return record(f"i-{number}", address=f"10.9.0.{number}:80", phase=phase, capacity=64)
+
+
+def plans(workers: list[WorkerRecord], loads: dict[str, Load], looks: int = 12) -> list[PhaseOrder]:
+    """Given these workers and loads, when a planner looks often, then: its first orders."""
+    planner = PhasePlanner()
+    return [order for look in range(looks) for order in planner.plan(workers, loads, look * S // 2)]
+
+
+def test_an_idle_maker_of_tokens_reads_where_prompts_wait():
+    workers = [model_worker(n, "prefill") for n in range(4)] + [
+        model_worker(n, "decode") for n in range(4, 9)
+    ]
+    loads = {f"i-{n}": Load(2, 3_000) for n in range(4)} | {f"i-{n}": Load(n, 0) for n in range(4, 9)}
+    assert plans(workers, loads)[0] == PhaseOrder("i-4", "10.9.0.4:80", "prefill")
+
+
+def test_nothing_is_ordered_without_need_or_below_what_a_stage_needs():
+    few = [model_worker(n, "prefill") for n in range(3)] + [model_worker(n, "decode") for n in range(3, 5)]
+    waiting = {f"i-{n}": Load(2, 9_000) for n in range(3)}
+    assert plans(few, waiting) == []
+    many = few + [model_worker(n, "decode") for n in range(5, 9)]
+    assert plans(many, {}) == []
+
+
+def test_a_maker_of_tokens_that_is_missing_is_replaced_at_once():
+    workers = [model_worker(n, "prefill") for n in range(3)] + [model_worker(3, "decode")]
+    assert plans(workers, {"i-3": Load(30, 0), "i-0": Load(1, 500)})[0].phase == "decode"
+
+
+def test_one_order_is_under_way_at_a_time():
+    workers = [model_worker(n, "prefill") for n in range(3)] + [model_worker(3, "decode")]
+    assert len(plans(workers, {}, looks=10)) == 1
+
+
+def test_only_a_leader_of_longer_than_a_lease_gives_orders(fleet):
+    leader = fleet.leader
+    for number in range(3):
+        leader.engine.worker_heard(model_worker(number, "prefill"), fleet.now)
+    assert leader.engine.phase_orders({}, fleet.now) == []
+    orders: list[PhaseOrder] = []
+    since = fleet.now
+    while not orders and fleet.now < since + 12 * S:
+        fleet.run(500 * MS)
+        for number in range(3):
+            leader.engine.worker_heard(model_worker(number, "prefill"), fleet.now)
+        orders = leader.engine.phase_orders({}, fleet.now)
+    assert orders and fleet.now - since > leader.engine.plan.lease
+    follower = next(each for each in fleet.alive if each is not leader)
+    assert follower.engine.phase_orders({}, fleet.now + 60 * S) == []
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,227 @@
+"""A router's decisions: routes, prompts, the retry budget, estimates, and the pair for a prompt."""
+
+from __future__ import annotations
+
+import json
+import random
+
+import pytest
+
+from hazelbend.control.load_table import CachedPart, Load
+from hazelbend.control.workers import WorkerRecord, WorkerState
+from hazelbend.placement.engine import Placement
+from hazelbend.placement.prompt import Part, read_prompt
+from hazelbend.placement.read_model import ReadModel
+from hazelbend.placement.retry_budget import RetryBudget
+from hazelbend.placement.routes import RouteTable, Service, read_table
+
+S = 1_000_000
+ENGINE = {"capacity": 64, "kvCapacity": 400_000, "kvTokenBytes": 18_000, "bandwidthMbps": 370_000.0}
+
+
+def table(*routes: dict[str, object]) -> RouteTable:
+    base = {"name": "r", "host": "a.example", "prefix": "/", "kind": "safe", "timeoutMs": 100, "backend": "s"}
+    services = [{"name": "s"}, {"name": "t"}, {"name": "llm", "engine": ENGINE}]
+    document = {"version": 1, "routes": [base | route for route in routes], "services": services}
+    return read_table(json.dumps(document).encode())
+
+
+# --- routes ---
+
+
+def test_the_longest_prefix_of_the_host_wins():
+    routes = table({"prefix": "/a/", "name": "a"}, {"prefix": "/a/b/", "name": "ab"}, {"host": "b.example"})
+    assert routes.find("a.example", "/a/b/c").name == "ab"
+    assert routes.find("A.example:80", "/a/bc").name == "a"
+    assert routes.find("a.example", "/ab/") is None and routes.find("a.example", "/a") is None
+    assert routes.find("b.example", "/anything").prefix == "/"
+    assert routes.find("c.example", "/a/") is None
+
+
+def test_a_split_sends_by_its_weights():
+    split = [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}, {"backend": "u", "weight": 0}]
+    route = table({"split": split, "backend": ""}).find("a.example", "/")
+    chance = random.Random(1)
+    drawn = [route.service(chance) for _ in range(2_000)]
+    assert 150 < drawn.count("t") < 250 and "u" not in drawn
+
+
+@pytest.mark.parametrize(
+    ("kind", "resume", "idempotent"),
+    [("safe", False, True), ("unsafe", False, False), ("stream", False, False), ("stream", True, True)],
+)
+def test_what_may_run_more_than_once(kind, resume, idempotent):
+    assert table({"kind": kind, "resume": resume}).find("a.example", "/").is_idempotent is idempotent
+
+
+# --- prompts ---
+
+
+def test_a_prompt_is_told_by_its_fields():
+    prompt = read_prompt("1460,80", "5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+    assert (prompt.tokens, prompt.most_out) == (1460, 80)
+    assert prompt.shared == (Part("5c1e07a2", 800), Part("91bd3f06", 410))
+    assert prompt.subject == "91bd3f06"
+
+
+@pytest.mark.parametrize(("usage", "parts"), [(None, None), ("", ""), ("x,y", "::"), ("5", "a:b,:3")])
+def test_what_cannot_be_read_counts_as_not_said(usage, parts):
+    prompt = read_prompt(usage, parts)
+    assert prompt.shared == () and prompt.subject == ""
+
+
+# --- the retry budget ---
+
+
+def test_the_sum_over_all_routers_stays_within_every_sliding_window():
+    window, ratio, slack, routers = 10 * S, 0.2, 62.0, 11
+    chance = random.Random(4)
+    budgets = [RetryBudget(ratio, slack, window) for _ in range(routers)]
+    requests: list[int] = []
+    extra: list[int] = []
+    now = 0
+    for _ in range(6_000):
+        now += chance.randrange(20_000)
+        budget = chance.choice(budgets)
+        requests.append(now)
+        budget.request(now)
+        for _ in range(2):
+            if budget.spend(now, routers):
+                extra.append(now)
+    for at in extra:
+        in_window = sum(at - window < each <= at for each in extra)
+        asked = sum(at - window < each <= at for each in requests)
+        assert in_window <= ratio * asked + slack
+    assert len(extra) > 500
+
+
+# --- how long reading takes ---
+
+
+@pytest.mark.parametrize(("overhead", "pace"), [(22_000, 14_000), (120_000, 12_000), (5_000, 40_000)])
+def test_overhead_and_pace_of_reading_are_learnt_though_some_runs_take_longer(overhead, pace):
+    model, chance = ReadModel(22_000, 16_000), random.Random(2)
+    for _ in range(150):
+        units = chance.choice([0.5, 1, 2, 7, 20, 40])
+        late = 400_000 if chance.random() < 0.05 else 0
+        model.sample(units, overhead + pace * units + late)
+    for units in (1, 10, 40):
+        assert model.expected(units) == pytest.approx(overhead + pace * units, rel=0.35)
+
+
+# --- the pair ---
+
+
+def worker(number: int, phase: str = "", zone: str = "z", **more: object) -> WorkerRecord:
+    values = {"state": WorkerState.READY, "seq": 1, "capacity": 64} | more
+    return WorkerRecord(
+        instance=f"i-{number}", service="llm" if phase else "s", address=f"10.9.0.{number}:80",
+        zone=zone, phase=phase, **values)  # fmt: skip
+
+
+@pytest.fixture
+def placement() -> Placement:
+    """Two workers that read, two that make tokens, three without phases."""
+    made = Placement("z", 1)
+    made.services = {"llm": Service("llm", engine=table().services["llm"].engine), "s": Service("s")}
+    for record in (*(worker(n, "prefill") for n in (1, 2)), *(worker(n, "decode") for n in (3, 4))):
+        made.merge(record)
+    for number in (5, 6, 7):
+        made.merge(worker(number, capacity=6))
+    return made
+
+
+LONG = read_prompt("17000,100", "aa:13000,bb:4000")
+SHORT = read_prompt("400,100", "cc:200,dd:200")
+
+
+def test_of_workers_without_phases_the_least_expected_delay_wins(placement):
+    placement.reported({"i-5": Load(6, 0), "i-6": Load(4, 0), "i-7": Load(5, 0)}, (), 0)
+    assert placement.choose("s", 0, set()).worker.record.instance == "i-6"
+    assert placement.choose("s", 0, {"i-6"}).worker.record.instance == "i-7"
+    send = placement.sent(placement.choose("s", 0, set()), True, read_prompt(None, None), 0)
+    for _ in range(3):
+        placement.sent(placement.choose("s", 0, {"i-5", "i-7"}), True, read_prompt(None, None), 0)
+    assert placement.choose("s", 0, set()).worker.record.instance == "i-7", "own later sends count"
+    placement.ended(send)
+
+
+def test_what_others_had_there_departs_as_time_passes(placement):
+    estimate = placement.workers["i-5"].running
+    placement.reported({"i-5": Load(6, 0)}, (), 0)
+    assert estimate.expected(0) == pytest.approx(6)
+    assert estimate.expected(100_000) < 5.5 and estimate.expected(10 * S) < 3
+
+
+def test_a_long_prompt_is_read_apart_and_a_short_one_by_who_makes_its_tokens(placement):
+    pair = placement.choose_pair("llm", LONG, 0, set())
+    assert pair.reader.worker.record.phase == "prefill" and pair.runner.worker.record.phase == "decode"
+    assert placement.choose_pair("llm", SHORT, 0, set()).reader is None
+
+
+def test_a_prompt_goes_where_its_parts_are_kept_also_where_another_router_had_them_read(placement):
+    for keeper in ("i-1", "i-2"):
+        fresh = Placement("z", 3)
+        fresh.services, fresh.workers = placement.services, placement.workers
+        subject = f"part-{keeper}"
+        prompt = read_prompt("17000,100", f"{subject}:13000,bb:4000")
+        placement.reported({}, (CachedPart(keeper, subject, 13_000),), 0)
+        pair = placement.choose_pair("llm", prompt, 0, set())
+        assert pair.reader.worker.record.instance == keeper and pair.reader.tokens == 4_000
+
+
+def test_a_reader_with_much_to_read_is_passed_over_for_one_that_keeps_nothing(placement):
+    placement.reported({"i-1": Load(5, 60_000)}, (CachedPart("i-1", "aa", 13_000),), 0)
+    assert placement.choose_pair("llm", LONG, 0, set()).reader.worker.record.instance == "i-2"
+
+
+def test_all_routers_send_a_subject_of_which_nothing_is_known_to_the_same_worker():
+    homes = set()
+    for seed in range(5):
+        made = Placement("z", seed)
+        made.services = {"llm": Service("llm", engine=table().services["llm"].engine)}
+        for number in random.Random(seed).sample(range(1, 9), 8):
+            made.merge(worker(number, "prefill" if number < 7 else "decode"))
+        homes.add(made.choose_pair("llm", LONG, 0, set()).reader.worker.record.instance)
+    assert len(homes) == 1
+
+
+def test_own_reads_count_by_what_is_left_of_them(placement):
+    send = placement.sent(placement.choose_pair("llm", LONG, 0, set()).reader, False, LONG, 0)
+    instance = send.worker.record.instance
+    before, after = placement.own_loads(0)[instance].tokens, placement.own_loads(300_000)[instance].tokens
+    assert 0 < after < before
+    placement.ended(send)
+    assert placement.own_loads(300_000) == {}
+    placement.ended(send)  # once more does no harm
+    assert send.worker.reading.own == 0
+
+
+def test_a_worker_that_drains_changes_its_part_or_has_gone_is_not_chosen(placement):
+    placement.merge(worker(1, "prefill", seq=2, state=WorkerState.DRAINING))
+    assert placement.choose_pair("llm", LONG, 0, set()).reader.worker.record.instance == "i-2"
+    placement.switching = {"i-2"}
+    assert placement.choose_pair("llm", LONG, 0, set()).reader is None
+    placement.switching = set()
+    placement.merge(worker(2, "decode", seq=2))
+    assert placement.choose_pair("llm", LONG, 0, set()).reader is None
+    placement.merge(worker(3, "decode", seq=1, state=WorkerState.DRAINING))
+    assert placement.workers["i-3"].takes_work, "an old word changes nothing"
+
+
+def test_one_that_cannot_be_reached_or_is_silent_is_the_last_choice(placement):
+    placement.workers["i-5"].failed(0)
+    placement.heard({"i-6": 30 * S, "i-7": 0}, S, 60, 2.2)
+    assert placement.choose("s", 1, set()).worker.record.instance == "i-7"
+    assert placement.choose("s", 1, {"i-7"}).worker.record.instance == "i-6"
+    assert placement.choose("s", 1, {"i-6", "i-7"}).worker.record.instance == "i-5"
+    assert placement.choose("s", 1, {"i-5", "i-6", "i-7"}) is None
+
+
+def test_a_worker_that_was_silent_for_long_is_dropped_once_nothing_is_under_way(placement):
+    send = placement.sent(placement.choose("s", 0, {"i-6", "i-7"}), True, read_prompt(None, None), 0)
+    placement.heard({"i-5": 20 * S}, S, 10, 2.2)
+    assert "i-5" in placement.workers
+    placement.ended(send)
+    placement.heard({"i-5": 20 * S}, S, 10, 2.2)
+    assert "i-5" not in placement.workers
