--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -50,6 +50,7 @@
 
     router: str
     version: int
+    loads: bool = True  # whether it wants the loads of others here: one of its watches is enough
 
 
 class Ping(msgspec.Struct, frozen=True, tag=True):
--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -26,7 +26,6 @@
 from hazelbend.transport.control_store import ControlStore, Part, StoreError
 from hazelbend.transport.frame_link import FrameConnection, FrameLink, FrameServer
 from hazelbend.transport.soft_state_file import read_soft_state, write_soft_state
-from hazelbend.transport.worker_orders import Order, OrderResult, send_order
 
 log = picologging.getLogger("hazelbend.control")
 
@@ -39,7 +38,7 @@
 STORE_PAUSE = 0.2  # seconds until a disk that refused is tried again
 PLAN_EVERY = 0.5  # seconds between two looks at the parts that workers play
 FLEET_NEWS_EVERY = 0.5  # seconds between two words to routers on the fleet
-LOADS_EVERY, LOADS_EVERY_PER_ROUTER = 0.03, 0.0015  # seconds between two reports of load to routers
+LOADS_EVERY, LOADS_EVERY_PER_ROUTER = 0.04, 0.002  # seconds between two reports of load to routers
 SHORTEST_WAIT = 0.001  # seconds between two ticks
 LEAVE_WAIT = 0.6  # seconds at the end in which another may take the lead
 JSON = "application/json"
@@ -53,7 +52,7 @@
 @dataclass(slots=True, frozen=True)
 class _Watcher:
     router: str
-    connection: FrameConnection
+    loads: bool  # whether it wants the loads of others
 
 
 class ControlDaemon:
@@ -280,7 +279,7 @@
                 self._pump()
 
     def _watch(self, connection: FrameConnection, watch: m.Watch) -> None:
-        self._watchers[connection] = _Watcher(watch.router, connection)
+        self._watchers[connection] = _Watcher(watch.router, watch.loads)
         self._engine.own_routers = {each.router for each in self._watchers.values()}
         now, registry = clock(), self._engine.registry
         connection.send(m.encode(self._engine.fleet_news(now)))
@@ -318,6 +317,8 @@
             cached, self._cached = tuple(self._cached), []
             totals = self._loads.totals()
             for connection, watcher in list(self._watchers.items()):
+                if not watcher.loads:
+                    continue
                 loads = self._loads.without(totals, watcher.router)
                 connection.send(m.encode(LoadNews(loads, cached)))
 
@@ -329,6 +330,9 @@
 
     async def _order(self, order: PhaseOrder) -> None:
         """Let routers know first, then order, if this process still leads."""
+        # Imported here: it takes time that a start does not have, and most processes never give an order.
+        from hazelbend.transport.worker_orders import Order, OrderResult, send_order
+
         self._tell(self._engine.fleet_news(clock()))
         number = self._engine.read(clock())
         self._pump()
--- a/hazelbend/system/main.py
+++ b/hazelbend/system/main.py
@@ -47,6 +47,8 @@
         from hazelbend.system.control_daemon import ControlDaemon
 
         return ControlDaemon(settings)
+    # aiohttp loads the machine's certificates as it is imported, a tenth of a second; no TLS is spoken here.
+    os.environ.setdefault("SSL_CERT_FILE", os.devnull)
     from hazelbend.system.router_daemon import RouterDaemon
 
     return RouterDaemon(settings)
--- a/hazelbend/system/watch.py
+++ b/hazelbend/system/watch.py
@@ -44,14 +44,14 @@
 class _Watch:
     """One connection to one control process."""
 
-    def __init__(self, address: str, router: str, news: News, now: Callable[[], float]) -> None:
-        self.address, self._router, self._news, self._now = address, router, news, now
+    def __init__(
+        self, address: str, news: News, opened: Callable[[_Watch], None], now: Callable[[], float]
+    ) -> None:
+        self.address, self._news, self._now = address, news, now
         self.heard_at = self.begun_at = now()
         self.pinged_at = 0.0
-        self.link = FrameLink(address, self._hear, self._opened)
-
-    def _opened(self) -> None:
-        self.link.send(m.encode(m.Watch(self._router, self._news.version())))
+        self.loads = False  # loads are told and heard here
+        self.link = FrameLink(address, self._hear, lambda: opened(self))
 
     def _hear(self, frame: bytes) -> None:
         try:
@@ -89,10 +89,21 @@
         self._task = asyncio.create_task(self._keep())
 
     def send(self, body: m.Body) -> None:
-        """Tell all control processes that are watched."""
+        """Tell one control process; it tells the others."""
         frame = m.encode(body)
-        for watch in self._open.values():
-            watch.link.send(frame)
+        primary = self._primary()
+        if primary is not None:
+            primary.link.send(frame)
+
+    def _primary(self) -> _Watch | None:
+        """The watch over which loads are told and heard: the oldest one that is open."""
+        found = [watch for watch in self._open.values() if watch.link.is_open]
+        return min(found, key=lambda watch: watch.begun_at, default=None)
+
+    def _watch(self, watch: _Watch) -> None:
+        """Ask for all news, once more if what it is used for has changed."""
+        watch.loads = watch is self._primary()
+        watch.link.send(m.encode(m.Watch(self._router, self._news.version(), watch.loads)))
 
     def learn(self, controls: tuple[str, ...]) -> None:
         """Control processes that are alive."""
@@ -117,13 +128,15 @@
             elif now - watch.pinged_at > PING:
                 watch.pinged_at = now
                 watch.link.send(m.encode(m.Ping()))
+                if watch.loads != (watch is self._primary()):
+                    self._watch(watch)
         candidates = [each for each in {*self.seeds, *self._known} if each not in self._open]
         self._random.shuffle(candidates)
         # The alive first, then those of which nothing is known; who failed last comes last.
         candidates.sort(key=lambda each: (self._failed_at.get(each, 0.0), each not in self._known))
         for address in candidates[: WATCHES - len(self._open)]:
             clock = asyncio.get_running_loop().time
-            self._open[address] = _Watch(address, self._router, self._news, clock)
+            self._open[address] = _Watch(address, self._news, self._watch, clock)
 
     async def close(self) -> None:
         """End all of them."""
