--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -123,6 +123,9 @@
         self.registry = WorkerRegistry(plan.heartbeat)
         self.peers: dict[str, Peer] = {each: Peer() for each in plan.seeds if each != plan.address}
         self.own_routers: set[str] = set()  # those that watch this process
+        self.most_routers = (
+            1  # that have watched the fleet at a time: what they may spend is shared by so many
+        )
         self.planner = PhasePlanner()
         self._led_term, self._led_since = 0, now
         self._said = Spoken()
@@ -180,7 +183,8 @@
         routers = self.own_routers.union(*(peer.routers for peer in alive.values()))
         switching = {*self.planner.switching, *(name for peer in alive.values() for name in peer.switching)}
         addresses = (self.plan.address, *alive)
-        return m.FleetNews(addresses, len(routers), self.registry.ages(now), tuple(switching))
+        self.most_routers = max(self.most_routers, len(routers))
+        return m.FleetNews(addresses, self.most_routers, self.registry.ages(now), tuple(switching))
 
     def recall_workers(self, records: tuple[WorkerRecord, ...], now: int) -> None:
         """Workers known before a restart: listed as silent until they are heard, or expire."""
--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -79,6 +79,7 @@
 
     workers: tuple[WorkerRecord, ...]
     cached: tuple[CachedPart, ...]
+    routers: int = 1  # the most that there have been
 
 
 Body = (
--- a/hazelbend/forwarding/forwarder.py
+++ b/hazelbend/forwarding/forwarder.py
@@ -35,6 +35,7 @@
 
 MARGIN = 8_000  # microseconds of the client's time that are kept for the way back
 MOST_SENDS = 3  # arrivals at workers that one try may cause
+MOST_READS = 2  # calls that have its prompt read apart
 MOST_TRIES = 6  # workers that one try may turn to, those that were not reached included
 LEAST_LEFT = 30_000  # microseconds below which nothing is sent any more
 WORKER_WAIT = 700_000  # microseconds that a request waits for any worker of its service to be known
@@ -43,6 +44,7 @@
 RETRY_AFTER_S = 0.25  # where nothing better is known
 RETRY_AFTER_STARTING_S = 0.5
 READ_RANKS = (1_000, 2_500, 6_000, 12_000, 25_000)  # tokens from which a read waits for shorter ones
+PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that a request has not run and never will
 REASONS = {404: b"no such route\n", 502: b"a worker failed\n", 503: b"refused\n", 504: b"too late\n"}
 
 
@@ -98,7 +100,7 @@
         self.placement = placement
         self.table: RouteTable | None = None
         self.routers = 1  # the most that there have been
-        self.is_current = False  # the control plane was heard of late
+        self.is_current: Callable[[], bool] = lambda: False  # whether the control plane was heard of late
 
     def use(self, table: RouteTable) -> bool:
         """Put a configuration in force. False: a newer one is."""
@@ -130,7 +132,7 @@
         """Give the request its one final answer."""
         table = self._state.table or await self._wait_for_table(request)
         route = table.find(request.host, request.path) if table is not None else None
-        if table is None or (route is None and not self._state.is_current):
+        if table is None or (route is None and not self._state.is_current()):
             await self._refuse(reply, RETRY_AFTER_STARTING_S)
             return
         if route is None:
@@ -206,8 +208,11 @@
         """Have a worker read the prompt; without success the worker that makes the tokens reads it."""
         placement = self._state.placement
         tried: set[str] = set()
+        budget = self._budget(flow.service)
         for _ in range(MOST_TRIES):
-            if flow.reads and (flow.reads >= 2 or not self._spend(flow)):
+            if not budget.has_room(self._clock(), self._state.routers):
+                return  # a read that is rejected counts as one send more
+            if flow.reads and (flow.reads >= MOST_READS or not self._spend(flow)):
                 return
             pair = placement.choose_pair(flow.service, flow.prompt, self._clock(), tried)
             if pair is None or pair.reader is None:
@@ -228,8 +233,10 @@
         try:
             answer = await self._client.send(call, lambda: self._may_write(flow, choice, reading=True))
             try:
-                self._hear(choice, answer)
+                self._hear(send, answer)
                 if answer.status != 200:
+                    if answer.not_executed:
+                        self._budget(flow.service).charge(self._clock())
                     return None
                 result = _prefill_results.decode(await answer.body())
                 placement.read(send, self._clock())
@@ -285,7 +292,7 @@
             call = self._call(flow, choice, extra)
             answer = await self._client.send(call, lambda: self._may_write(flow, choice))
             try:
-                self._hear(choice, answer)
+                self._hear(send, answer)
                 return await self._pass_on(flow, send, answer, reply)
             finally:
                 answer.close()
@@ -310,6 +317,8 @@
             await self._stream(flow, send, answer, reply)
         elif flow.begun:
             raise BrokenError  # a resumed run that failed: nothing of it is for the client
+        elif answer.status in PROMISES:
+            raise BrokenError  # it promises what the worker has not said: that the request has not run
         else:
             body = await answer.body()
             await reply.answer(answer.status, answer.headers, body)
@@ -358,8 +367,9 @@
             flow.sends += 1
         return left
 
-    def _hear(self, choice: Choice, answer: WorkerAnswer) -> None:
-        worker = choice.worker
+    def _hear(self, send: Send, answer: WorkerAnswer) -> None:
+        worker = send.worker
+        self._state.placement.heard_of(send, self._clock())
         if answer.held is not None and not worker.record.phase:
             worker.running.reported(max(answer.held - worker.running.own, 0), self._clock())
 
--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -34,6 +34,7 @@
 PRESENT_PRIOR, PRESENT_MEMORY = 3.0, 20.0  # samples of whether a home has what nobody has told of
 PRESENT_FIRST = 0.5  # the part of homes that have it, until runs have told
 LEAST_SHARED = 2 * UNIT  # tokens that must be shared for a run to tell of that
+OVERDUE, OVERDUE_TIMES = 600_000, 2.0  # microseconds, and times the expected, after which silence is suspect
 MOST_READ = 0.9  # of a prompt that counts as read before its worker has said so
 HOME_BONUS = 4_000  # microseconds: of workers that are alike, all routers take the same
 READ_BESIDE = 0.5  # of the time of a read at a worker that makes tokens, that it costs others there
@@ -189,7 +190,7 @@
     def choose(self, service: str, now: int, tried: set[str]) -> Choice | None:
         """The worker of a service without phases that runs the request soonest."""
         found = [
-            Choice(each, 0, each.running.delay(1.0, now) + self._distance(each))
+            Choice(each, 0, each.running.delay(1.0, now) + self._distance(each, now))
             for each in self.candidates(service, Stage.WHOLE, now, tried)
         ]
         return min(found, key=lambda each: (each.delay, self._random.random()), default=None)
@@ -236,7 +237,7 @@
                 present = self._presence(worker.record.service).beside(PRESENT_FIRST, PRESENT_PRIOR)
                 cached = round(present * sum(part.tokens for part in prompt.shared))
         tokens = max(prompt.tokens - cached, 0)
-        delay = self._read_delay(worker, tokens, now) + self._distance(worker) - bonus
+        delay = self._read_delay(worker, tokens, now) + self._distance(worker, now) - bonus
         return Choice(worker, tokens, delay + AGAIN_PRICE * max(kept - cached, 0))
 
     def _read_delay(self, worker: WorkerEstimate, tokens: int, now: int) -> float:
@@ -262,7 +263,7 @@
     def _runner(
         self, worker: WorkerEstimate, prompt: Prompt, source: WorkerRecord | None, kept: int, now: int
     ) -> Choice:
-        first_token = worker.running.delay(1.0, now) + self._distance(worker)
+        first_token = worker.running.delay(1.0, now) + self._distance(worker, now)
         if source is not None:
             overhead = self._first_token(worker.record.service).beside(FIRST_TOKEN, FIRST_TOKEN_PRIOR)
             return Choice(worker, 0, overhead + first_token + self._move(worker, prompt, source))
@@ -283,9 +284,9 @@
         times = 1.0 if source.zone == worker.record.zone else CROSS_ZONE_MOVE
         return times * (size * 8 / engine.bandwidth_mbps + MOVE_PRICE * size / 1e6)
 
-    def _distance(self, worker: WorkerEstimate) -> float:
+    def _distance(self, worker: WorkerEstimate, now: int) -> float:
         far = CROSS_ZONE if worker.record.zone != self._zone else 0.0
-        return far + (SILENT_PENALTY if worker.silent else 0.0)
+        return far + (SILENT_PENALTY if worker.silent or worker.is_overdue(now) else 0.0)
 
     def _kept(self, service: str, prompt: Prompt) -> int:
         """The most tokens of the prompt that any worker of the service is believed to keep."""
@@ -327,6 +328,7 @@
             self._remember(worker, prompt)
         if runs:
             worker.running.add(1.0)
+        worker.unheard[id(send)] = now + OVERDUE + round(OVERDUE_TIMES * max(choice.delay, 0.0))
         self.load_changed()
         return send
 
@@ -341,8 +343,14 @@
             send.units = 0.0
             self.load_changed()
 
+    def heard_of(self, send: Send, now: int) -> None:
+        """Its worker has answered, whatever it says."""
+        send.worker.unheard.pop(id(send), None)
+        send.worker.answered(now)
+
     def ended(self, send: Send) -> None:
         """It has its end."""
+        send.worker.unheard.pop(id(send), None)
         self.has_read(send)
         if send.runs:
             send.worker.running.remove(1.0)
@@ -351,7 +359,6 @@
     def read(self, send: Send, now: int) -> None:
         """The prompt was read there: a sample of the rate."""
         worker, elapsed = send.worker, now - send.sent_at
-        worker.answered()
         model = self._model(worker.record)
         if send.ahead > CLEAR * (send.units + 1):
             return  # what lay before it is an estimate itself
@@ -376,7 +383,6 @@
     def served(self, send: Send, now: int) -> None:
         """The request was served there."""
         worker = send.worker
-        worker.answered()
         worker.running.sample(worker.running.most / max(now - send.sent_at, 1))
 
     def _remember(self, worker: WorkerEstimate, prompt: Prompt) -> None:
--- a/hazelbend/placement/estimates.py
+++ b/hazelbend/placement/estimates.py
@@ -76,6 +76,8 @@
     cached_tokens: int = 0
     shut_until: int = 0
     backoff: int = 0
+    heard_at: int = 0  # when an own send was last answered
+    unheard: dict[int, int] = field(default_factory=dict)  # own sends without any answer: when one is overdue
 
     @property
     def takes_work(self) -> bool:
@@ -92,10 +94,15 @@
         self.backoff = min(max(2 * self.backoff, FIRST_BACKOFF), LAST_BACKOFF)
         self.shut_until = now + self.backoff
 
-    def answered(self) -> None:
+    def answered(self, now: int) -> None:
         """It lives."""
+        self.heard_at = now
         self.backoff = self.shut_until = 0
 
+    def is_overdue(self, now: int) -> bool:
+        """Whether an answer is long overdue, and nothing was heard since."""
+        return any(due < now and due > self.heard_at for due in self.unheard.values())
+
     def remember(self, parts: Iterable[Part], capacity: int) -> list[Part]:
         """It reads these parts, and keeps so many tokens; those that are new to this router."""
         new = []
--- a/hazelbend/placement/retry_budget.py
+++ b/hazelbend/placement/retry_budget.py
@@ -26,13 +26,21 @@
 
     def spend(self, now: int, routers: int) -> bool:
         """Whether one more send beyond a request's first is within bounds; it is counted if so."""
-        self._forget(now)
-        earned = self._ratio * len(self._requests) + self._slack / max(routers, 1)
-        if len(self._extra) + 1 > KEPT_BACK * earned:
+        if not self.has_room(now, routers):
             return False
         self._extra.append(now)
         return True
 
+    def has_room(self, now: int, routers: int) -> bool:
+        """Whether one more is within bounds."""
+        self._forget(now)
+        earned = self._ratio * len(self._requests) + self._slack / max(routers, 1)
+        return len(self._extra) + 1 <= KEPT_BACK * earned
+
+    def charge(self, now: int) -> None:
+        """One more was sent, whatever the bounds."""
+        self._extra.append(now)
+
     def _forget(self, now: int) -> None:
         for times in (self._requests, self._extra):
             while times and times[0] <= now - self._window:
--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -133,11 +133,13 @@
             return
         self._engine.recall_workers(state.workers, clock())
         self._caches.add(state.cached)
+        self._engine.most_routers = max(state.routers, 1)
 
     async def _keep_soft_state(self) -> None:
         while self._soft_path is not None:
             await asyncio.sleep(SOFT_STATE_EVERY)
-            state = m.SoftState(self._engine.registry.records(), self._caches.all())
+            records, cached = self._engine.registry.records(), self._caches.all()
+            state = m.SoftState(records, cached, self._engine.most_routers)
             content = m.encode_soft_state(state)
             if content == self._soft_written:
                 continue
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -26,7 +26,7 @@
 log = picologging.getLogger("hazelbend.router")
 
 RESERVED_DESCRIPTORS = 64
-CURRENT = 3.0  # seconds since a control process was heard in which what it told counts as current
+CURRENT = 3_000_000  # microseconds since a control process was heard in which what it told counts as current
 PLATFORM_NOTICES = 2.6  # seconds until the platform sends no new connections to one that is not ready
 LAST_WORD = 0.8  # seconds of the grace that are kept for closing
 SMALL_BODY = 64 * 1024
@@ -55,6 +55,8 @@
         self._readiness = AsgiServer(self._ready, SMALL_BODY)
         self._watches = Watches(settings.node, settings.seed_peers, self, seed)
         self._seed = seed
+        self._heard_at = 0  # a control process, by this process's clock
+        self._state.is_current = lambda: clock() - self._heard_at < CURRENT
         self._telling: asyncio.TimerHandle | None = None
         self._load_seq = clock()  # rises over restarts too
         self._placement.load_changed = self._load_changed
@@ -122,6 +124,7 @@
             limits = table.configuration.limits
             self._listener.largest_body = limits.max_body_bytes
             self._listener.largest_head = limits.max_header_bytes
+            self._listener.request_wait = limits.header_timeout_ms / 1_000
             log.info("router: configuration %d is in force", news.version)
 
     def workers(self, news: m.WorkerNews) -> None:
@@ -134,7 +137,7 @@
         """See `watch.News`."""
         self._watches.learn(news.controls)
         self._state.routers = max(self._state.routers, news.routers)
-        self._state.is_current = True
+        self._heard_at = clock()
         self._placement.switching = set(news.switching)
         self._heard(news.ages)
         self._load_changed()  # told again now and then, as words may be lost
--- a/hazelbend/transport/aiohttp_client.py
+++ b/hazelbend/transport/aiohttp_client.py
@@ -163,6 +163,13 @@
         count -= 1
 
 
+def keep_idle(session: aiohttp.ClientSession, seconds: float) -> None:
+    """Idle connections are closed after so long from now on."""
+    connector = session.connector
+    assert connector is not None
+    connector._keepalive_timeout = seconds
+
+
 def raw_url(base: str, target: str) -> URL:
     """The URL whose target is sent exactly as it came."""
     url = URL(base + target, encoded=True)
--- a/hazelbend/transport/client_connection.py
+++ b/hazelbend/transport/client_connection.py
@@ -34,6 +34,9 @@
 class Owner(Protocol):
     """The listener that a connection belongs to."""
 
+    request_wait: float
+    """Seconds that a client has to have sent a whole request."""
+
     def joined(self, connection: ClientConnection) -> None:
         """A connection has come."""
 
@@ -69,7 +72,7 @@
             transport, self._receive, self.close, lambda: self._listener.may_linger(self)
         )
         self.began_at = self._loop.time()
-        self.due = self.began_at + REQUEST_WAIT
+        self.due = self.began_at + self._listener.request_wait
         super().connection_made(self._halves)
         self._listener.joined(self)
 
@@ -92,7 +95,7 @@
         if data and not self.part and self.is_idle:
             self.part, self.answering = True, False
             if self.asked or self.bad:
-                self.due = self._loop.time() + REQUEST_WAIT
+                self.due = self._loop.time() + self._listener.request_wait
         super().data_received(data)
         if self._request_count > self._arrived:
             new = self._request_count - self._arrived
--- a/hazelbend/transport/http_listener.py
+++ b/hazelbend/transport/http_listener.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from hazelbend.transport.client_connection import ClientConnection
+from hazelbend.transport.client_connection import REQUEST_WAIT, ClientConnection
 from hazelbend.transport.half_close import LINGER
 
 log = logging.getLogger("hazelbend.client_listener")
@@ -52,6 +52,7 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = limit
+        self.request_wait = REQUEST_WAIT
         self._open: dict[ClientConnection, None] = {}  # in the order in which they came
         self._lingering: set[ClientConnection] = set()  # half-closed
         self._accepting: set[asyncio.Task[Any]] = set()
--- a/hazelbend/transport/worker_client.py
+++ b/hazelbend/transport/worker_client.py
@@ -14,6 +14,7 @@
     RequestWriting,
     StaleConnectionError,
     WithdrawnError,
+    keep_idle,
     open_session,
     raw_url,
     writing_trace,
@@ -80,6 +81,7 @@
         connector = aiohttp.TCPConnector(
             limit=connections, keepalive_timeout=KEEPALIVE, use_dns_cache=False, force_close=False
         )
+        self._keepalive = KEEPALIVE
         self._session = open_session(
             connector,
             aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_WAIT),
@@ -113,12 +115,20 @@
             if begun:
                 raise BrokenError(str(error)) from None
             raise NotSentError(withdrawn=False) from None
+        self._heed_keepalive(response.headers.get("Keep-Alive"))
         echoed = response.headers.get("Request-Id")
         if echoed is not None and echoed != request.id:
             response.close()
             raise BrokenError("an answer to another request")
         return HttpWorkerAnswer(response)
 
+    def _heed_keepalive(self, text: str | None) -> None:
+        """The shortest time that any worker has named holds for all: to close early costs little."""
+        seconds = _keepalive_seconds(text)
+        if seconds is not None and seconds * KEEPALIVE_MARGIN < self._keepalive:
+            self._keepalive = seconds * KEEPALIVE_MARGIN
+            keep_idle(self._session, self._keepalive)
+
     async def _request(
         self,
         method: str,
@@ -154,6 +164,15 @@
         await self._session.close()
 
 
+def _keepalive_seconds(text: str | None) -> float | None:
+    """What `Keep-Alive: timeout=5, max=9` says."""
+    for part in (text or "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdecimal():
+            return float(value)
+    return None
+
+
 def _held(text: str | None) -> int | None:
     """Requests that run and wait, of `Server-Load`: running, waiting, slots."""
     parts = (text or "").split(",")
