--- a/hazelbend/system/main.py
+++ b/hazelbend/system/main.py
@@ -24,6 +24,11 @@
 SETTINGS_LOOK = 1.0  # seconds between looks at whether the settings file has changed
 LOG_FORMAT = "%(created)f %(levelname)s %(message)s"  # asctime is broken in picologging 0.9.3
 USAGE_ERROR = 2
+ROLES = ("router", "control")
+USAGE = """usage: python -m hazelbend.system [--settings=FILE] COMMAND
+  router, control   run this role
+  check FILE        all findings in a settings file (YAML) or a configuration (JSON)
+  status ADDRESS    what the control process at this address (IP:PORT) knows"""
 
 log = picologging.getLogger("hazelbend")
 
@@ -110,18 +115,60 @@
     return None
 
 
-def _main(arguments: list[str]) -> int:
-    commands = ("router", "control")
-    if len(arguments) != 2 or arguments[1] not in commands:
-        print(f"usage: python -m hazelbend.system {{{','.join(commands)}}}", file=sys.stderr)
+def _check(path: Path) -> int:
+    """Tell all findings of a settings file (YAML) or a configuration (JSON); 1 where there are any."""
+    from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
+
+    try:
+        if path.suffix == ".json":
+            check_configuration(path.read_bytes())
+        else:
+            read_settings(path.read_text())
+    except OSError as error:
+        print(f"{path}: {error}", file=sys.stderr)
         return USAGE_ERROR
+    except (InvalidConfigurationError, SettingsError) as error:
+        for finding in error.findings:
+            print(f"{path}: {finding}")
+        return 1
+    print(f"{path}: nothing found")
+    return 0
+
+
+def _status(address: str) -> int:
+    """Show what a control process knows."""
+    import httpcore
+
+    try:
+        with httpcore.ConnectionPool() as pool:
+            response = pool.request("GET", f"http://{address}/status")
+    except (httpcore.ConnectError, httpcore.NetworkError, httpcore.ProtocolError) as error:
+        print(f"{address}: {error}", file=sys.stderr)
+        return 1
+    print(response.content.decode())
+    return 0
+
+
+def _main(arguments: list[str]) -> int:
+    match arguments[1:]:
+        case ["check", path]:
+            return _check(Path(path))
+        case ["status", address]:
+            return _status(address)
+        case [role] if role in ROLES:
+            return _run_role(role)
+    print(USAGE, file=sys.stderr)
+    return USAGE_ERROR
+
+
+def _run_role(role: str) -> int:
     path = _settings_path()
     settings = _read(path)
     if settings is None:
         return USAGE_ERROR
     logging.getLogger().setLevel(logging.WARNING)  # of libraries, which log by the standard module
     picologging.basicConfig(level=getattr(picologging, FLAGS.log_level), format=LOG_FORMAT, stream=sys.stderr)
-    asyncio.run(_serve(arguments[1], path, settings))
+    asyncio.run(_serve(role, path, settings))
     return 0
 
 
