The control process in four parts; what rests on no store is said while the store waits

Change: agreement.py, control_api.py, watch_service.py, phase_orders.py; Spoken and SoftSpoken. The process test waits for three voters before it kills the leader: with two the loss of one leaves no majority, as it should.

--- a/benchmarks/control_sim.py
+++ b/benchmarks/control_sim.py
@@ -24,12 +24,13 @@
 from hazelbend.control.config_machine import ChangeResult, StoredConfig
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.fleet import memory_file
-from hazelbend.fleet.record import Memory
+from hazelbend.fleet.record import Done, Memory
 
 MS, S = 1_000, 1_000_000
 SYNC = 4 * S  # from the return of a machine until it may be counted on
 HEARTBEAT = 1_200 * MS
 CALL_PATIENCE = 1 * S
+STALE = 1_000_000  # tickets of reads that a planted defect answers without asking a majority
 CALM = 6 * S  # without faults at the end, before all is read back
 
 
@@ -206,7 +207,14 @@
 
     def _flush(self, machine: Machine) -> None:
         engine = machine.engine
-        if engine is None or machine.saving or not engine.has_to_say:
+        if engine is None:
+            return
+        soft = engine.take_soft()
+        for address, body in soft.out:
+            self._send(machine.address, address, body)
+        for answer in soft.answers:
+            self._answer(machine, answer)
+        if machine.saving or not engine.has_to_say:
             return
         said = engine.take()
         parts = memory_file.changed_parts(engine.record)
@@ -613,7 +621,8 @@
 
 def _stale_read(self: ce.ControlEngine, now: int) -> int:
     self._number += 1
-    self._said.answers.append(ce.ReadDone(self._number, self.machine.current))
+    self.record.done.append(Done(self._number + STALE, True))
+    self._reads[self._number + STALE] = self._number
     return self._number
 
 
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -89,12 +89,20 @@
 class Spoken:
     """What may be said once all that it rests on is stored."""
 
-    out: list[tuple[str, m.Body]] = field(default_factory=list)  # to the address of a control process
+    out: list[tuple[str, m.Agreement]] = field(default_factory=list)  # to the address of a control process
     answers: list[Answer] = field(default_factory=list)
-    news: list[WorkerRecord] = field(default_factory=list)  # for routers
     config: StoredConfig = StoredConfig()
 
 
+@dataclass(slots=True)
+class SoftSpoken:
+    """What rests on nothing that is stored."""
+
+    out: list[tuple[str, m.Body]] = field(default_factory=list)  # to the address of a control process
+    answers: list[WorkerDone] = field(default_factory=list)
+    news: list[WorkerRecord] = field(default_factory=list)  # for routers
+
+
 @dataclass(slots=True)
 class _Held:
     """A worker's word, and who else holds it."""
@@ -128,7 +136,7 @@
         )
         self.planner = PhasePlanner()
         self._led_term, self._led_since = 0, now
-        self._said = Spoken()
+        self._said = SoftSpoken()
         self._born = now
         self._hello_at = self._ages_at = self._tend_at = now
         self._number = 0
@@ -151,11 +159,9 @@
 
     @property
     def has_to_say(self) -> bool:
-        """Whether something is to be stored or said."""
-        record, said = self.record, self._said
-        if record.promise_changed or record.unsaved is not None:
-            return True
-        return bool(said.out or said.answers or said.news or record.out or record.done)
+        """Whether something is to be stored, or said after that."""
+        record = self.record
+        return bool(record.promise_changed or record.unsaved is not None or record.out or record.done)
 
     @property
     def leader(self) -> str:
@@ -206,25 +212,23 @@
         heard = [each for each in self.registry.listed.values() if not self.registry.is_silent(each, now)]
         return self.planner.plan([each.record for each in heard], loads, now)
 
+    def take_soft(self) -> SoftSpoken:
+        """What may be said at once."""
+        said, self._said = self._said, SoftSpoken()
+        return said
+
     def take(self) -> Spoken:
-        """All that is to be said, once the record's changes are stored."""
-        self._collect()
-        said, self._said = self._said, Spoken()
-        said.config = self.machine.current
+        """What is to be said once the record's changes are stored."""
+        said = Spoken(config=self.machine.current)
+        self._collect(said)
         return said
 
     def drop_unsaid(self) -> list[Answer]:
         """What this process was about to say can't be stored: messages are lost, answers unknown."""
-        said = self.take()
-        failed: list[Answer] = []
-        for each in said.answers:
-            if isinstance(each, PutDone):
-                failed.append(PutDone(each.number, None))
-            elif isinstance(each, ReadDone):
-                failed.append(ReadDone(each.number, None))
-            else:
-                failed.append(each)
-        return failed
+        return [
+            PutDone(each.number, None) if isinstance(each, PutDone) else ReadDone(each.number, None)
+            for each in self.take().answers
+        ]
 
     # --- calls from outside ---
 
@@ -405,19 +409,19 @@
         del self._held[number]
         self._said.answers.append(WorkerDone(number, len(held.holders) >= self.plan.tolerance))
 
-    def _collect(self) -> None:
+    def _collect(self, said: Spoken) -> None:
         record = self.record
         by_address: dict[str, list[Message]] = {}
         for message in record.out:
             by_address.setdefault(address_of(message.to), []).append(message)
         record.out.clear()
         for address, messages in by_address.items():
-            self._said.out.append((address, m.Agreement(tuple(messages))))
+            said.out.append((address, m.Agreement(tuple(messages))))
         done, record.done = record.done, []
         for each in done:
             if (number := self._puts.pop(each.ticket, None)) is not None:
                 result = each.result if each.ok and isinstance(each.result, ChangeResult) else None
-                self._said.answers.append(PutDone(number, result))
+                said.answers.append(PutDone(number, result))
             elif (number := self._reads.pop(each.ticket, None)) is not None:
                 config = self.machine.current if each.ok else None
-                self._said.answers.append(ReadDone(number, config))
+                said.answers.append(ReadDone(number, config))
--- /dev/null
+++ b/hazelbend/system/control_api.py
@@ -0,0 +1,141 @@
+"""The calls of workers and operators to a control process."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+
+from hazelbend.control.config_machine import ChangeResult, plain_body
+from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
+from hazelbend.control.engine import PutDone, ReadDone, WorkerDone
+from hazelbend.fleet.members import address_of
+from hazelbend.protocol.control_calls import read_heartbeat
+from hazelbend.system.agreement import Agreement, clock
+from hazelbend.system.settings import Settings, split_address
+from hazelbend.transport.asgi_server import HttpAnswer, HttpCall
+
+LEADER_WAIT = 0.7  # seconds that a call waits for a leader to be known
+LEADER_LOOK = 0.02
+JSON = "application/json"
+
+
+class ControlApi:
+    """Answers calls from what the agreement knows, and through it."""
+
+    def __init__(self, settings: Settings, agreement: Agreement) -> None:
+        self._settings, self._agreement = settings, agreement
+
+    async def answer(self, call: HttpCall) -> HttpAnswer:
+        """The answer to any call."""
+        engine = self._agreement.engine
+        match (call.method, call.path.split("/")):
+            case ("POST", ["", "instances", instance, "heartbeat"]):
+                return await self._heartbeat(instance, call.body)
+            case ("POST", ["", "instances", instance, "deregister"]):
+                return await self._worker_done(engine.worker_left(instance, clock()))
+            case ("POST", ["", "config", "put"]):
+                return await self._put(call)
+            case ("GET", ["", "config", "get"]):
+                return await self._get()
+            case ("GET", ["", "status"]):
+                return self._status()
+        return HttpAnswer(404, b"no such call\n")
+
+    # --- workers ---
+
+    async def _heartbeat(self, instance: str, body: bytes) -> HttpAnswer:
+        try:
+            record = read_heartbeat(instance, body)
+        except ValueError as error:
+            return HttpAnswer(400, f"{error}\n".encode())
+        return await self._worker_done(self._agreement.engine.worker_heard(record, clock()))
+
+    async def _worker_done(self, number: int | None) -> HttpAnswer:
+        if number is None:
+            self._agreement.pump()
+            return HttpAnswer(200, b"{}", JSON)
+        answer = await self._agreement.wait_for(number)
+        if not isinstance(answer, WorkerDone) or not answer.held:
+            return HttpAnswer(503, b"too few control processes hold it\n")
+        return HttpAnswer(200, b"{}", JSON)
+
+    # --- operators ---
+
+    async def _put(self, call: HttpCall) -> HttpAnswer:
+        base = call.headers.get("base-version", "0")
+        if not (base.isascii() and base.isdecimal()):
+            return HttpAnswer(400, b"Base-Version: no whole number\n")
+        try:
+            version = check_configuration(call.body)
+        except InvalidConfigurationError as error:
+            return HttpAnswer(400, "".join(f"{each}\n" for each in error.findings).encode())
+        redirect = await self._redirect(call.path)
+        if redirect is not None:
+            return redirect
+        number = self._agreement.engine.put(int(base), version, call.body, clock())
+        if number is None:
+            return HttpAnswer(503, b"no majority that is large enough\n")
+        answer = await self._agreement.wait_for(number)
+        match answer.result if isinstance(answer, PutDone) else None:
+            case ChangeResult.ACCEPTED:
+                return HttpAnswer(200, b'{"version":%d}' % version, JSON)
+            case ChangeResult.CONFLICT:
+                return HttpAnswer(412, b"another version is current\n")
+            case ChangeResult.NOT_ABOVE:
+                return HttpAnswer(400, b"version: not above the current one\n")
+        return HttpAnswer(503, b"not known whether it was taken; send it again\n")
+
+    async def _get(self) -> HttpAnswer:
+        redirect = await self._redirect("/config/get")
+        if redirect is not None:
+            return redirect
+        number = self._agreement.engine.read(clock())
+        answer = await self._agreement.wait_for(number) if number is not None else None
+        if not isinstance(answer, ReadDone) or answer.config is None:
+            return HttpAnswer(503, b"no majority answers\n")
+        if not answer.config.version:
+            return HttpAnswer(404, b"no configuration yet\n")
+        return HttpAnswer(200, plain_body(answer.config), JSON)
+
+    async def _redirect(self, path: str) -> HttpAnswer | None:
+        """None once this process leads; else the way to the leader, or 503 where none is known."""
+        engine = self._agreement.engine
+        end = time.monotonic() + LEADER_WAIT
+        while not engine.record.settled:
+            leader = engine.leader
+            if leader and leader != engine.me:
+                host = split_address(address_of(leader))[0]
+                port = split_address(self._settings.control)[1]
+                return HttpAnswer(307, headers={"Location": f"http://{host}:{port}{path}"})
+            if time.monotonic() >= end:
+                return HttpAnswer(503, b"no leader is known\n")
+            await asyncio.sleep(LEADER_LOOK)
+        return None
+
+    def _status(self) -> HttpAnswer:
+        engine, now = self._agreement.engine, clock()
+        status = {
+            "me": engine.me,
+            "leader": engine.leader,
+            "epoch": engine.record.memory.epoch,
+            "term": engine.record.memory.term,
+            "voters": engine.record.voters,
+            "commit": engine.record.commit,
+            "version": self._agreement.config.version,
+            "controls": (self._settings.control_peer, *engine.alive(now)),
+            "routers": sorted(engine.own_routers),
+            "workers": [
+                {
+                    "instance": each.record.instance,
+                    "service": each.record.service,
+                    "address": each.record.address,
+                    "state": each.record.state.name.lower(),
+                    "phase": each.record.phase,
+                    "heard_ms_ago": (now - each.heard_at) // 1_000,
+                }
+                for each in engine.registry.listed.values()
+            ],
+        }
+        return HttpAnswer(200, msgspec.json.encode(status) + b"\n", JSON)
--- /dev/null
+++ b/hazelbend/system/phase_orders.py
@@ -0,0 +1,61 @@
+"""Gives the orders of the phase planner to workers, while this process leads."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import picologging
+
+from hazelbend.control.engine import ReadDone
+from hazelbend.control.load_table import Load
+from hazelbend.control.phase_planner import PhaseOrder
+from hazelbend.system.agreement import Agreement, clock
+
+log = picologging.getLogger("hazelbend.control")
+
+PLAN_EVERY = 0.5  # seconds between two looks at the parts that workers play
+
+
+class PhaseOrders:
+    """Looks, and orders."""
+
+    def __init__(
+        self, agreement: Agreement, loads: Callable[[], dict[str, Load]], announce: Callable[[], None]
+    ) -> None:
+        """`announce` lets routers know of an order before it is given."""
+        self._agreement, self._loads, self._announce = agreement, loads, announce
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._task = asyncio.create_task(self._plan())
+
+    def close(self) -> None:
+        """No further orders."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _plan(self) -> None:
+        while True:
+            await asyncio.sleep(PLAN_EVERY)
+            for order in self._agreement.engine.phase_orders(self._loads(), clock()):
+                await self._order(order)
+
+    async def _order(self, order: PhaseOrder) -> None:
+        """Let routers know first, then order, if a majority confirms that this process still leads."""
+        # Imported here: it takes time that a start does not have, and most processes never give an order.
+        from hazelbend.transport.worker_orders import Order, OrderResult, send_order
+
+        engine = self._agreement.engine
+        self._announce()
+        number = engine.read(clock())
+        confirmed = await self._agreement.wait_for(number) if number is not None else None
+        if not isinstance(confirmed, ReadDone) or confirmed.config is None:
+            engine.planner.refused(order)
+            return
+        call = Order("phase", order.phase, engine.me, engine.fencing_token)
+        result = await send_order(order.address, order.instance, call)
+        log.info("control: %s is to %s: %s", order.instance, order.phase, result.value)
+        if result is OrderResult.REFUSED:
+            engine.planner.refused(order)
--- /dev/null
+++ b/hazelbend/system/watch_service.py
@@ -0,0 +1,166 @@
+"""The watches of routers on a control process: configurations, workers, loads and caches go out over them."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+import picologging
+
+from hazelbend.control import messages as m
+from hazelbend.control.config_machine import StoredConfig
+from hazelbend.control.load_table import CachedPart, CacheTable, LoadNews, LoadTable, RouterLoad
+from hazelbend.control.workers import WorkerRecord, WorkerState
+from hazelbend.system.agreement import Agreement, clock
+from hazelbend.transport.frame_link import FrameConnection
+from hazelbend.transport.soft_state_file import read_soft_state, write_soft_state
+
+log = picologging.getLogger("hazelbend.control")
+
+FLEET_NEWS_EVERY = 0.5  # seconds between two words to routers on the fleet
+LOADS_EVERY, LOADS_EVERY_PER_ROUTER = 0.04, 0.002  # seconds between two reports of load to routers
+SOFT_STATE_EVERY = 0.7  # seconds between two writes of it
+
+
+@dataclass(slots=True, frozen=True)
+class _Watcher:
+    router: str
+    loads: bool  # whether it wants the loads of others
+
+
+class WatchService:
+    """All watches on this process, and what is told over them."""
+
+    def __init__(self, agreement: Agreement, soft_state: Path | None) -> None:
+        self._agreement, self._soft_path = agreement, soft_state
+        self._watchers: dict[FrameConnection, _Watcher] = {}
+        self.loads = LoadTable()
+        self._loads_changed = False
+        self._cached: list[CachedPart] = []  # not told yet
+        self._caches = CacheTable()
+        self._soft_written = b""
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Recall what was kept, and begin to tell."""
+        self._recall()
+        upkeep = (self._tell_fleet, self._tell_loads, self._keep_soft_state)
+        self._tasks = [asyncio.create_task(each()) for each in upkeep]
+
+    def close(self) -> None:
+        """Tell nothing any more."""
+        for task in self._tasks:
+            task.cancel()
+
+    # --- what comes from routers ---
+
+    def watch(self, connection: FrameConnection, watch: m.Watch) -> None:
+        """A router asks for all there is, and for what changes."""
+        self._watchers[connection] = _Watcher(watch.router, watch.loads)
+        self._count()
+        engine, config, now = self._agreement.engine, self._agreement.config, clock()
+        loads = self.loads.without(self.loads.totals(), watch.router)
+        bodies: list[m.Body] = [
+            engine.fleet_news(now),
+            m.WorkerNews(0, engine.registry.records(), engine.registry.ages(now)),
+            LoadNews(loads, self._caches.all()),
+        ]
+        if config.version > watch.version:
+            bodies.append(m.ConfigNews(config.version, config.body))
+        for body in bodies:
+            connection.send(m.encode(body))
+
+    def gone(self, connection: FrameConnection) -> None:
+        """A connection has ended."""
+        if self._watchers.pop(connection, None) is not None:
+            self._count()
+
+    def take_load(self, connection: FrameConnection, load: RouterLoad) -> None:
+        """A router's unfinished work, from itself or from another control process."""
+        if not self.loads.merge(load, clock()):
+            return
+        self._cached += load.cached
+        self._caches.add(load.cached)
+        self._loads_changed = True
+        if connection in self._watchers:  # from the router itself: others may not watch this process
+            frame = m.encode(load)
+            for address in self._agreement.engine.alive(clock()):
+                self._agreement.send(address, frame)
+
+    def _count(self) -> None:
+        self._agreement.engine.own_routers = {each.router for each in self._watchers.values()}
+
+    # --- what goes to routers ---
+
+    def config_changed(self, config: StoredConfig) -> None:
+        """A configuration is in force."""
+        self._tell(m.ConfigNews(config.version, config.body))
+
+    def workers_changed(self, records: list[WorkerRecord]) -> None:
+        """Workers are known otherwise than before."""
+        for record in records:
+            if record.state is WorkerState.GONE:
+                self._caches.forget(record.instance)
+            state = record.state.name.lower()
+            log.info("control: worker %s %s %s %s", record.instance, record.service, record.phase, state)
+        self._tell(m.WorkerNews(0, tuple(records)))
+
+    def tell_fleet(self) -> None:
+        """What routers are told now and then, at once."""
+        self._tell(self._agreement.engine.fleet_news(clock()))
+
+    def _tell(self, body: m.Body) -> None:
+        frame = m.encode(body)
+        for connection in list(self._watchers):
+            if not connection.send(frame):
+                connection.close()  # it does not read: it begins again with all there is
+
+    async def _tell_fleet(self) -> None:
+        while True:
+            await asyncio.sleep(FLEET_NEWS_EVERY)
+            self.tell_fleet()
+
+    async def _tell_loads(self) -> None:
+        while True:
+            await asyncio.sleep(max(LOADS_EVERY, LOADS_EVERY_PER_ROUTER * len(self._watchers)))
+            self.loads.expire(clock())
+            if not self._loads_changed:
+                continue
+            self._loads_changed = False
+            cached, self._cached = tuple(self._cached), []
+            totals = self.loads.totals()
+            for connection, watcher in list(self._watchers.items()):
+                if watcher.loads:
+                    loads = self.loads.without(totals, watcher.router)
+                    connection.send(m.encode(LoadNews(loads, cached)))
+
+    # --- what is good to know after a restart ---
+
+    def _recall(self) -> None:
+        content = read_soft_state(self._soft_path) if self._soft_path is not None else None
+        if content is None:
+            return
+        try:
+            state = m.decode_soft_state(content)
+        except msgspec.DecodeError as error:
+            log.warning("control: soft state: %s; not used", error)
+            return
+        self._agreement.engine.recall_workers(state.workers, clock())
+        self._agreement.engine.most_routers = max(state.routers, 1)
+        self._caches.add(state.cached)
+
+    async def _keep_soft_state(self) -> None:
+        while self._soft_path is not None:
+            await asyncio.sleep(SOFT_STATE_EVERY)
+            engine = self._agreement.engine
+            state = m.SoftState(engine.registry.records(), self._caches.all(), engine.most_routers)
+            content = m.encode_soft_state(state)
+            if content == self._soft_written:
+                continue
+            try:
+                await asyncio.to_thread(write_soft_state, self._soft_path, content)
+                self._soft_written = content
+            except OSError as error:
+                log.warning("control: soft state: %s", error)
--- a/tests/test_system_processes.py
+++ b/tests/test_system_processes.py
@@ -46,11 +46,11 @@
 
 
 async def test_a_fleet_serves_through_the_loss_of_its_leader_and_ends_as_planned(fleet):
-    async def workers_known() -> bool:
-        known = (await status_of(MACHINES[0]))["workers"]
-        return len(known) == 5
+    async def whole() -> bool:
+        known = await status_of(MACHINES[0])
+        return len(known["workers"]) == 5 and len(known["voters"]) == 3
 
-    await become(workers_known)
+    await become(whole)
     status, body = await fleet.ask(MACHINES[0], "a1")
     assert status == 200 and body.count(b"data: token") == 5
     [reader] = [each for each in fleet.workers if each.seen.read]
