--- a/example/fleet/run.py
+++ b/example/fleet/run.py
@@ -37,17 +37,7 @@
 faultTolerance: {{machines: 1}}
 """
 
-ENGINE = {"capacity": 8, "kvCapacity": 100_000, "kvTokenBytes": 1_000, "bandwidthMbps": 10_000.0}
-ROUTE = {
-    "name": "chat",
-    "host": "example.test",
-    "prefix": "/chat/",
-    "kind": "stream",
-    "timeoutMs": 5_000,
-    "targetMs": 500,
-    "backend": "llm",
-    "retries": 2,
-}
+CONFIGURATION = json.loads((Path(__file__).parent / "configuration.json").read_text())
 
 
 class ExampleFleet:
@@ -70,8 +60,7 @@
             worker = ModelWorker(settings)
             await worker.start()
             self.workers.append(worker)
-        services = [{"name": "llm", "engine": ENGINE}]
-        await self.put(0, {"version": 1, "routes": [ROUTE], "services": services})
+        await self.put(0, CONFIGURATION)
         for ip in MACHINES:
             await self.until_ready(ip)
 
--- a/tests/test_system_processes.py
+++ b/tests/test_system_processes.py
@@ -12,9 +12,10 @@
 import aiohttp
 import pytest
 
-from example.fleet.run import CONTROL, ENGINE, MACHINES, READINESS, ROUTE, ExampleFleet
+from example.fleet.run import CONFIGURATION, CONTROL, MACHINES, READINESS, ExampleFleet
 
 pytestmark = pytest.mark.anyio
+[ROUTE] = CONFIGURATION["routes"]
 WAIT = 20.0  # seconds that what is awaited may take on a busy machine
 
 
@@ -61,11 +62,7 @@
     leader = (await status_of(MACHINES[0]))["leader"].rpartition("@")[2].partition(":")[0]
     fleet.processes["control", leader].kill()
     await fleet.processes["control", leader].wait()
-    second = {
-        "version": 2,
-        "routes": [ROUTE | {"prefix": "/talk/"}],
-        "services": [{"name": "llm", "engine": ENGINE}],
-    }
+    second = CONFIGURATION | {"version": 2, "routes": [ROUTE | {"prefix": "/talk/"}]}
     assert await fleet.put(1, second) == 200
     assert await fleet.put(1, second | {"version": 3}) == 412
     assert (await fleet.ask(MACHINES[1], "a2"))[0] == 404, "the route of version 1 is no more"
@@ -113,10 +110,10 @@
     for place in ("nodeName", "zone", "portRange[0]", "listen.http"):
         assert place in done.stdout
     configuration = tmp_path / "c.json"
-    configuration.write_text(json.dumps({"version": 1, "routes": [ROUTE], "services": []}))
+    configuration.write_text(json.dumps(CONFIGURATION | {"services": []}))
     done = command("check", str(configuration))
     assert done.returncode == 1 and "routes[0].backend" in done.stdout
-    configuration.write_text(json.dumps({"version": 1, "routes": [ROUTE], "services": [{"name": "llm"}]}))
+    configuration.write_text(json.dumps(CONFIGURATION))
     assert command("check", str(configuration)).returncode == 0
     assert command("router", f"--settings={settings}").returncode == 2
     assert command("dance").returncode == 2
