--- a/hazelbend/forwarding/forwarder.py
+++ b/hazelbend/forwarding/forwarder.py
@@ -45,6 +45,7 @@
 RETRY_AFTER_STARTING_S = 0.5
 READ_RANKS = (1_000, 2_500, 6_000, 12_000, 25_000)  # tokens from which a read waits for shorter ones
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that a request has not run and never will
+SIGNATURE = "server-signature"
 REASONS = {404: b"no such route\n", 502: b"a worker failed\n", 503: b"refused\n", 504: b"too late\n"}
 
 
@@ -255,7 +256,8 @@
     def _free(self, flow: Flow) -> None:
         """A handle that nobody has taken keeps memory from others."""
         if flow.handle is not None:
-            self._spawn(self._client.free_handle(flow.handle.reader.address, flow.handle.name))
+            reader = flow.handle.reader
+            self._spawn(self._client.free_handle(reader.address, reader.instance, flow.handle.name))
             flow.handle = None
 
     # --- attempts ---
@@ -313,10 +315,12 @@
         if flow.handle is not None:
             self._state.placement.moved(send, flow.prompt)
             flow.handle = None  # taken
-        if flow.route.is_stream and 200 <= answer.status < 300:
+        if flow.route.is_stream and 200 <= answer.status < 300 and _is_genuine(answer):
             await self._stream(flow, send, answer, reply)
         elif flow.begun:
             raise BrokenError  # a resumed run that failed: nothing of it is for the client
+        elif 200 <= answer.status < 300 and not _is_genuine(answer):
+            raise BrokenError  # bytes that are not the worker's answer
         elif answer.status in PROMISES:
             raise BrokenError  # it promises what the worker has not said: that the request has not run
         else:
@@ -422,6 +426,12 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
 
+def _is_genuine(answer: WorkerAnswer) -> bool:
+    """Whether a success bears its worker's stamp, and a body that is as the worker made it."""
+    names = {name.lower() for name, _ in answer.headers}
+    return SIGNATURE in names and "content-encoding" not in names
+
+
 async def _after_first(chunks: AsyncIterator[bytes], tell: Callable[[], None]) -> AsyncIterator[bytes]:
     """The same chunks; `tell` is called as the first one comes."""
     first = True
--- a/hazelbend/forwarding/ports.py
+++ b/hazelbend/forwarding/ports.py
@@ -83,8 +83,8 @@
             BrokenError: it may have run.
         """
 
-    async def free_handle(self, address: str, handle: str) -> None:
-        """Free the memory that a worker keeps under a handle; failures are nobody's concern."""
+    async def free_handle(self, address: str, instance: str, handle: str) -> None:
+        """Free the memory that this worker keeps under a handle; failures are nobody's concern."""
 
 
 class ClientReply(Protocol):
--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -56,7 +56,7 @@
         await self._agreement.recall()
         await self._server.listen(*split_address(self._settings.control_peer))
         await self._api.listen(*split_address(self._settings.control))
-        self._watches.start()
+        await self._watches.start()
         self._orders.start()
         self._agreement.pump()
 
--- a/hazelbend/system/watch_service.py
+++ b/hazelbend/system/watch_service.py
@@ -43,9 +43,9 @@
         self._soft_written = b""
         self._tasks: list[asyncio.Task[None]] = []
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Recall what was kept, and begin to tell."""
-        self._recall()
+        await self._recall()
         upkeep = (self._tell_fleet, self._tell_loads, self._keep_soft_state)
         self._tasks = [asyncio.create_task(each()) for each in upkeep]
 
@@ -138,8 +138,10 @@
 
     # --- what is good to know after a restart ---
 
-    def _recall(self) -> None:
-        content = read_soft_state(self._soft_path) if self._soft_path is not None else None
+    async def _recall(self) -> None:
+        if self._soft_path is None:
+            return
+        content = await asyncio.to_thread(read_soft_state, self._soft_path)
         if content is None:
             return
         try:
--- a/hazelbend/transport/worker_client.py
+++ b/hazelbend/transport/worker_client.py
@@ -117,7 +117,7 @@
             raise NotSentError(withdrawn=False) from None
         self._heed_keepalive(response.headers.get("Keep-Alive"))
         echoed = response.headers.get("Request-Id")
-        if echoed is not None and echoed != request.id:
+        if echoed != request.id and (echoed is not None or response.status < 300):
             response.close()
             raise BrokenError("an answer to another request")
         return HttpWorkerAnswer(response)
@@ -152,11 +152,12 @@
             except StaleConnectionError:
                 writing.reused_connection = False
 
-    async def free_handle(self, address: str, handle: str) -> None:
+    async def free_handle(self, address: str, instance: str, handle: str) -> None:
         """See the Protocol."""
         url = raw_url(f"http://{address}", f"/kv-handle/{handle}")
+        headers = {"Expect-Instance": instance}  # the address may be another worker's by now
         with contextlib.suppress(TimeoutError, *FAILED):
-            async with asyncio.timeout(FREE_WAIT), self._session.delete(url) as response:
+            async with asyncio.timeout(FREE_WAIT), self._session.delete(url, headers=headers) as response:
                 await response.read()
 
     async def close(self) -> None:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -132,7 +132,7 @@
             raise step
         return step
 
-    async def free_handle(self, address, handle) -> None:
+    async def free_handle(self, address, instance, handle) -> None:
         self.freed.append(handle)
 
     # --- what tests do ---
@@ -201,6 +201,12 @@
     assert reply.status == 503 and float(reply.headers["Retry-After"]) > 0
 
 
+@pytest.mark.parametrize("headers", [(), (("Server-Signature", "x"), ("Content-Encoding", "gzip"))])
+@pytest.mark.parametrize("kind", ["unsafe", "stream"])
+def test_a_success_without_the_workers_stamp_or_with_another_body_is_not_passed_on(kind, headers):
+    assert Site(kind=kind).ask(Answer(headers=headers)).status == 502
+
+
 # --- another worker ---
 
 
--- a/tests/test_system_sockets.py
+++ b/tests/test_system_sockets.py
@@ -427,6 +427,12 @@
         await client.send(call_of(worker), lambda: 1_000_000)
 
 
+async def test_a_success_that_does_not_say_whose_it_is_is_not_passed_on(worker, client):
+    worker.says = [OK.replace(b"Request-Id: q1\r\n", b"")]
+    with pytest.raises(BrokenError):
+        await client.send(call_of(worker), lambda: 1_000_000)
+
+
 async def test_a_second_answer_on_a_kept_connection_is_not_taken_for_the_next_ones(worker, client):
     worker.says = [OK + OK, OK.replace(b"q1", b"q2").replace(b"ok", b"22")]
     answer = await client.send(call_of(worker), lambda: 1_000_000)
