A pair is chosen in O(readers + makers); uvicorn does not wake for nothing

Cause: with 70 workers a choice took 10.8 ms (each reader with each maker of tokens). Change: of makers only the soonest of each zone are compared, as a move depends on zones alone.

--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -204,25 +204,26 @@
         self, service: str, prompt: Prompt, source: WorkerRecord | None, now: int, tried: set[str]
     ) -> Choice | None:
         """The worker that makes the tokens: of a prompt that `source` keeps, or that it reads itself."""
-        runners = self.candidates(service, Stage.DECODE, now, tried) or self.candidates(
-            service, Stage.WHOLE, now, tried
-        )
+        runners = self.candidates(service, Stage.DECODE, now, tried)
+        runners = runners or self.candidates(service, Stage.WHOLE, now, tried)
+        if source is not None:
+            return self._soonest_after(source, prompt, self._soonest_by_zone(runners, now))
         kept = self._kept(service, prompt)
-        found = [self._runner(each, prompt, source, kept, now) for each in runners]
+        found = [self._alone(each, prompt, kept, now) for each in runners]
         return min(found, key=lambda each: (each.delay, self._random.random()), default=None)
 
     def _pairs(self, service: str, prompt: Prompt, now: int, tried: set[str]) -> Iterator[Pair]:
         kept = self._kept(service, prompt)
         runners = self.candidates(service, Stage.DECODE, now, tried)
         for each in runners:
-            alone = self._runner(each, prompt, None, kept, now)
+            alone = self._alone(each, prompt, kept, now)
             yield Pair(None, alone, alone.delay)
+        by_zone = self._soonest_by_zone(runners, now)
         readers = self.candidates(service, Stage.PREFILL, now, tried)
         home = _home(readers, prompt.subject)
         for each in readers:
             reader = self._reader(each, prompt, kept, home, now)
-            moved = [self._runner(runner, prompt, each.record, kept, now) for runner in runners]
-            best = min(moved, key=lambda choice: (choice.delay, self._random.random()), default=None)
+            best = self._soonest_after(each.record, prompt, by_zone)
             if best is not None:
                 yield Pair(reader, best, reader.delay + best.delay)
 
@@ -260,13 +261,32 @@
     def _presence(self, service: str) -> Mean:
         return self._present.setdefault(service, Mean())
 
-    def _runner(
-        self, worker: WorkerEstimate, prompt: Prompt, source: WorkerRecord | None, kept: int, now: int
-    ) -> Choice:
-        first_token = worker.running.delay(1.0, now) + self._distance(worker, now)
-        if source is not None:
+    def _soonest_by_zone(self, runners: list[WorkerEstimate], now: int) -> dict[str, Choice]:
+        """Of each zone, the worker that makes the first token of a prompt soonest that was read elsewhere,
+        the move left out: that depends on the zones alone."""
+        found: dict[str, Choice] = {}
+        self._random.shuffle(runners)  # among those that are alike, any
+        for worker in runners:
             overhead = self._first_token(worker.record.service).beside(FIRST_TOKEN, FIRST_TOKEN_PRIOR)
-            return Choice(worker, 0, overhead + first_token + self._move(worker, prompt, source))
+            delay = overhead + worker.running.delay(1.0, now) + self._distance(worker, now)
+            known = found.get(worker.record.zone)
+            if known is None or delay < known.delay:
+                found[worker.record.zone] = Choice(worker, 0, delay)
+        return found
+
+    def _soonest_after(
+        self, source: WorkerRecord, prompt: Prompt, by_zone: dict[str, Choice]
+    ) -> Choice | None:
+        """Of these, the one that makes the first token soonest of a prompt that `source` keeps."""
+        moved = [
+            Choice(each.worker, 0, each.delay + self._move(each.worker, prompt, source))
+            for each in by_zone.values()
+        ]
+        return min(moved, key=lambda each: each.delay, default=None)
+
+    def _alone(self, worker: WorkerEstimate, prompt: Prompt, kept: int, now: int) -> Choice:
+        """A worker that reads the prompt itself and makes its tokens."""
+        first_token = worker.running.delay(1.0, now) + self._distance(worker, now)
         cached = worker.holds(prompt.shared)
         tokens = max(prompt.tokens - cached, 0)
         units = tokens / UNIT
--- a/hazelbend/transport/asgi_server.py
+++ b/hazelbend/transport/asgi_server.py
@@ -41,11 +41,19 @@
 
 
 class _Server(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.ending = asyncio.Event()
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """The program handles its signals itself."""
         yield
 
+    async def main_loop(self) -> None:
+        """Wait for the end. uvicorn's own looks ten times a second, for features that are not used here."""
+        await self.ending.wait()
+
 
 class AsgiServer:
     """One address; `handler` answers every call."""
@@ -88,6 +96,7 @@
         """No new connections; calls under way are answered."""
         if self._server is not None and self._task is not None:
             self._server.should_exit = True
+            self._server.ending.set()
             await asyncio.wait([self._task], timeout=2 * CLOSE_WAIT)
 
     async def _serve(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -188,6 +188,18 @@
     assert len(homes) == 1
 
 
+def test_a_maker_of_tokens_of_the_readers_zone_is_preferred_as_a_move_between_zones_takes_longer():
+    made = Placement("z", 2)
+    made.services = {"llm": Service("llm", engine=table().services["llm"].engine)}
+    for record in (worker(1, "prefill"), worker(2, "decode", zone="y"), worker(3, "decode")):
+        made.merge(record)
+    assert made.choose_pair("llm", LONG, 0, set()).runner.worker.record.instance == "i-3"
+    made.reported({"i-3": Load(600, 0)}, (), 0)
+    assert made.choose_pair("llm", LONG, 0, set()).runner.worker.record.instance == "i-2"
+    source = made.workers["i-1"].record
+    assert made.choose_runner("llm", LONG, source, 0, {"i-2"}).worker.record.instance == "i-3"
+
+
 def test_own_reads_count_by_what_is_left_of_them(placement):
     send = placement.sent(placement.choose_pair("llm", LONG, 0, set()).reader, False, LONG, 0)
     instance = send.worker.record.instance
