An operator founds a new record with a survivor after a majority is lost (refound)

Need: recovery after the loss of a majority's memory. The new record begins with the survivor's configuration and the digests of accepted changes. Refused while a leader is known. Measured: tests/test_control.py, two of three disks lost at once: whole again within 5 simulated seconds.

--- a/benchmarks/control_sim.py
+++ b/benchmarks/control_sim.py
@@ -608,7 +608,7 @@
         from hazelbend.control import config_machine
 
         def apply(self: config_machine.ConfigMachine, index: int, op: bytes) -> ChangeResult:
-            change = config_machine._changes.decode(op)
+            change = config_machine._entries.decode(op)
             self.current = StoredConfig(change.version, change.body)
             return ChangeResult.ACCEPTED
 
--- a/hazelbend/control/config_machine.py
+++ b/hazelbend/control/config_machine.py
@@ -20,7 +20,7 @@
     NOT_ABOVE = "not above"  # its version is not above the current one
 
 
-class ConfigChange(msgspec.Struct, frozen=True):
+class ConfigChange(msgspec.Struct, frozen=True, tag=True):
     """One proposed configuration, as an entry of the log. `body` is compressed."""
 
     base: int
@@ -29,6 +29,12 @@
     body: bytes
 
 
+class Refound(msgspec.Struct, frozen=True, tag=True):
+    """The first entry of a record that an operator has founded anew: the state of the one who founds."""
+
+    state: bytes
+
+
 class StoredConfig(msgspec.Struct, frozen=True):
     """A configuration in force. Version 0 is no configuration; `body` is compressed."""
 
@@ -42,7 +48,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_changes = msgspec.msgpack.Decoder(ConfigChange)
+_entries = msgspec.msgpack.Decoder(ConfigChange | Refound)
 _snapshots = msgspec.msgpack.Decoder(_Snapshot)
 
 
@@ -58,6 +64,11 @@
     )
 
 
+def refound_entry(state: bytes) -> bytes:
+    """The log entry that begins a new record with this state."""
+    return _encoder.encode(Refound(state))
+
+
 def plain_body(config: StoredConfig) -> bytes:
     """The configuration's text as it was sent."""
     return zlib.decompress(config.body)
@@ -76,7 +87,10 @@
 
     def apply(self, index: int, op: bytes) -> ChangeResult:
         """Take one committed entry."""
-        change = _changes.decode(op)
+        change = _entries.decode(op)
+        if isinstance(change, Refound):
+            self.restore(change.state)
+            return ChangeResult.ACCEPTED
         if change.digest in self.accepted:
             return ChangeResult.ACCEPTED
         if change.base != self.current.version:
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -11,7 +11,13 @@
 from dataclasses import dataclass, field
 
 from hazelbend.control import messages as m
-from hazelbend.control.config_machine import ChangeResult, ConfigMachine, StoredConfig, change_entry
+from hazelbend.control.config_machine import (
+    ChangeResult,
+    ConfigMachine,
+    StoredConfig,
+    change_entry,
+    refound_entry,
+)
 from hazelbend.control.load_table import Load
 from hazelbend.control.phase_planner import PhaseOrder, PhasePlanner
 from hazelbend.control.workers import SILENT_BEATS, WorkerRecord, WorkerRegistry, WorkerState
@@ -322,6 +328,18 @@
                 for instance, age in ages.items():
                     self.registry.hear(instance, now - age)
 
+    def refound(self, now: int) -> int:
+        """An operator's word that a majority is lost for good: a new record, founded here, that begins with
+        what this process holds. Its epoch. ValueError: a leader is known, so nothing is lost.
+        """
+        if self.record.leader:
+            raise ValueError(f"{self.record.leader} leads: no majority is lost")
+        state = self.machine.snapshot()
+        epoch = epoch_number(self.record.memory.epoch, self._unix_seconds(), self.me)
+        self.record.found(epoch, now)
+        self.record.propose(refound_entry(state), now)
+        return epoch
+
     def greet_also(self, addresses: tuple[str, ...]) -> None:
         """Other control processes to look for: the seeds have changed."""
         for address in addresses:
--- a/hazelbend/system/control_api.py
+++ b/hazelbend/system/control_api.py
@@ -6,6 +6,7 @@
 import time
 
 import msgspec
+import picologging
 
 from hazelbend.control.config_machine import ChangeResult, plain_body
 from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
@@ -16,6 +17,8 @@
 from hazelbend.system.settings import Settings, split_address
 from hazelbend.transport.asgi_server import HttpAnswer, HttpCall
 
+log = picologging.getLogger("hazelbend.control")
+
 LEADER_WAIT = 0.7  # seconds that a call waits for a leader to be known
 LEADER_LOOK = 0.02
 JSON = "application/json"
@@ -41,6 +44,8 @@
                 return await self._get()
             case ("GET", ["", "status"]):
                 return self._status()
+            case ("POST", ["", "refound"]):
+                return self._refound()
         return HttpAnswer(404, b"no such call\n")
 
     # --- workers ---
@@ -99,6 +104,15 @@
             return HttpAnswer(404, b"no configuration yet\n")
         return HttpAnswer(200, plain_body(answer.config), JSON)
 
+    def _refound(self) -> HttpAnswer:
+        try:
+            epoch = self._agreement.engine.refound(clock())
+        except ValueError as error:
+            return HttpAnswer(409, f"{error}\n".encode())
+        log.warning("control: epoch %d is founded here by an operator", epoch)
+        self._agreement.pump()
+        return HttpAnswer(200, b'{"epoch":%d}' % epoch, JSON)
+
     async def _redirect(self, path: str) -> HttpAnswer | None:
         """None once this process leads; else the way to the leader, or 503 where none is known."""
         engine = self._agreement.engine
--- a/hazelbend/system/main.py
+++ b/hazelbend/system/main.py
@@ -23,12 +23,13 @@
 
 SETTINGS_LOOK = 1.0  # seconds between looks at whether the settings file has changed
 LOG_FORMAT = "%(created)f %(levelname)s %(message)s"  # asctime is broken in picologging 0.9.3
-USAGE_ERROR = 2
+USAGE_ERROR, OK = 2, 200
 ROLES = ("router", "control")
 USAGE = """usage: python -m hazelbend.system [--settings=FILE] COMMAND
   router, control   run this role
   check FILE        all findings in a settings file (YAML) or a configuration (JSON)
-  status ADDRESS    what the control process at this address (IP:PORT) knows"""
+  status ADDRESS    what the control process at this address (IP:PORT) knows
+  refound ADDRESS   a majority is lost for good: found a new record with what this process holds"""
 
 log = picologging.getLogger("hazelbend")
 
@@ -135,18 +136,18 @@
     return 0
 
 
-def _status(address: str) -> int:
-    """Show what a control process knows."""
+def _call(address: str, method: str, path: str) -> int:
+    """Show what a control process answers; 1 where it refuses or can't be reached."""
     import httpcore
 
     try:
         with httpcore.ConnectionPool() as pool:
-            response = pool.request("GET", f"http://{address}/status")
+            response = pool.request(method, f"http://{address}{path}")
     except (httpcore.ConnectError, httpcore.NetworkError, httpcore.ProtocolError) as error:
         print(f"{address}: {error}", file=sys.stderr)
         return 1
-    print(response.content.decode())
-    return 0
+    print(response.content.decode().rstrip())
+    return int(response.status != OK)
 
 
 def _main(arguments: list[str]) -> int:
@@ -154,7 +155,9 @@
         case ["check", path]:
             return _check(Path(path))
         case ["status", address]:
-            return _status(address)
+            return _call(address, "GET", "/status")
+        case ["refound", address]:
+            return _call(address, "POST", "/refound")
         case [role] if role in ROLES:
             return _run_role(role)
     print(USAGE, file=sys.stderr)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -263,6 +263,25 @@
     assert follower.engine.machine.current.version >= 2
 
 
+def test_an_operator_founds_anew_with_a_survivor_after_a_majority_was_lost(fleet):
+    assert results_of(fleet, base=0, version=2, body=b'{"a":1}') == [ChangeResult.ACCEPTED]
+    fleet.run(1 * S)
+    survivor = next(each for each in fleet.alive if each is not fleet.leader)
+    with pytest.raises(ValueError, match="leads"):
+        survivor.engine.refound(fleet.now)
+    for machine in list(fleet.alive):
+        if machine is not survivor:
+            fleet.wipe(machine.address)
+            fleet.at(500 * MS, lambda address=machine.address: fleet.start(address))
+    fleet.run(3 * S)
+    assert fleet.leader is None
+    survivor.engine.refound(fleet.now)
+    assert fleet.until(lambda: whole(fleet, 3), 5 * S)
+    assert {plain_body(each.engine.machine.current) for each in fleet.alive} == {b'{"a":1}'}
+    assert results_of(fleet, base=0, version=2, body=b'{"a":1}') == [ChangeResult.ACCEPTED], "still known"
+    assert results_of(fleet, base=2, version=3, body=b"{}") == [ChangeResult.ACCEPTED]
+
+
 def test_a_change_that_is_sent_again_to_another_leader_is_still_taken(fleet):
     body = b'{"a":1}'
     assert results_of(fleet, base=0, version=2, body=body) == [ChangeResult.ACCEPTED]
@@ -324,9 +343,9 @@
 
 def test_the_checks_find_a_state_machine_that_compares_nothing(monkeypatch):
     def apply(self, index, op):
-        from hazelbend.control.config_machine import StoredConfig, _changes
+        from hazelbend.control.config_machine import StoredConfig, _entries
 
-        change = _changes.decode(op)
+        change = _entries.decode(op)
         self.current = StoredConfig(change.version, change.body)
         return ChangeResult.ACCEPTED
 
