A new watch of a large fleet is not given up before its turn has come

Log: 19 of 32 processes log call failed: TimeoutError every 3.4 s and never hear anything; 13 never time out. A new watch was given up 2.5 s after its call (FIRST_HOLD 1.5 s and 1 s) and asked again at the end of discovery's queue. Change: the first hold grows with the fleet, 100 ms a dispatcher, from 1.5 to 3 s.

--- a/hazelbend/decisions/discovery_retry.py
+++ b/hazelbend/decisions/discovery_retry.py
@@ -21,6 +21,8 @@
   Where it answers late, callers queue: then holds grow, up to `HOLD_EACH` for each dispatcher of the
   fleet, and shrink again with each answer in time. One call without an answer may be a watch that fell
   silent, and says nothing of that; two in a row do.
+- A new watch of a large fleet waits for longer (`FIRST_HOLD_EACH`): discovery's queue is as long as its
+  fleet. Two calls in 6 s fit there only where the first is refused and not given up.
 - Where lists are pushed, what the agent has counts as told at once, whether or not a watch is open. It is
   asked at once, and often, until it answers.
 """
@@ -49,6 +51,8 @@
 HOLD_EACH = 750_000  # for each dispatcher of a fleet: the longest that it grows to
 LONGEST_HOLD = 30_000_000
 FIRST_HOLD = 1_500_000  # of a new watch: a service that does not answer is found out as soon as may be
+FIRST_HOLD_EACH = 100_000  # for each dispatcher: where many call, an answer takes as long to come
+LONGEST_FIRST_HOLD = 3_000_000
 GROW, SHRINK = 2.0, 4.0  # by what a hold changes with a late answer, and with one in time
 LATE = 500_000  # beyond its hold, from which an answer has waited behind others
 
@@ -86,6 +90,12 @@
     stretch: float = 1.0
     unanswered: int = 0  # calls in a row
 
+    @staticmethod
+    def first_hold(fleet_size: int) -> int:
+        """Of a new watch. A call that is given up goes to the end of the queue, so one that is given up
+        before its turn has come is never answered at all."""
+        return min(max(FIRST_HOLD, FIRST_HOLD_EACH * fleet_size), LONGEST_FIRST_HOLD)
+
     def next_hold(self, fleet_size: int) -> int:
         """Of the next call of a watch that goes on."""
         return round(min(HOLD * self.stretch, self._longest(fleet_size)))
--- a/hazelbend/transport/discovery_watch.py
+++ b/hazelbend/transport/discovery_watch.py
@@ -75,7 +75,7 @@
         if self.address is None:
             self._hear(EndpointList())  # a site without discovery stays with the list it has
             return
-        hold = discovery_retry.FIRST_HOLD
+        hold = self._hold.first_hold(self._callers)
         # Each watch has a connection of its own: one that is dead without a sign ends with its watch.
         connector = aiohttp.TCPConnector(limit=1, use_dns_cache=False)
         async with open_session(connector, aiohttp.ClientTimeout(total=None)) as session:
