--- a/tests/test_discovery_watch.py
+++ b/tests/test_discovery_watch.py
@@ -107,8 +107,8 @@
 
 @pytest.mark.parametrize(("fleet", "hold"), [(1, 1.5), (14, 1.5), (32, 3.0), (200, 3.0)])
 def test_a_new_watch_of_a_large_fleet_is_not_given_up_before_its_turn(fleet, hold):
-    """Guards against a part of a large fleet that is never answered: 19 of 32 dispatchers gave each call up after
-    2.5 s, and went to the end of the queue again (`call failed: TimeoutError` every 3.4 s)."""
+    """Guards against a part of a large fleet that is never answered: 19 of 32 dispatchers gave each call up
+    after 2.5 s, and went to the end of the queue again (`call failed: TimeoutError` every 3.4 s)."""
     _, asked, _ = watch(answer(43, False, "b"), held=41, fleet=fleet)
     assert asked[0] == f"/v1/servers?from=41&hold_ms={round(hold * 1_000)}"
 
