--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -7,7 +7,7 @@
 import pytest
 
 from benchmarks import control_sim
-from benchmarks.control_faults import Operators, play
+from benchmarks.control_faults import Operators, play, shrink
 from benchmarks.control_fleet import MS, BrokenRuleError, Fleet, S, whole
 from hazelbend.control import messages as m
 from hazelbend.control.config_machine import ChangeResult, ConfigMachine, change_entry, plain_body
