--- a/hazelbend/control/phase_planner.py
+++ b/hazelbend/control/phase_planner.py
@@ -16,7 +16,7 @@
 PREFILL, DECODE = "prefill", "decode"
 LEAST_RUNNERS = 2  # workers that make tokens, whatever the traffic
 LEAST_RUNNER_PART = 1 / 3  # of a service's workers
-CALM_USE, FULL_USE = 0.2, 0.5  # of the places of those that make tokens: one may be spared, one is missing
+CALM_USE, FULL_USE = 0.2, 0.75  # of the places of those that make tokens: one may be spared, one is missing
 WORTH_READING = 400.0  # unread tokens a reader, from which one more is worth a pause
 MEMORY = 3.0  # looks that a mean rests on
 LOOKS_FIRST = 3  # looks at a service before the first order
@@ -115,7 +115,7 @@
 ) -> PhaseOrder | None:
     least = max(LEAST_RUNNERS, math.ceil(LEAST_RUNNER_PART * (len(readers) + len(runners))))
     places = sum(each.capacity for each in runners)
-    short = len(runners) < least or service.running > FULL_USE * places
+    short = service.running > FULL_USE * places
     if readers and (not runners or (short and len(readers) > 1)):
         idlest = min(readers, key=lambda each: _tokens(loads, each))
         return PhaseOrder(idlest.instance, idlest.address, DECODE)
--- a/hazelbend/system/watch_service.py
+++ b/hazelbend/system/watch_service.py
@@ -21,7 +21,7 @@
 
 FLEET_NEWS_EVERY = 0.5  # seconds between two words to routers on the fleet
 LOADS_EVERY, LOADS_EVERY_PER_ROUTER = 0.04, 0.002  # seconds between two reports of load to routers
-SOFT_STATE_EVERY = 0.7  # seconds between two writes of it
+SOFT_STATE_EVERY = 1.5  # seconds between two writes of it
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazelbend/transport/soft_state_file.py
+++ b/hazelbend/transport/soft_state_file.py
@@ -1,6 +1,7 @@
 """Soft state in a file: what is good to know after a restart, and does no harm where it is lost or old.
 
-The file is replaced whole and never synced. A file that can't be read counts as none.
+The file is replaced whole, and synced so that it outlives a loss of power. One that can't be read counts as
+none.
 """
 
 from __future__ import annotations
@@ -17,8 +18,16 @@
 def write_soft_state(path: Path, content: bytes) -> None:
     """Replace the file. OSError: the disk refuses; what was there stays."""
     fresh = path.with_name(path.name + ENDING)
-    fresh.write_bytes(zlib.crc32(content).to_bytes(CHECK, "big") + content)
+    with fresh.open("wb") as file:
+        file.write(zlib.crc32(content).to_bytes(CHECK, "big") + content)
+        file.flush()
+        os.fsync(file.fileno())
     os.replace(fresh, path)
+    folder = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(folder)
+    finally:
+        os.close(folder)
 
 
 def read_soft_state(path: Path) -> bytes | None:
