A connection accepted as its listener closes is served; late requests have their time

Cause: the time from which parts of requests are given up was never lifted, so each look at the connections closed whoever was silent or half read in that moment, for as long as nobody ended the drain. It is lifted now when the drain is over.

The listener now stops accepting at once and is closed a turn later.

Each has a test that fails without its mend (408; no answer within 10 s).

--- a/hazelbend/program/drain.py
+++ b/hazelbend/program/drain.py
@@ -62,6 +62,7 @@
             self._program.end_by("drain", began_at + round(LAST * 1e6))
             await asyncio.sleep(OVER - LATE)
             self._program.end_by("drain", None)
+            self._program.client_listener.keep_late_connections()
             await sending
         finally:
             sending.cancel()
--- a/hazelbend/transport/draining_listener.py
+++ b/hazelbend/transport/draining_listener.py
@@ -39,6 +39,10 @@
         which those close too that have not sent a whole request."""
         self.emptying, self.idle_until, self.part_until = True, idle_until, part_until
 
+    def keep_late_connections(self) -> None:
+        """New connections have their whole time again; none is kept after its answer still."""
+        self.part_until = math.inf
+
     def refill(self) -> None:
         """Take clients again."""
         self.emptying, self.idle_until, self.part_until = False, math.inf, math.inf
--- a/hazelbend/transport/http_listener.py
+++ b/hazelbend/transport/http_listener.py
@@ -65,6 +65,7 @@
             lingering_time=0.5,
         )
         self._listener: asyncio.Server | None = None
+        self._stopping: asyncio.Handle | None = None  # closes the listener, a turn after the last accept
         self._sweeping: asyncio.TimerHandle | None = None
 
     @property
@@ -74,7 +75,7 @@
 
     @property
     def _is_serving(self) -> bool:
-        return self._listener is not None and self._listener.is_serving()
+        return self._listener is not None and self._listener.is_serving() and self._stopping is None
 
     @property
     def port(self) -> int:
@@ -103,6 +104,18 @@
         served."""
         if self._listener is None or not self._is_serving:
             return
+        loop = asyncio.get_running_loop()
+        for each in self._listener.sockets:
+            loop.remove_reader(each.fileno())
+        if not self._shared:
+            self._accept_waiting()
+        # asyncio attaches a connection to its server a turn after it has accepted it, and drops it with all
+        # that it sent if the server is closed by then.
+        self._stopping = loop.call_soon(self._close_listener)
+
+    def _close_listener(self) -> None:
+        assert self._listener is not None
+        self._stopping = None
         if not self._shared:
             self._accept_waiting()
         self._listener.close()
@@ -127,7 +140,7 @@
         """Until no connection is open, or so long."""
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
-        while (self._accepting or self._open or self._lingering) and loop.time() < end:
+        while (self._stopping or self._accepting or self._open or self._lingering) and loop.time() < end:
             await asyncio.sleep(EMPTY_CHECK)
 
     async def close(self) -> None:
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -79,6 +79,28 @@
     asyncio.run(run())
 
 
+def test_a_request_that_comes_in_parts_after_a_drain_is_over_has_its_whole_time(tmp_path, hurried):
+    """Guards who comes once nobody asks any more whether connections are left: the look at connections took
+    them for late ones of the drain, for as long as it was not stopped."""
+
+    async def run():
+        async with site(tmp_path, stomp="", ops=OPS) as (app, _):
+            app.drain()
+            await until(lambda: "drain" in app._ends)
+            await until(lambda: "drain" not in app._ends)
+            silent, later = await asyncio.open_connection("127.0.0.1", app.client_listener.port)
+            parted, sending = await asyncio.open_connection("127.0.0.1", app.client_listener.port)
+            sending.write(request("in parts")[:40])
+            await asyncio.sleep(5 * http_listener.SWEEP)
+            sending.write(request("in parts")[40:])
+            later.write(request("after a silence"))
+            async with asyncio.timeout(10):
+                assert b" 200 " in await parted.read()
+                assert b" 200 " in await silent.read()
+
+    asyncio.run(run())
+
+
 def test_stop_crosses_start_and_a_reload(tmp_path, hurried):
     async def run():
         async with site(tmp_path, stomp="", ops=OPS) as (app, _):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -126,6 +126,34 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("passed", [True, False])
+def test_who_is_accepted_in_the_turn_of_the_close_is_served(tmp_path, passed):
+    """Guards a request whose connection was accepted just before its listener closed: asyncio attaches a
+    connection to its server a turn after the accept, and drops it unread if the server is closed by then."""
+
+    async def run():
+        with socket.create_server(("127.0.0.1", 0)) as held:
+            async with site(tmp_path, stomp="") as (app, _):
+                listener = app.client_listener
+                if passed:
+                    await listener.close()
+                    listener = type(listener)(app.router, listener.catalogue, listener.limit)
+                    await listener.listen("", 0, passed_listener(socket.dup(held.fileno())))
+                loop = asyncio.get_running_loop()
+                client = socket.create_connection(("127.0.0.1", listener.port))
+                client.sendall(request(more="Connection: close\r\n"))
+                # A timer that is due runs in the turn of the accept, after it.
+                loop.call_at(loop.time(), listener.stop_accepting)
+                client.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=client)
+                async with asyncio.timeout(10):
+                    assert b" 200 " in await reader.read()
+                writer.close()
+                await listener.close()
+
+    asyncio.run(run())
+
+
 def test_a_console_socket_left_by_a_dead_program_is_replaced_and_a_live_one_stays(tmp_path):
     async def run():
         path = tmp_path / "console.sock"
