Routers are told only the loads that have changed

Each report of load held all workers that had work, every 40 ms, for each router. Changes are enough: a router keeps a copy, applies them in order, and begins anew with all there is on each new watch; a report that can't be handed over ends the watch. Changes are taken from the one watch that carries loads, parts from both.

Tests: a copy kept by changes alone is what would be told whole, over random words, expiries and new watches; sums; a watch that carries no loads.

--- a/hazelbend/control/load_table.py
+++ b/hazelbend/control/load_table.py
@@ -1,7 +1,8 @@
 """What routers have under way at workers, by router: the sums are the load reports of the fleet.
 
 A router tells its unfinished work when it changes. Control processes pass that on to each other, and tell
-each router the sum over all others: n0 at t0, without the router's own sends, which it knows better.
+each router the sum over all others: n0 at t0, without the router's own sends, which it knows better. Of the
+sums only those that have changed go out, since in a large fleet most have not.
 """
 
 from __future__ import annotations
@@ -22,6 +23,9 @@
     tokens: int = 0  # of prompts that are still to be read there
 
 
+NOTHING = Load()
+
+
 class CachedPart(msgspec.Struct, frozen=True, array_like=True):
     """A part of a prompt that a worker has read, or is about to."""
 
@@ -40,10 +44,15 @@
 
 
 class LoadNews(msgspec.Struct, frozen=True, tag=True):
-    """To a router: the unfinished work of all other routers by worker, and parts that they had read."""
+    """To a router: the unfinished work of all other routers by worker, and parts that they had read.
+
+    It holds the workers whose loads have changed since the last news on this connection; where `whole`, all
+    that have work. What it leaves out was the same when it was sent.
+    """
 
     loads: dict[str, Load]
     cached: tuple[CachedPart, ...] = ()
+    whole: bool = False
 
 
 class CacheTable:
@@ -74,6 +83,29 @@
         )
 
 
+class LoadView:
+    """A router's copy of the others' unfinished work, kept up to date by `LoadNews`."""
+
+    def __init__(self) -> None:
+        self.loads: dict[str, Load] = {}  # by worker; none without work
+
+    def take(self, news: LoadNews) -> None:
+        """Apply what has changed, or begin anew with all there is."""
+        if news.whole:
+            self.loads = {}
+        for instance, load in news.loads.items():
+            if load == NOTHING:
+                self.loads.pop(instance, None)
+            else:
+                self.loads[instance] = load
+
+    def changes(self, loads: dict[str, Load]) -> dict[str, Load]:
+        """Those of these loads that differ from the copy."""
+        return {
+            instance: load for instance, load in loads.items() if load != self.loads.get(instance, NOTHING)
+        }
+
+
 @dataclass(slots=True)
 class _Known:
     load: RouterLoad
@@ -81,10 +113,12 @@
 
 
 class LoadTable:
-    """The last word of each router. Times in microseconds."""
+    """The last word of each router, and the sums over all of them. Times in microseconds."""
 
     def __init__(self) -> None:
         self._routers: dict[str, _Known] = {}
+        self._sums: dict[str, Load] = {}  # by worker; none without work
+        self._changed: set[str] = set()  # workers whose sum, or whose part of it, has changed
 
     def merge(self, load: RouterLoad, now: int) -> bool:
         """Take a router's word. False: it is no newer than what is known."""
@@ -92,6 +126,7 @@
         if known is not None and load.seq <= known.load.seq:
             return False
         self._routers[load.router] = _Known(load, now)
+        self._replace(known.load.loads if known is not None else {}, load.loads)
         return True
 
     def expire(self, now: int) -> None:
@@ -99,23 +134,41 @@
         for router, known in list(self._routers.items()):
             if now - known.heard_at > EXPIRY:
                 del self._routers[router]
+                self._replace(known.load.loads, {})
+
+    def _replace(self, before: dict[str, Load], after: dict[str, Load]) -> None:
+        for instance in before.keys() | after.keys():
+            old, new = before.get(instance, NOTHING), after.get(instance, NOTHING)
+            if old == new:
+                continue
+            total = self._sums.get(instance, NOTHING)
+            total = Load(total.jobs + new.jobs - old.jobs, total.tokens + new.tokens - old.tokens)
+            self._changed.add(instance)
+            if total == NOTHING:
+                del self._sums[instance]
+            else:
+                self._sums[instance] = total
+
+    def take_changed(self) -> set[str]:
+        """Workers whose loads have changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
 
     def totals(self) -> dict[str, Load]:
         """The sum over all routers, by worker."""
-        sums: dict[str, tuple[int, int]] = {}
-        for known in self._routers.values():
-            for instance, load in known.load.loads.items():
-                jobs, tokens = sums.get(instance, (0, 0))
-                sums[instance] = (jobs + load.jobs, tokens + load.tokens)
-        return {instance: Load(*both) for instance, both in sums.items()}
-
-    def without(self, totals: dict[str, Load], router: str) -> dict[str, Load]:
-        """The totals less what this router has told itself."""
+        return dict(self._sums)
+
+    def others(self, router: str, instances: Iterable[str]) -> dict[str, Load]:
+        """The sums over all routers but this one, of these workers; one without work is `NOTHING`."""
         known = self._routers.get(router)
-        if known is None:
-            return totals
-        rest = dict(totals)
-        for instance, own in known.load.loads.items():
-            load = rest[instance]
-            rest[instance] = Load(load.jobs - own.jobs, load.tokens - own.tokens)
-        return {instance: load for instance, load in rest.items() if load.jobs or load.tokens}
+        own = known.load.loads if known is not None else {}
+        found = {}
+        for instance in instances:
+            total, mine = self._sums.get(instance, NOTHING), own.get(instance, NOTHING)
+            found[instance] = Load(total.jobs - mine.jobs, total.tokens - mine.tokens)
+        return found
+
+    def all_others(self, router: str) -> dict[str, Load]:
+        """The sums over all routers but this one, of all workers that have work."""
+        found = self.others(router, self._sums)
+        return {instance: load for instance, load in found.items() if load != NOTHING}
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -11,7 +11,7 @@
 import picologging
 
 from hazelbend.control import messages as m
-from hazelbend.control.load_table import LoadNews, RouterLoad
+from hazelbend.control.load_table import LoadNews, LoadView, RouterLoad
 from hazelbend.control.workers import EXPIRY_BEATS, SILENT_BEATS
 from hazelbend.forwarding.forwarder import FleetState, Forwarder
 from hazelbend.placement.engine import Placement
@@ -58,6 +58,7 @@
         self._heard_at = 0  # a control process, by this process's clock
         self._state.is_current = lambda: clock() - self._heard_at < CURRENT
         self._telling: asyncio.TimerHandle | None = None
+        self._others = LoadView()
         self._load_seq = clock()  # rises over restarts too
         self._placement.load_changed = self._load_changed
 
@@ -144,7 +145,8 @@
 
     def loads(self, news: LoadNews) -> None:
         """See `watch.News`."""
-        self._placement.reported(news.loads, news.cached, clock())
+        self._others.take(news)
+        self._placement.reported(self._others.loads, news.cached, clock())
 
     def _load_changed(self) -> None:
         if self._telling is None:
--- a/hazelbend/system/watch.py
+++ b/hazelbend/system/watch.py
@@ -68,8 +68,10 @@
                 self._news.workers(body)
             case m.FleetNews():
                 self._news.fleet(body)
-            case LoadNews():
+            case LoadNews() if self.loads:
                 self._news.loads(body)
+            case LoadNews():  # changes of loads that are heard elsewhere
+                self._news.loads(LoadNews({}, body.cached))
 
 
 class Watches:
--- a/hazelbend/system/watch_service.py
+++ b/hazelbend/system/watch_service.py
@@ -11,7 +11,7 @@
 
 from hazelbend.control import messages as m
 from hazelbend.control.config_machine import StoredConfig
-from hazelbend.control.load_table import CachedPart, CacheTable, LoadNews, LoadTable, RouterLoad
+from hazelbend.control.load_table import CachedPart, CacheTable, LoadNews, LoadTable, LoadView, RouterLoad
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.system.agreement import Agreement, clock
 from hazelbend.transport.frame_link import FrameConnection
@@ -28,6 +28,7 @@
 class _Watcher:
     router: str
     loads: bool  # whether it wants the loads of others
+    told: LoadView  # of others' loads, as it knows them
 
 
 class WatchService:
@@ -58,14 +59,17 @@
 
     def watch(self, connection: FrameConnection, watch: m.Watch) -> None:
         """A router asks for all there is, and for what changes."""
-        self._watchers[connection] = _Watcher(watch.router, watch.loads)
+        loads = self.loads.all_others(watch.router) if watch.loads else {}
+        load_news = LoadNews(loads, self._caches.all(), whole=watch.loads)
+        told = LoadView()
+        told.take(load_news)
+        self._watchers[connection] = _Watcher(watch.router, watch.loads, told)
         self._count()
         engine, config, now = self._agreement.engine, self._agreement.config, clock()
-        loads = self.loads.without(self.loads.totals(), watch.router)
         bodies: list[m.Body] = [
             engine.fleet_news(now),
             m.WorkerNews(0, engine.registry.records(), engine.registry.ages(now)),
-            LoadNews(loads, self._caches.all()),
+            load_news,
         ]
         if config.version > watch.version:
             bodies.append(m.ConfigNews(config.version, config.body))
@@ -130,11 +134,15 @@
                 continue
             self._loads_changed = False
             cached, self._cached = tuple(self._cached), []
-            totals = self.loads.totals()
+            changed = self.loads.take_changed()
             for connection, watcher in list(self._watchers.items()):
-                if watcher.loads:
-                    loads = self.loads.without(totals, watcher.router)
-                    connection.send(m.encode(LoadNews(loads, cached)))
+                if not watcher.loads:
+                    continue
+                loads = watcher.told.changes(self.loads.others(watcher.router, changed))
+                news = LoadNews(loads, cached)
+                watcher.told.take(news)
+                if not connection.send(m.encode(news)):
+                    connection.close()  # these changes are lost: it begins again with all there is
 
     # --- what is good to know after a restart ---
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 
 import pytest
 
@@ -12,7 +13,15 @@
 from hazelbend.control import messages as m
 from hazelbend.control.config_machine import ChangeResult, ConfigMachine, change_entry, plain_body
 from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
-from hazelbend.control.load_table import CachedPart, CacheTable, Load, LoadTable, RouterLoad
+from hazelbend.control.load_table import (
+    CachedPart,
+    CacheTable,
+    Load,
+    LoadNews,
+    LoadTable,
+    LoadView,
+    RouterLoad,
+)
 from hazelbend.control.phase_planner import PhaseOrder, PhasePlanner
 from hazelbend.control.workers import WorkerRecord, WorkerRegistry, WorkerState
 
@@ -151,14 +160,48 @@
     table.merge(RouterLoad("a", 1, {"i": Load(2, 300), "j": Load(1, 0)}), 0)
     table.merge(RouterLoad("b", 1, {"i": Load(1, 50)}), 0)
     assert table.totals() == {"i": Load(3, 350), "j": Load(1, 0)}
-    assert table.without(table.totals(), "a") == {"i": Load(1, 50)}
-    assert table.without(table.totals(), "new") == table.totals()
+    assert table.all_others("a") == {"i": Load(1, 50)}
+    assert table.all_others("new") == table.totals()
     assert not table.merge(RouterLoad("a", 1, {}), 1), "an old word"
     assert table.merge(RouterLoad("a", 2, {}), 1)
     table.expire(10 * S)
     assert table.totals() == {}
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_changes_alone_keep_a_routers_copy_of_the_loads_true(seed):
+    """Given routers whose work changes, when each is told only what has changed for it, then its copy is what
+    it would be told whole."""
+    rng = random.Random(seed)
+    table, told = LoadTable(), {router: LoadView() for router in "abc"}
+    words: dict[str, dict[str, Load]] = {}
+    for step in range(200):
+        router = rng.choice("abcd")
+        workers = rng.sample("ijklmn", rng.randrange(6))
+        words[router] = {worker: Load(rng.randrange(3), 500 * rng.randrange(3)) for worker in workers}
+        table.merge(RouterLoad(router, step, words[router]), step * S)
+        if rng.random() < 0.2:
+            table.expire(step * S + 2 * S)
+        if rng.random() < 0.5:
+            changed = table.take_changed()
+            for name, view in told.items():
+                view.take(LoadNews(view.changes(table.others(name, changed))))
+                assert view.loads == table.all_others(name)
+        if rng.random() < 0.05:
+            told["a"] = LoadView()
+            told["a"].take(LoadNews(table.all_others("a"), whole=True))
+
+
+def test_the_sums_are_those_of_the_last_words():
+    table = LoadTable()
+    for seq in range(5):
+        table.merge(RouterLoad("a", seq, {"i": Load(seq, 10 * seq)}), 0)
+        table.merge(RouterLoad("b", seq, {"i": Load(1, 0), "j": Load(seq, 0)}), 0)
+    assert table.totals() == {"i": Load(5, 40), "j": Load(4, 0)}
+    assert table.take_changed() == {"i", "j"}
+    assert table.take_changed() == set()
+
+
 def test_caches_are_known_by_worker_until_it_ends():
     table = CacheTable()
     table.add([CachedPart("i", "p", 10), CachedPart("j", "q", 20)])
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hazelbend.control import messages as m
-from hazelbend.control.load_table import LoadNews, RouterLoad
+from hazelbend.control.load_table import CachedPart, Load, LoadNews, RouterLoad
 from hazelbend.system import watch
 from hazelbend.system.watch import Watches
 from hazelbend.transport.frame_link import FrameConnection, FrameServer
@@ -121,6 +121,21 @@
     await watches.close()
 
 
+async def test_changes_of_loads_are_heard_over_that_one_alone(controls):
+    """Guards a copy of the loads against changes that rest on what another control process has told."""
+    watches, news = await watching(controls)
+    await held(lambda: sum(w.loads for each in controls for w in each.watchers.values()) == 1)
+    await held(lambda: len(watched(controls)) == 2)
+    for each in controls:
+        for connection, wish in each.watchers.items():
+            part = CachedPart(f"i-{wish.loads}", "p", 1)
+            connection.send(m.encode(LoadNews({"i": Load(1, 1)}, (part,))))
+    await held(lambda: len(news.heard) == 2)
+    loads = {each.cached[0].instance: each.loads for each in news.heard}
+    assert loads == {"i-True": {"i": Load(1, 1)}, "i-False": {}}, "parts are heard from both"
+    await watches.close()
+
+
 async def test_one_that_falls_silent_or_dies_is_left_for_another(controls):
     watches, news = await watching(controls)
     await held(lambda: len(watched(controls)) == 2)
