Routers are told of silent workers alone, control processes of those heard since

Now a router is told of those that are silent, and control processes tell each other of those that were heard since their last word (whoever is new still gets all).

A router must not take a worker for heard that control processes have forgotten: they keep it two heartbeats longer than routers do, and a router that has been told that one has expired forgets it as soon as nothing is under way there. Before, such a worker stayed in the router's list for ever.

--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -196,7 +196,7 @@
         switching = {*self.planner.switching, *(name for peer in alive.values() for name in peer.switching)}
         addresses = (self.plan.address, *alive)
         self.most_routers = max(self.most_routers, len(routers))
-        return m.FleetNews(addresses, self.most_routers, self.registry.ages(now), tuple(switching))
+        return m.FleetNews(addresses, self.most_routers, self.registry.silent_ages(now), tuple(switching))
 
     def recall_workers(self, records: tuple[WorkerRecord, ...], now: int) -> None:
         """Workers known before a restart: listed as silent until they are heard, or expire."""
@@ -293,7 +293,8 @@
         if now >= self._ages_at:
             self._ages_at = now + AGES_EVERY
             self.registry.expire(now)
-            ages = m.Ages(self.registry.ages(now), tuple(self.own_routers), self.planner.switching)
+            fresh = self.registry.take_fresh_ages(now)
+            ages = m.Ages(fresh, tuple(self.own_routers), self.planner.switching)
             self._said.out += [(address, ages) for address in self.alive(now)]
         if now >= self._tend_at:
             self._tend_at = now + TEND_EVERY
--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -38,7 +38,8 @@
 
 
 class Ages(msgspec.Struct, frozen=True, tag=True):
-    """Microseconds since each worker was heard, and the routers that watch the sender."""
+    """Microseconds since workers were heard, of those that were heard since the sender's last word; and the
+    routers that watch the sender."""
 
     ages: dict[str, int]
     routers: tuple[str, ...] = ()
@@ -66,11 +67,11 @@
 
 class FleetNews(msgspec.Struct, frozen=True, tag=True):
     """To routers, now and then: the control processes that are alive (addresses of `portRange`), how many
-    routers there are, and microseconds since each worker was heard."""
+    routers there are, and microseconds since each worker was heard that is silent."""
 
     controls: tuple[str, ...]
     routers: int
-    ages: dict[str, int]
+    silent: dict[str, int]
     switching: tuple[str, ...] = ()  # instances that are changing their part
 
 
--- a/hazelbend/control/workers.py
+++ b/hazelbend/control/workers.py
@@ -12,7 +12,8 @@
 import msgspec
 
 SILENT_BEATS = 2.2  # heartbeats that may be missing before a worker is marked as silent
-EXPIRY_BEATS = 10.0  # after which it is no longer listed
+EXPIRY_BEATS = 10.0  # after which routers forget it
+LISTED_BEATS = 12.0  # after which control processes do: later, so that each router is told of its age by then
 TOMBSTONE = 60_000_000  # how long the end of an instance is remembered
 
 
@@ -60,19 +61,21 @@
         self.heartbeat = heartbeat
         self.listed: dict[str, Listed] = {}
         self._by_address: dict[str, str] = {}
+        self._fresh: set[str] = set()  # heard since `take_fresh_ages`
 
     def merge(self, record: WorkerRecord, heard_at: int) -> list[WorkerRecord]:
         """Take a record; the records that changed by it, which are to be told to others."""
         known = self.listed.get(record.instance)
         if known is not None and record.rank <= known.record.rank:
-            known.heard_at = max(known.heard_at, heard_at)
+            self.hear(record.instance, heard_at)
             return []
         changed = []
         if record.state is not WorkerState.GONE:
             changed = self._end_others_at(record, heard_at)
         if known is None or _differs(known.record, record):
             changed.append(record)
-        self.listed[record.instance] = Listed(record, max(heard_at, known.heard_at if known else 0))
+        self.listed[record.instance] = Listed(record, known.heard_at if known is not None else 0)
+        self.hear(record.instance, heard_at)
         return changed
 
     def _end_others_at(self, record: WorkerRecord, now: int) -> list[WorkerRecord]:
@@ -95,14 +98,15 @@
     def hear(self, instance: str, heard_at: int) -> None:
         """Another process has heard of it."""
         known = self.listed.get(instance)
-        if known is not None:
-            known.heard_at = max(known.heard_at, heard_at)
+        if known is not None and heard_at > known.heard_at:
+            known.heard_at = heard_at
+            self._fresh.add(instance)
 
     def expire(self, now: int) -> None:
         """Drop what has been silent for too long."""
         for instance, each in list(self.listed.items()):
             gone = each.record.state is WorkerState.GONE
-            if now - each.heard_at > (TOMBSTONE if gone else EXPIRY_BEATS * self.heartbeat):
+            if now - each.heard_at > (TOMBSTONE if gone else LISTED_BEATS * self.heartbeat):
                 del self.listed[instance]
                 if self._by_address.get(each.record.address) == instance:
                     del self._by_address[each.record.address]
@@ -123,6 +127,19 @@
             if each.record.state is not WorkerState.GONE
         }
 
+    def silent_ages(self, now: int) -> dict[str, int]:
+        """The same of those alone that are silent."""
+        return {
+            instance: age for instance, age in self.ages(now).items() if age > SILENT_BEATS * self.heartbeat
+        }
+
+    def take_fresh_ages(self, now: int) -> dict[str, int]:
+        """The same of those alone that were heard, here or elsewhere, since the last call."""
+        fresh, self._fresh = self._fresh, set()
+        return {
+            instance: max(now - self.listed[instance].heard_at, 0) for instance in fresh & set(self.listed)
+        }
+
 
 def _differs(before: WorkerRecord, after: WorkerRecord) -> bool:
     """Whether a router has to know of it: not of each `seq`, nor of each millisecond of warming up."""
--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -120,7 +120,7 @@
             if record.phase != known.record.phase:  # another part: its counts and rates are another's
                 fresh = self._new(record)
                 known.reading.rate, known.running.rate = fresh.reading.rate, fresh.running.rate
-            known.record = record
+            known.record, known.expired = record, False
 
     def _new(self, record: WorkerRecord) -> WorkerEstimate:
         alike = [
@@ -132,15 +132,17 @@
         run = _mean([each.running.rate for each in alike], record.capacity / FIRST_RUN)
         return WorkerEstimate(record, Estimate(read, 1.0), Estimate(run, float(record.capacity)))
 
-    def heard(self, ages: dict[str, int], heartbeat: int, expiry: float, silence: float) -> None:
-        """How long ago each worker was heard; one that has been silent for `expiry` heartbeats is dropped."""
+    def heard(self, silent: dict[str, int], expiry: float) -> None:
+        """How long ago each worker was heard that is silent; one that is so for `expiry` microseconds is
+        dropped."""
         for instance, each in list(self.workers.items()):
-            age = ages.get(instance)
+            age = silent.get(instance)
             if age is not None:
-                each.silent = age > silence * heartbeat
-                if age > expiry * heartbeat and not each.busy:
-                    del self.workers[instance]
-            elif each.record.state is WorkerState.GONE and not each.busy:
+                each.silent, each.expired = True, age > expiry
+            elif not each.expired:  # control processes forget those that have expired
+                each.silent = False
+            over = each.expired or each.record.state is WorkerState.GONE
+            if over and not each.busy:
                 del self.workers[instance]
 
     def reported(self, loads: dict[str, Load], cached: tuple[CachedPart, ...], now: int) -> None:
--- a/hazelbend/placement/estimates.py
+++ b/hazelbend/placement/estimates.py
@@ -71,6 +71,7 @@
     reading: Estimate
     running: Estimate
     silent: bool = False
+    expired: bool = False  # silent for so long that it is forgotten once nothing is under way
     slowness: Mean = field(default_factory=Mean)  # of its reads, over what workers of its kind take
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)  # tokens by part, longest unused first
     cached_tokens: int = 0
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -12,7 +12,7 @@
 
 from hazelbend.control import messages as m
 from hazelbend.control.load_table import LoadNews, LoadView, RouterLoad
-from hazelbend.control.workers import EXPIRY_BEATS, SILENT_BEATS
+from hazelbend.control.workers import EXPIRY_BEATS
 from hazelbend.forwarding.forwarder import FleetState, Forwarder
 from hazelbend.placement.engine import Placement
 from hazelbend.placement.retry_budget import RetryBudget
@@ -132,7 +132,6 @@
         """See `watch.News`."""
         for record in news.records:
             self._placement.merge(record)
-        self._heard(news.ages)
 
     def fleet(self, news: m.FleetNews) -> None:
         """See `watch.News`."""
@@ -140,7 +139,7 @@
         self._state.routers = max(self._state.routers, news.routers)
         self._heard_at = clock()
         self._placement.switching = set(news.switching)
-        self._heard(news.ages)
+        self._placement.heard(news.silent, EXPIRY_BEATS * self._settings.heartbeat)
         self._load_changed()  # told again now and then, as words may be lost
 
     def loads(self, news: LoadNews) -> None:
@@ -159,6 +158,3 @@
         cached, self._placement.newly_cached = tuple(self._placement.newly_cached), []
         loads = self._placement.own_loads(clock())
         self._watches.send(RouterLoad(self._settings.node, self._load_seq, loads, cached))
-
-    def _heard(self, ages: dict[str, int]) -> None:
-        self._placement.heard(ages, self._settings.heartbeat, EXPIRY_BEATS, SILENT_BEATS)
--- a/hazelbend/system/watch_service.py
+++ b/hazelbend/system/watch_service.py
@@ -67,8 +67,8 @@
         self._count()
         engine, config, now = self._agreement.engine, self._agreement.config, clock()
         bodies: list[m.Body] = [
+            m.WorkerNews(0, engine.registry.records()),
             engine.fleet_news(now),
-            m.WorkerNews(0, engine.registry.records(), engine.registry.ages(now)),
             load_news,
         ]
         if config.version > watch.version:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -152,6 +152,18 @@
     assert "i-1" not in registry.listed
 
 
+def test_control_processes_tell_each_other_of_workers_that_were_heard_since():
+    registry = WorkerRegistry(S)
+    registry.merge(record("i-1", address="10.0.0.1:1"), 0)
+    registry.merge(record("i-2", address="10.0.0.2:1"), 0)
+    registry.take_fresh_ages(0)
+    registry.hear("i-1", 2 * S)
+    registry.hear("i-2", 0)
+    assert registry.take_fresh_ages(3 * S) == {"i-1": S}, "what is known already is not told again"
+    assert registry.take_fresh_ages(3 * S) == {}
+    assert registry.silent_ages(3 * S) == {"i-2": 3 * S}, "routers are told of silence alone"
+
+
 # --- loads and caches ---
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -225,7 +225,7 @@
 
 def test_one_that_cannot_be_reached_or_is_silent_is_the_last_choice(placement):
     placement.workers["i-5"].failed(0)
-    placement.heard({"i-6": 30 * S, "i-7": 0}, S, 60, 2.2)
+    placement.heard({"i-6": 30 * S}, 60 * S)
     assert placement.choose("s", 1, set()).worker.record.instance == "i-7"
     assert placement.choose("s", 1, {"i-7"}).worker.record.instance == "i-6"
     assert placement.choose("s", 1, {"i-6", "i-7"}).worker.record.instance == "i-5"
@@ -234,8 +234,24 @@
 
 def test_a_worker_that_was_silent_for_long_is_dropped_once_nothing_is_under_way(placement):
     send = placement.sent(placement.choose("s", 0, {"i-6", "i-7"}), True, read_prompt(None, None), 0)
-    placement.heard({"i-5": 20 * S}, S, 10, 2.2)
+    placement.heard({"i-5": 20 * S}, 10 * S)
     assert "i-5" in placement.workers
     placement.ended(send)
-    placement.heard({"i-5": 20 * S}, S, 10, 2.2)
+    placement.heard({"i-5": 20 * S}, 10 * S)
     assert "i-5" not in placement.workers
+
+
+def test_a_worker_that_control_processes_have_forgotten_is_not_taken_for_one_that_is_heard(placement):
+    send = placement.sent(placement.choose("s", 0, {"i-6", "i-7"}), True, read_prompt(None, None), 0)
+    placement.heard({"i-5": 20 * S}, 10 * S)
+    placement.heard({}, 10 * S)
+    assert placement.workers["i-5"].silent
+    placement.ended(send)
+    placement.heard({}, 10 * S)
+    assert "i-5" not in placement.workers
+
+
+def test_a_worker_that_is_heard_again_is_as_before(placement):
+    placement.heard({"i-5": 3 * S, "i-6": 3 * S}, 10 * S)
+    placement.heard({"i-6": 4 * S}, 10 * S)
+    assert not placement.workers["i-5"].silent and placement.workers["i-6"].silent
