Reads rest on what was seen after a dozen samples; a benchmark of added latency

Ruled out: reads of others before them (those with more than 1.5 units ahead left out). Each router saw some dozen clear samples, against twelve that stood for first guesses, and each was cut at 1.7 times what was expected. Now four stand for first guesses; cut at 2.5.

--- /dev/null
+++ b/benchmarks/router_latency.py
@@ -0,0 +1,107 @@
+"""What a router adds to a call: the same calls to a worker directly and through a router, in turns.
+
+    python -m benchmarks.router_latency --calls 2000
+
+Starts the example fleet (three machines on loopback) with one more worker that answers at once, and prints
+one JSON line: milliseconds to the whole answer, p50 and p99, on kept connections, and what the router adds.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import tempfile
+import time
+from pathlib import Path
+
+import aiohttp
+
+from example.fleet.run import CONFIGURATION, CONTROL, HTTP, MACHINES, ExampleFleet
+from hazelbend.standins.model_worker import ModelWorker, ModelWorkerSettings
+
+PROMPT_WORKER = ModelWorkerSettings(
+    service="echo",
+    host="127.0.0.9",
+    port=18300,
+    zone="z1",
+    controls=tuple(f"{ip}:{CONTROL}" for ip in MACHINES),
+    token_seconds=0.0,
+    events=1,
+)
+ROUTE = {
+    "name": "echo",
+    "host": "example.test",
+    "prefix": "/echo/",
+    "kind": "stream",
+    "timeoutMs": 5000,
+    "targetMs": 500,
+    "backend": "echo",
+    "retries": 1,
+}
+WARM_UP = 50  # calls each way that are not counted
+START_WAIT = 20.0  # seconds for the worker to be known
+
+
+async def main() -> None:
+    """Measure, and print one line."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--calls", type=int, default=2_000)
+    calls = parser.parse_args().calls
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = ExampleFleet(Path(folder))
+        worker = ModelWorker(PROMPT_WORKER)
+        try:
+            await fleet.start()
+            await worker.start()
+            await fleet.put(1, _configuration())
+            direct, routed = await _measure(worker.address, calls)
+        finally:
+            await worker.crash()
+            await fleet.close()
+    added = {name: round(routed[name] - direct[name], 2) for name in direct}
+    print(json.dumps({"calls": calls, "direct_ms": direct, "routed_ms": routed, "added_ms": added}))
+
+
+def _configuration() -> dict[str, object]:
+    routes = [*CONFIGURATION["routes"], ROUTE]
+    services = [*CONFIGURATION["services"], {"name": "echo"}]
+    return CONFIGURATION | {"version": 2, "routes": routes, "services": services}
+
+
+async def _measure(worker: str, calls: int) -> tuple[dict[str, float], dict[str, float]]:
+    direct: list[float] = []
+    routed: list[float] = []
+    async with aiohttp.ClientSession() as session:
+        await _until_served(session)
+        for number in range(calls + WARM_UP):
+            for address, times in ((worker, direct), (f"{MACHINES[0]}:{HTTP}", routed)):
+                status, seconds = await _call(session, address, f"call-{address}-{number}")
+                if status != 200:
+                    raise RuntimeError(f"{address} answers {status}")
+                times.append(1_000 * seconds)
+    return _summary(direct[WARM_UP:]), _summary(routed[WARM_UP:])
+
+
+async def _until_served(session: aiohttp.ClientSession) -> None:
+    """Until the router knows the route and the worker."""
+    async with asyncio.timeout(START_WAIT):
+        while (await _call(session, f"{MACHINES[0]}:{HTTP}", "first"))[0] != 200:
+            await asyncio.sleep(0.05)
+
+
+async def _call(session: aiohttp.ClientSession, address: str, name: str) -> tuple[int, float]:
+    headers = {"Host": "example.test", "Request-Id": name, "Deadline-Ms": "5000"}
+    began = time.perf_counter()
+    async with session.post(f"http://{address}/echo/1", data=b"a call", headers=headers) as answer:
+        await answer.read()
+        return answer.status, time.perf_counter() - began
+
+
+def _summary(times: list[float]) -> dict[str, float]:
+    ordered = sorted(times)
+    return {"p50": round(ordered[len(ordered) // 2], 2), "p99": round(ordered[len(ordered) * 99 // 100], 2)}
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/hazelbend/placement/read_model.py
+++ b/hazelbend/placement/read_model.py
@@ -6,9 +6,9 @@
 from __future__ import annotations
 
 MEMORY = 80.0  # samples that the line rests on
-PRIOR = 6.0  # samples that each of the two first guesses stands for
+PRIOR = 2.0  # samples that each of the two first guesses stands for
 SHORT, LONG = 1.0, 30.0  # units of reading of the two guesses
-LEAST_PART, MOST_PART = 0.5, 1.7  # of what was expected, that a sample counts as: chance may add much more
+LEAST_PART, MOST_PART = 0.5, 2.5  # of what was expected, that a sample counts as: chance may add much more
 LEAST_PACE_PART, MOST_PACE_PART = 0.2, 5.0  # of the first guess
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -109,6 +109,18 @@
         assert model.expected(units) == pytest.approx(overhead + pace * units, rel=0.35)
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_an_overhead_far_from_the_first_guess_is_learnt_from_a_dozen_reads(seed):
+    """Guards fleets of many routers, of which each sees few reads: those of less than a unit took 136 ms where
+    the model said 62 for a whole day."""
+    model, chance = ReadModel(22_000, 16_000), random.Random(seed)
+    for _ in range(12):
+        units = chance.choice([0.5, 1, 1, 2, 2, 3, 3, 6, 10, 20])
+        model.sample(units, 113_000 + 15_000 * units)
+    for units in (1, 3, 20):
+        assert model.expected(units) == pytest.approx(113_000 + 15_000 * units, rel=0.25)
+
+
 # --- the pair ---
 
 
