--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -111,8 +111,8 @@
 
 @pytest.mark.parametrize("seed", range(5))
 def test_an_overhead_far_from_the_first_guess_is_learnt_from_a_dozen_reads(seed):
-    """Guards fleets of many routers, of which each sees few reads: those of less than a unit took 136 ms where
-    the model said 62 for a whole day."""
+    """Guards fleets of many routers, of which each sees few reads: those of less than a unit took 136 ms
+    where the model said 62 for a whole day."""
     model, chance = ReadModel(22_000, 16_000), random.Random(seed)
     for _ in range(12):
         units = chance.choice([0.5, 1, 1, 2, 2, 3, 3, 6, 10, 20])
