--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -66,12 +66,16 @@
 class Fleet:
     """Machines, and what lies between them."""
 
-    def __init__(self, seed: int, machines: int = 3, tolerance: int = 1, loss: float = 0.01) -> None:
+    def __init__(
+        self, seed: int, machines: int = 3, tolerance: int = 1, loss: float = 0.01, observers: int = 0
+    ) -> None:
+        """`observers`: so many of the machines, the last ones, have no vote."""
         self.seed, self.random = seed, random.Random(seed)
         self.now = 0
         self.tolerance, self.loss = tolerance, loss
         self.addresses = [f"10.0.{number}.1:7000" for number in range(1, machines + 1)]
         self.machines = {address: Machine(address, Disk()) for address in self.addresses}
+        self.observers = set(self.addresses[machines - observers :])
         self.cuts: set[tuple[str, str]] = set()
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._count = 0
@@ -111,7 +115,15 @@
         if machine.engine is not None or machine.removed:
             return
         machine.life += 1
-        plan = ce.ControlPlan(address, self.seeds, True, bootstrap, self.tolerance, HEARTBEAT, lease=3 * S)
+        plan = ce.ControlPlan(
+            address=address,
+            seeds=self.seeds,
+            counted=address not in self.observers,
+            may_found=bootstrap,
+            tolerance=self.tolerance,
+            heartbeat=HEARTBEAT,
+            lease=3 * S,
+        )
         stored = machine.disk.memory
         memory = None
         if stored is not None:
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -60,6 +60,7 @@
     identity: str = ""
     counted: bool = False
     heard_at: int = 0
+    leader: str = ""  # that it follows, if it has a vote
     routers: tuple[str, ...] = ()  # that watch it
     switching: tuple[str, ...] = ()  # workers that it has ordered to another part
 
@@ -171,8 +172,11 @@
 
     @property
     def leader(self) -> str:
-        """The identity of the leader, as far as it is known."""
-        return self.record.leader
+        """The identity of the leader, as far as it is known; an observer knows what voters have told."""
+        if self.plan.counted:
+            return self.record.leader
+        told = [peer for peer in self.peers.values() if peer.counted and peer.leader]
+        return max(told, key=lambda peer: peer.heard_at).leader if told else ""
 
     @property
     def fencing_token(self) -> int:
@@ -189,12 +193,17 @@
         """The other control processes that were heard of late, by address."""
         return {address: peer for address, peer in self.peers.items() if now - peer.heard_at < ALIVE}
 
+    def counted(self, now: int) -> tuple[str, ...]:
+        """Addresses of the control processes that keep the record, as far as they are alive."""
+        own = (self.plan.address,) if self.plan.counted else ()
+        return own + tuple(address for address, peer in self.alive(now).items() if peer.counted)
+
     def fleet_news(self, now: int) -> m.FleetNews:
         """What routers are told now and then."""
         alive = self.alive(now)
         routers = self.own_routers.union(*(peer.routers for peer in alive.values()))
         switching = {*self.planner.switching, *(name for peer in alive.values() for name in peer.switching)}
-        addresses = (self.plan.address, *alive)
+        addresses = self.counted(now)
         self.most_routers = max(self.most_routers, len(routers))
         return m.FleetNews(addresses, self.most_routers, self.registry.silent_ages(now), tuple(switching))
 
@@ -262,8 +271,7 @@
         """A worker has spoken: the number of the answer to wait for, or None where it needs no other."""
         known = self.registry.listed.get(record.instance)
         self._tell(self.registry.merge(record, now))
-        leaves = record.state is not WorkerState.READY
-        if not leaves or self.plan.tolerance == 0:
+        if record.state is WorkerState.READY or not self._copies_needed:
             return None
         if known is not None and known.record.state is WorkerState.GONE:
             record = known.record
@@ -273,6 +281,11 @@
             self._said.out.append((address, m.WorkerNews(self._number, (record,))))
         return self._number
 
+    @property
+    def _copies_needed(self) -> int:
+        """Counted control processes beside this one that must hold what is acknowledged."""
+        return self.plan.tolerance if self.plan.counted else self.plan.tolerance + 1
+
     def worker_left(self, instance: str, now: int) -> int | None:
         """A worker has deregistered; as `worker_heard`."""
         ended = self.registry.ended(instance)
@@ -295,7 +308,9 @@
             self.registry.expire(now)
             fresh = self.registry.take_fresh_ages(now)
             ages = m.Ages(fresh, tuple(self.own_routers), self.planner.switching)
-            self._said.out += [(address, ages) for address in self.alive(now)]
+            self._said.out += [
+                (address, ages) for address in self.counted(now) if address != self.plan.address
+            ]
         if now >= self._tend_at:
             self._tend_at = now + TEND_EVERY
             self._tend_voters(now)
@@ -320,8 +335,10 @@
                     self._said.out.append((sender, m.WorkerNewsTaken(number)))
             case m.WorkerNewsTaken(number=number) if number in self._held:
                 held = self._held[number]
-                held.holders.add(sender)
-                if len(held.holders) >= self.plan.tolerance:
+                peer = self.peers.get(sender)
+                if peer is not None and peer.counted:
+                    held.holders.add(sender)
+                if len(held.holders) >= self._copies_needed:
                     self._settle(number, held)
             case m.Ages(ages=ages, routers=routers, switching=switching):
                 if sender in self.peers:
@@ -372,7 +389,8 @@
 
     def _greet(self, now: int) -> None:
         known = [self.plan.address, *self.alive(now)]
-        hello = m.Hello(self.me, self.plan.counted, tuple(known))
+        leader = self.record.leader if self.plan.counted else ""
+        hello = m.Hello(self.me, self.plan.counted, tuple(known), leader)
         for address, peer in list(self.peers.items()):
             silent = now - max(peer.heard_at, self._born) > FORGOTTEN
             if silent and address not in self.plan.seeds:
@@ -384,6 +402,7 @@
         new = sender not in self.alive(now)
         peer = self.peers.setdefault(sender, Peer())
         peer.identity, peer.counted, peer.heard_at = hello.identity, hello.counted, now
+        peer.leader = hello.leader
         for address in hello.controls:
             if address != self.plan.address:
                 self.peers.setdefault(address, Peer(heard_at=now - ALIVE))
@@ -426,7 +445,7 @@
 
     def _settle(self, number: int, held: _Held) -> None:
         del self._held[number]
-        self._said.answers.append(WorkerDone(number, len(held.holders) >= self.plan.tolerance))
+        self._said.answers.append(WorkerDone(number, len(held.holders) >= self._copies_needed))
 
     def _collect(self, said: Spoken) -> None:
         record = self.record
--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -15,6 +15,7 @@
     identity: str
     counted: bool  # whether it may vote
     controls: tuple[str, ...]  # addresses of the control processes that it knows
+    leader: str = ""  # identity of the leader, as far as it knows: for those that have no vote
 
 
 class Agreement(msgspec.Struct, frozen=True, tag=True):
--- a/hazelbend/system/watch.py
+++ b/hazelbend/system/watch.py
@@ -19,6 +19,7 @@
 WATCHES = 2  # control processes that a router listens to, so that the loss of one loses no time
 LOOK = 0.2  # seconds between looks at the watches
 PING = 0.4  # seconds between signs of life
+TURNED_AWAY = 0.1  # seconds within which a watch that ends was not wanted there
 SILENT = 1.3  # seconds without a word after which a watch is made anew, elsewhere
 
 
@@ -51,7 +52,13 @@
         self.heard_at = self.begun_at = now()
         self.pinged_at = 0.0
         self.loads = False  # loads are told and heard here
-        self.link = FrameLink(address, self._hear, lambda: opened(self))
+        self.opened_at = 0.0
+        self.turned_away = False
+        self.link = FrameLink(address, self._hear, lambda: opened(self), self._closed)
+
+    def _closed(self) -> None:
+        """One that ends as soon as it has begun is to be made elsewhere."""
+        self.turned_away = self._now() - self.opened_at < TURNED_AWAY
 
     def _hear(self, frame: bytes) -> None:
         try:
@@ -104,6 +111,7 @@
 
     def _watch(self, watch: _Watch) -> None:
         """Ask for all news, once more if what it is used for has changed."""
+        watch.opened_at = asyncio.get_running_loop().time()
         watch.loads = watch is self._primary()
         watch.link.send(m.encode(m.Watch(self._router, self._news.version(), watch.loads)))
 
@@ -123,7 +131,7 @@
 
     async def _look(self, now: float) -> None:
         for address, watch in list(self._open.items()):
-            if now - watch.heard_at > SILENT:
+            if watch.turned_away or now - watch.heard_at > SILENT:
                 del self._open[address]
                 self._failed_at[address] = now
                 await watch.link.close()
--- a/hazelbend/system/watch_service.py
+++ b/hazelbend/system/watch_service.py
@@ -58,7 +58,12 @@
     # --- what comes from routers ---
 
     def watch(self, connection: FrameConnection, watch: m.Watch) -> None:
-        """A router asks for all there is, and for what changes."""
+        """A router asks for all there is, and for what changes. An observer has no configuration to tell: it
+        names those that have, and closes."""
+        if not self._agreement.engine.plan.counted:
+            connection.send(m.encode(self._agreement.engine.fleet_news(clock())))
+            connection.close()
+            return
         loads = self.loads.all_others(watch.router) if watch.loads else {}
         load_news = LoadNews(loads, self._caches.all(), whole=watch.loads)
         told = LoadView()
@@ -90,8 +95,10 @@
         self._loads_changed = True
         if connection in self._watchers:  # from the router itself: others may not watch this process
             frame = m.encode(load)
-            for address in self._agreement.engine.alive(clock()):
-                self._agreement.send(address, frame)
+            engine = self._agreement.engine
+            for address in engine.counted(clock()):
+                if address != engine.plan.address:
+                    self._agreement.send(address, frame)
 
     def _count(self) -> None:
         self._agreement.engine.own_routers = {each.router for each in self._watchers.values()}
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -373,6 +373,38 @@
     )
 
 
+def test_a_process_without_a_vote_knows_the_leader_and_stands_in_no_list_for_routers():
+    fleet = Fleet(seed=1, machines=5, tolerance=1, observers=2)
+    fleet.run(3 * S)
+    core, (first, second) = fleet.addresses[:3], fleet.addresses[3:]
+    [leader] = [each.engine for each in fleet.alive if each.engine.record.leads]
+    observer = fleet.machines[first].engine
+    assert observer.leader == leader.me
+    assert sorted(leader.record.voters) == sorted(fleet.machines[each].engine.me for each in core)
+    for address in (core[0], first, second):
+        news = fleet.machines[address].engine.fleet_news(fleet.now)
+        assert sorted(news.controls) == sorted(core)
+
+
+def test_a_drain_rests_on_copies_of_those_that_count():
+    """Guards a drain against the loss of one machine that counts: copies of those that do not are none."""
+    fleet = Fleet(seed=1, machines=5, tolerance=1, observers=2)
+    fleet.run(3 * S)
+    core, observers = fleet.addresses[:3], fleet.addresses[3:]
+    for other in core[1:]:
+        fleet.cut(core[0], other)
+        fleet.cut(observers[0], other)
+    told: list[bool] = []
+    drains = {"seq": 4, "state": WorkerState.DRAINING}
+    fleet.worker(core[0], record("i-1", address="10.8.0.1:1", **drains), told.append)
+    fleet.worker(observers[0], record("i-2", address="10.8.0.2:1", **drains), told.append)
+    fleet.run(2 * S)
+    assert told == [False, False]
+    fleet.worker(observers[1], record("i-3", address="10.8.0.3:1", **drains), told.append)
+    fleet.run(100 * MS)
+    assert told == [False, False, True], "it holds the word of two that count"
+
+
 def test_a_drain_that_nobody_else_can_hold_is_not_acknowledged(fleet):
     lonely = fleet.addresses[1]
     for other in fleet.addresses:
--- a/tests/test_watches.py
+++ b/tests/test_watches.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -41,6 +42,7 @@
 
     def __init__(self, version: int = 1) -> None:
         self.version, self.mute = version, False
+        self.answer: Callable[[FrameConnection], object] | None = None  # in place of a watch
         self.watchers: dict[FrameConnection, m.Watch] = {}
         self.loads: list[RouterLoad] = []
         self.server = FrameServer(self._hear, lambda connection: self.watchers.pop(connection, None))
@@ -54,6 +56,8 @@
         if self.mute:
             return
         match m.decode(frame):
+            case m.Watch() if self.answer is not None:
+                self.answer(connection)
             case m.Watch() as wish:
                 self.watchers[connection] = wish
                 if self.version > wish.version:
@@ -136,6 +140,17 @@
     await watches.close()
 
 
+async def test_an_observer_names_those_that_keep_the_record(controls):
+    """Guards a start whose seeds are processes without a vote: nothing but their word leads to the others."""
+    for observer, known in ((controls[0], controls[2]), (controls[1], controls[2])):
+        news = m.FleetNews((known.address,), 1, {})
+        observer.answer = lambda connection, news=news: (connection.send(m.encode(news)), connection.close())
+    watches, news = await watching(controls, count=2)
+    news.fleet = lambda told: watches.learn(told.controls)
+    await held(lambda: bool(controls[2].watchers) and news.known == 4)
+    await watches.close()
+
+
 async def test_one_that_falls_silent_or_dies_is_left_for_another(controls):
     watches, news = await watching(controls)
     await held(lambda: len(watched(controls)) == 2)
