After a loss of all control processes prompts are read apart as before

All workers were marked as silent, since recalled ones were listed so from the start, and a pair of two paid the penalty of a silent worker twice, one alone once. Ruled out: caches (known again 0.2 s after the start) and a busy fleet (1 to 4 units unread at the readers).

Two suspect workers are now no worse than one, and a recalled worker has one and a half heartbeats to be heard before it counts as silent: nobody was listening. A worker listed for the first time also takes its time of hearing where the monotonic clock is younger than its age. Tests for both fail without the mend.

--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -20,7 +20,7 @@
 )
 from hazelbend.control.load_table import Load
 from hazelbend.control.phase_planner import PhaseOrder, PhasePlanner
-from hazelbend.control.workers import SILENT_BEATS, WorkerRecord, WorkerRegistry, WorkerState
+from hazelbend.control.workers import RECALLED_BEATS, SILENT_BEATS, WorkerRecord, WorkerRegistry, WorkerState
 from hazelbend.fleet.members import address_of
 from hazelbend.fleet.messages import Message
 from hazelbend.fleet.record import Memory, Record, Timing, epoch_number
@@ -208,8 +208,9 @@
         return m.FleetNews(addresses, self.most_routers, self.registry.silent_ages(now), tuple(switching))
 
     def recall_workers(self, records: tuple[WorkerRecord, ...], now: int) -> None:
-        """Workers known before a restart: listed as silent until they are heard, or expire."""
-        heard_at = now - round(SILENT_BEATS * self.plan.heartbeat)
+        """Workers known before a restart. Nothing was heard because nobody listened: they have a little more
+        than a heartbeat to be heard before they count as silent."""
+        heard_at = now - round((SILENT_BEATS - RECALLED_BEATS) * self.plan.heartbeat)
         for record in records:
             if record.state is not WorkerState.GONE:
                 self._tell(self.registry.merge(record, heard_at))
--- a/hazelbend/control/workers.py
+++ b/hazelbend/control/workers.py
@@ -12,6 +12,7 @@
 import msgspec
 
 SILENT_BEATS = 2.2  # heartbeats that may be missing before a worker is marked as silent
+RECALLED_BEATS = 1.5  # heartbeats that a recalled worker has to be heard, before it is marked as silent
 EXPIRY_BEATS = 10.0  # after which routers forget it
 LISTED_BEATS = 12.0  # after which control processes do: later, so that each router is told of its age by then
 TOMBSTONE = 60_000_000  # how long the end of an instance is remembered
@@ -74,7 +75,8 @@
             changed = self._end_others_at(record, heard_at)
         if known is None or _differs(known.record, record):
             changed.append(record)
-        self.listed[record.instance] = Listed(record, known.heard_at if known is not None else 0)
+        before = known.heard_at if known is not None else heard_at - 1
+        self.listed[record.instance] = Listed(record, before)
         self.hear(record.instance, heard_at)
         return changed
 
--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -227,7 +227,15 @@
             reader = self._reader(each, prompt, kept, home, now)
             best = self._soonest_after(each.record, prompt, by_zone)
             if best is not None:
-                yield Pair(reader, best, reader.delay + best.delay)
+                yield Pair(reader, best, self._together(reader, best, now))
+
+    def _together(self, reader: Choice, runner: Choice, now: int) -> float:
+        """Delay of a pair. Two that are suspect are no worse than one: right after a start all of them are,
+        and prompts would go to workers that make tokens alone."""
+        delay = reader.delay + runner.delay
+        if self._is_suspect(reader.worker, now) and self._is_suspect(runner.worker, now):
+            delay -= SILENT_PENALTY
+        return delay
 
     def _reader(
         self, worker: WorkerEstimate, prompt: Prompt, kept: int, home: WorkerEstimate | None, now: int
@@ -308,7 +316,11 @@
 
     def _distance(self, worker: WorkerEstimate, now: int) -> float:
         far = CROSS_ZONE if worker.record.zone != self._zone else 0.0
-        return far + (SILENT_PENALTY if worker.silent or worker.is_overdue(now) else 0.0)
+        return far + (SILENT_PENALTY if self._is_suspect(worker, now) else 0.0)
+
+    @staticmethod
+    def _is_suspect(worker: WorkerEstimate, now: int) -> bool:
+        return worker.silent or worker.is_overdue(now)
 
     def _kept(self, service: str, prompt: Prompt) -> int:
         """The most tokens of the prompt that any worker of the service is believed to keep."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -164,6 +164,17 @@
     assert registry.silent_ages(3 * S) == {"i-2": 3 * S}, "routers are told of silence alone"
 
 
+def test_a_recalled_worker_has_a_heartbeat_to_be_heard_before_it_counts_as_silent():
+    """Guards the first second after a start: nobody was listening, so silence says nothing yet."""
+    fleet = Fleet(seed=1)
+    fleet.run(10 * S)
+    engine = fleet.alive[0].engine
+    beat = engine.plan.heartbeat
+    engine.recall_workers((record("i-1"),), fleet.now)
+    assert not engine.registry.silent_ages(fleet.now + round(1.2 * beat))
+    assert engine.registry.silent_ages(fleet.now + round(1.7 * beat))
+
+
 # --- loads and caches ---
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -244,6 +244,20 @@
     assert placement.choose("s", 1, {"i-5", "i-6", "i-7"}) is None
 
 
+def test_where_all_are_silent_prompts_are_read_apart_as_before(placement):
+    """Guards the first second after a loss of all control processes: two silent workers counted twice, and
+    every prompt went to the few that make tokens."""
+    before = placement.choose_pair("llm", LONG, 0, set())
+    assert before.reader is not None
+    placement.heard(dict.fromkeys(placement.workers, 3 * S), 60 * S)
+    after = placement.choose_pair("llm", LONG, 0, set())
+    assert after.reader is not None
+    reader, runner = after.reader.worker.record.instance, after.runner.worker.record.instance
+    heard = {each: 3 * S for each in placement.workers if each not in (reader, runner)}
+    placement.heard(heard, 60 * S)
+    assert placement.choose_pair("llm", LONG, 0, set()).reader.worker.record.instance == reader
+
+
 def test_a_worker_that_was_silent_for_long_is_dropped_once_nothing_is_under_way(placement):
     send = placement.sent(placement.choose("s", 0, {"i-6", "i-7"}), True, read_prompt(None, None), 0)
     placement.heard({"i-5": 20 * S}, 10 * S)
