--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -268,6 +268,11 @@
         self._reads[ticket] = self._number
         return self._number
 
+    def can_spread(self, now: int) -> bool:
+        """Whether a worker's word that comes here reaches those that tell routers. An observer that is cut
+        off from all of them is not where a worker should speak."""
+        return self.plan.counted or bool(self.counted(now))
+
     def worker_heard(self, record: WorkerRecord, now: int) -> int | None:
         """A worker has spoken: the number of the answer to wait for, or None where it needs no other."""
         known = self.registry.listed.get(record.instance)
--- a/hazelbend/system/control_api.py
+++ b/hazelbend/system/control_api.py
@@ -55,7 +55,10 @@
             record = read_heartbeat(instance, body)
         except ValueError as error:
             return HttpAnswer(400, f"{error}\n".encode())
-        return await self._worker_done(self._agreement.engine.worker_heard(record, clock()))
+        engine, now = self._agreement.engine, clock()
+        if not engine.can_spread(now):
+            return HttpAnswer(503, b"no control process that tells routers can be reached from here\n")
+        return await self._worker_done(engine.worker_heard(record, now))
 
     async def _worker_done(self, number: int | None) -> HttpAnswer:
         if number is None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -397,6 +397,18 @@
         assert sorted(news.controls) == sorted(core)
 
 
+def test_an_observer_that_is_cut_off_says_that_heartbeats_go_no_further():
+    """Guards a worker that is heard by an observer alone, while routers take it for silent."""
+    fleet = Fleet(seed=1, machines=5, tolerance=1, observers=2)
+    fleet.run(3 * S)
+    core, observers = fleet.addresses[:3], fleet.addresses[3:]
+    for other in core:
+        fleet.cut(observers[0], other)
+    fleet.run(3 * S)
+    spreads = {each.address: each.engine.can_spread(fleet.now) for each in fleet.alive}
+    assert spreads == {address: address != observers[0] for address in fleet.addresses}
+
+
 def test_a_drain_rests_on_copies_of_those_that_count():
     """Guards a drain against the loss of one machine that counts: copies of those that do not are none."""
     fleet = Fleet(seed=1, machines=5, tolerance=1, observers=2)
