--- a/tests/test_srv_site.py
+++ b/tests/test_srv_site.py
@@ -268,7 +268,8 @@
             long = asyncio.create_task(
                 talk(app.client_listener.port, request("long", b"1200", more="Connection: close\r\n"))
             )
-            await until(lambda: toy.ran)
+            await until(lambda: toy.ran or long.done())
+            assert toy.ran, f"the job has an answer and never ran: {long.result()!r}"
             assert (await other.listen("127.0.0.2", port)) == f"127.0.0.2:{port}"
             server.serve_zone(zone(("toy-0", port), ttl=0).replace("A 127.0.0.1", "A 127.0.0.2"))
             await until(lambda: box.entry.dial == f"127.0.0.2:{port}")
