Less state for the watches of routers; one clock for the fleet's processes

A control process kept a copy of what it had told each router, only to leave out the workers whose one change was that router's own: one in as many as there are routers. The copy is gone; a report holds all workers that have changed. The list of the other counted control processes was filtered at two callers, and the clock was written twice. A watch notes itself when it was opened.

No rule or bound changes.

--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -193,17 +193,17 @@
         """The other control processes that were heard of late, by address."""
         return {address: peer for address, peer in self.peers.items() if now - peer.heard_at < ALIVE}
 
-    def counted(self, now: int) -> tuple[str, ...]:
-        """Addresses of the control processes that keep the record, as far as they are alive."""
-        own = (self.plan.address,) if self.plan.counted else ()
-        return own + tuple(address for address, peer in self.alive(now).items() if peer.counted)
+    def other_counted(self, now: int) -> tuple[str, ...]:
+        """Addresses of the other control processes that keep the record, as far as they are alive."""
+        return tuple(address for address, peer in self.alive(now).items() if peer.counted)
 
     def fleet_news(self, now: int) -> m.FleetNews:
         """What routers are told now and then."""
         alive = self.alive(now)
         routers = self.own_routers.union(*(peer.routers for peer in alive.values()))
         switching = {*self.planner.switching, *(name for peer in alive.values() for name in peer.switching)}
-        addresses = self.counted(now)
+        own = (self.plan.address,) if self.plan.counted else ()
+        addresses = own + self.other_counted(now)
         self.most_routers = max(self.most_routers, len(routers))
         return m.FleetNews(addresses, self.most_routers, self.registry.silent_ages(now), tuple(switching))
 
@@ -271,7 +271,7 @@
     def can_spread(self, now: int) -> bool:
         """Whether a worker's word that comes here reaches those that tell routers. An observer that is cut
         off from all of them is not where a worker should speak."""
-        return self.plan.counted or bool(self.counted(now))
+        return self.plan.counted or bool(self.other_counted(now))
 
     def worker_heard(self, record: WorkerRecord, now: int) -> int | None:
         """A worker has spoken: the number of the answer to wait for, or None where it needs no other."""
@@ -314,9 +314,7 @@
             self.registry.expire(now)
             fresh = self.registry.take_fresh_ages(now)
             ages = m.Ages(fresh, tuple(self.own_routers), self.planner.switching)
-            self._said.out += [
-                (address, ages) for address in self.counted(now) if address != self.plan.address
-            ]
+            self._said.out += [(address, ages) for address in self.other_counted(now)]
         if now >= self._tend_at:
             self._tend_at = now + TEND_EVERY
             self._tend_voters(now)
--- a/hazelbend/control/load_table.py
+++ b/hazelbend/control/load_table.py
@@ -46,8 +46,8 @@
 class LoadNews(msgspec.Struct, frozen=True, tag=True):
     """To a router: the unfinished work of all other routers by worker, and parts that they had read.
 
-    It holds the workers whose loads have changed since the last news on this connection; where `whole`, all
-    that have work. What it leaves out was the same when it was sent.
+    It holds the workers whose loads have changed since the last news on this connection, by whichever
+    router; where `whole`, all that have work. What it leaves out was the same when it was sent.
     """
 
     loads: dict[str, Load]
@@ -99,12 +99,6 @@
             else:
                 self.loads[instance] = load
 
-    def changes(self, loads: dict[str, Load]) -> dict[str, Load]:
-        """Those of these loads that differ from the copy."""
-        return {
-            instance: load for instance, load in loads.items() if load != self.loads.get(instance, NOTHING)
-        }
-
 
 @dataclass(slots=True)
 class _Known:
--- a/hazelbend/system/agreement.py
+++ b/hazelbend/system/agreement.py
@@ -15,6 +15,7 @@
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.fleet import memory_file
 from hazelbend.fleet.record import Memory
+from hazelbend.system.clock import clock
 from hazelbend.transport.control_store import ControlStore, Part, StoreError
 from hazelbend.transport.frame_link import FrameLink
 
@@ -27,11 +28,6 @@
 LEAVE_LOOK = 0.02
 
 
-def clock() -> int:
-    """Microseconds of this process's monotonic clock."""
-    return time.monotonic_ns() // 1_000
-
-
 class Agreement:
     """One control engine that runs. What rests on the store is said once it is stored, all else at once.
 
--- a/hazelbend/system/control_api.py
+++ b/hazelbend/system/control_api.py
@@ -13,7 +13,8 @@
 from hazelbend.control.engine import PutDone, ReadDone, WorkerDone
 from hazelbend.fleet.members import address_of
 from hazelbend.protocol.control_calls import read_heartbeat
-from hazelbend.system.agreement import Agreement, clock
+from hazelbend.system.agreement import Agreement
+from hazelbend.system.clock import clock
 from hazelbend.system.settings import Settings, split_address
 from hazelbend.transport.asgi_server import HttpAnswer, HttpCall
 
--- a/hazelbend/system/phase_orders.py
+++ b/hazelbend/system/phase_orders.py
@@ -10,7 +10,8 @@
 from hazelbend.control.engine import ReadDone
 from hazelbend.control.load_table import Load
 from hazelbend.control.phase_planner import PhaseOrder
-from hazelbend.system.agreement import Agreement, clock
+from hazelbend.system.agreement import Agreement
+from hazelbend.system.clock import clock
 
 log = picologging.getLogger("hazelbend.control")
 
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import secrets
-import time
 import zlib
 
 import msgspec
@@ -17,6 +16,7 @@
 from hazelbend.placement.engine import Placement
 from hazelbend.placement.retry_budget import RetryBudget
 from hazelbend.placement.routes import read_table
+from hazelbend.system.clock import clock
 from hazelbend.system.settings import Settings, split_address
 from hazelbend.system.watch import Watches
 from hazelbend.transport.asgi_server import AsgiServer, HttpAnswer, HttpCall
@@ -34,11 +34,6 @@
 CLOSE_LOOK = 0.02
 
 
-def clock() -> int:
-    """Microseconds of this process's monotonic clock."""
-    return time.monotonic_ns() // 1_000
-
-
 class RouterDaemon:
     """Everything that runs in a router process. Implements `watch.News`."""
 
--- a/hazelbend/system/watch.py
+++ b/hazelbend/system/watch.py
@@ -54,7 +54,12 @@
         self.loads = False  # loads are told and heard here
         self.opened_at = 0.0
         self.turned_away = False
-        self.link = FrameLink(address, self._hear, lambda: opened(self), self._closed)
+        self._when_opened = opened
+        self.link = FrameLink(address, self._hear, self._opened, self._closed)
+
+    def _opened(self) -> None:
+        self.opened_at = self._now()
+        self._when_opened(self)
 
     def _closed(self) -> None:
         """One that ends as soon as it has begun is to be made elsewhere."""
@@ -111,7 +116,6 @@
 
     def _watch(self, watch: _Watch) -> None:
         """Ask for all news, once more if what it is used for has changed."""
-        watch.opened_at = asyncio.get_running_loop().time()
         watch.loads = watch is self._primary()
         watch.link.send(m.encode(m.Watch(self._router, self._news.version(), watch.loads)))
 
--- a/hazelbend/system/watch_service.py
+++ b/hazelbend/system/watch_service.py
@@ -11,9 +11,10 @@
 
 from hazelbend.control import messages as m
 from hazelbend.control.config_machine import StoredConfig
-from hazelbend.control.load_table import CachedPart, CacheTable, LoadNews, LoadTable, LoadView, RouterLoad
+from hazelbend.control.load_table import CachedPart, CacheTable, LoadNews, LoadTable, RouterLoad
 from hazelbend.control.workers import WorkerRecord, WorkerState
-from hazelbend.system.agreement import Agreement, clock
+from hazelbend.system.agreement import Agreement
+from hazelbend.system.clock import clock
 from hazelbend.transport.frame_link import FrameConnection
 from hazelbend.transport.soft_state_file import read_soft_state, write_soft_state
 
@@ -28,7 +29,6 @@
 class _Watcher:
     router: str
     loads: bool  # whether it wants the loads of others
-    told: LoadView  # of others' loads, as it knows them
 
 
 class WatchService:
@@ -64,17 +64,14 @@
             connection.send(m.encode(self._agreement.engine.fleet_news(clock())))
             connection.close()
             return
-        loads = self.loads.all_others(watch.router) if watch.loads else {}
-        load_news = LoadNews(loads, self._caches.all(), whole=watch.loads)
-        told = LoadView()
-        told.take(load_news)
-        self._watchers[connection] = _Watcher(watch.router, watch.loads, told)
+        self._watchers[connection] = _Watcher(watch.router, watch.loads)
         self._count()
+        loads = self.loads.all_others(watch.router) if watch.loads else {}
         engine, config, now = self._agreement.engine, self._agreement.config, clock()
         bodies: list[m.Body] = [
             m.WorkerNews(0, engine.registry.records()),
             engine.fleet_news(now),
-            load_news,
+            LoadNews(loads, self._caches.all(), whole=watch.loads),
         ]
         if config.version > watch.version:
             bodies.append(m.ConfigNews(config.version, config.body))
@@ -95,10 +92,8 @@
         self._loads_changed = True
         if connection in self._watchers:  # from the router itself: others may not watch this process
             frame = m.encode(load)
-            engine = self._agreement.engine
-            for address in engine.counted(clock()):
-                if address != engine.plan.address:
-                    self._agreement.send(address, frame)
+            for address in self._agreement.engine.other_counted(clock()):
+                self._agreement.send(address, frame)
 
     def _count(self) -> None:
         self._agreement.engine.own_routers = {each.router for each in self._watchers.values()}
@@ -145,9 +140,7 @@
             for connection, watcher in list(self._watchers.items()):
                 if not watcher.loads:
                     continue
-                loads = watcher.told.changes(self.loads.others(watcher.router, changed))
-                news = LoadNews(loads, cached)
-                watcher.told.take(news)
+                news = LoadNews(self.loads.others(watcher.router, changed), cached)
                 if not connection.send(m.encode(news)):
                     connection.close()  # these changes are lost: it begins again with all there is
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -208,7 +208,7 @@
         if rng.random() < 0.5:
             changed = table.take_changed()
             for name, view in told.items():
-                view.take(LoadNews(view.changes(table.others(name, changed))))
+                view.take(LoadNews(table.others(name, changed)))
                 assert view.loads == table.all_others(name)
         if rng.random() < 0.05:
             told["a"] = LoadView()
