An answer without a length that is reset is not whole; a stream ends at an event

Cause: aiohttp ends a body without a length as whole however its connection was lost, by FIN or by RST (seen on a raw socket: 200, "part of it", SO_LINGER 0), so both clients passed a cut answer on as complete.

Change: `StrictResponseHandler` in the shared session breaks such a body on any error of its connection. A stream that may not be resumed is broken as well where it ends inside an event.

--- a/hazelbend/forwarding/event_stream.py
+++ b/hazelbend/forwarding/event_stream.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-END = b"\n\n"
+EVENT_END = b"\n\n"
 
 
 class EventSplitter:
@@ -24,11 +24,11 @@
     def feed(self, data: bytes) -> bytes:
         """The events that are whole by now."""
         text = self._rest + data
-        end = text.rfind(END)
+        end = text.rfind(EVENT_END)
         if end < 0:
             self._rest = text
             return b""
-        whole, self._rest = text[: end + len(END)], text[end + len(END) :]
+        whole, self._rest = text[: end + len(EVENT_END)], text[end + len(EVENT_END) :]
         for line in whole.splitlines():
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
--- a/hazelbend/forwarding/forwarder.py
+++ b/hazelbend/forwarding/forwarder.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from hazelbend.control.workers import WorkerRecord
-from hazelbend.forwarding.event_stream import EventSplitter
+from hazelbend.forwarding.event_stream import EVENT_END, EventSplitter
 from hazelbend.forwarding.ports import (
     BrokenError,
     ClientReply,
@@ -335,8 +335,12 @@
             flow.begun = True
             await reply.begin(answer.status, answer.headers)
         if not flow.route.resume:
+            last = b""
             async for chunk in _after_first(answer.chunks(), lambda: self._first_event(send)):
                 await reply.write(chunk)
+                last = (last + chunk)[-len(EVENT_END) :]
+            if last and last != EVENT_END:
+                raise BrokenError("the stream ends inside an event")
         else:
             if flow.events is None:
                 flow.events = EventSplitter()
--- a/hazelbend/transport/aiohttp_client.py
+++ b/hazelbend/transport/aiohttp_client.py
@@ -6,12 +6,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
 import aiohttp
 from aiohttp.client_middlewares import ClientHandlerType
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 from yarl import URL
 
@@ -90,10 +92,25 @@
         return await super().send(conn)
 
 
+class StrictResponseHandler(ResponseHandler):
+    """A connection whose reset is never taken for the end of an answer that has no length.
+
+    aiohttp ends such an answer as whole however its connection was lost; only a FIN ends it.
+    """
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """The connection is gone; without an error, by a FIN of the other side."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"reset before the end of the answer: {exc!r}"))
+        super().connection_lost(exc)
+
+
 def open_session(
     connector: aiohttp.BaseConnector, timeout: aiohttp.ClientTimeout, **options: Any
 ) -> aiohttp.ClientSession:
-    """A session that sends each request once: no cookies, proxies or retries of its own."""
+    """A session that sends each request once: no cookies, proxies or retries of its own; an answer whose
+    connection is reset is never whole."""
     session = aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -101,6 +118,8 @@
         trust_env=False,
         **options,
     )
+    factory: Any = functools.partial(StrictResponseHandler, loop=asyncio.get_running_loop())
+    connector._factory = factory
     # aiohttp sends an idempotent request again when a kept connection turns out dead; nothing here may.
     session._retry_connection = False
     return session
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -347,6 +347,12 @@
     assert reply.ended == "cut" and reply.body == b"".join(EVENTS[:2])
 
 
+@pytest.mark.parametrize("resume", [False, True])
+def test_a_stream_that_ends_inside_an_event_never_looks_whole(resume):
+    reply = Site(kind="stream", resume=resume, retries=1).ask(Answer(parts=[EVENTS[0], EVENTS[1][:9]]))
+    assert reply.ended == "cut" and reply.body.startswith(EVENTS[0])
+
+
 def test_a_stream_that_may_be_resumed_goes_on_inside_the_answer_after_its_last_whole_event():
     site = model_site(resume=True)
     broken = Answer(parts=[EVENTS[0], EVENTS[1][:7]], broken=True)
--- a/tests/test_system_sockets.py
+++ b/tests/test_system_sockets.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import sqlite3
+import struct
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -421,6 +424,81 @@
         await answer.body()
 
 
+# --- answers whose end is that of their connection ---
+
+UNFRAMED = b"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nContent-Type: text/event-stream\r\n\r\n"
+
+
+async def body_of(answer) -> bytes:
+    return await answer.body()
+
+
+async def chunks_of(answer) -> bytes:
+    return b"".join([chunk async for chunk in answer.chunks()])
+
+
+@pytest.fixture
+async def ending_worker():
+    """A worker that sends `says`, then, once `go` is set, ends the connection: by FIN, or by RST."""
+
+    class Worker:
+        says, reset = b"", False
+
+        async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(2)
+                writer.write(self.says)
+                await writer.drain()
+                await self.go.wait()
+                if self.reset:
+                    linger = struct.pack("ii", 1, 0)
+                    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.transport.abort()
+                writer.close()
+
+    made = Worker()
+    made.go = asyncio.Event()
+    server = await asyncio.start_server(made.serve, HOST, 0)
+    made.address = f"{HOST}:{server.sockets[0].getsockname()[1]}"
+    yield made
+    server.close()
+
+
+@pytest.mark.parametrize("read", [body_of, chunks_of])
+@pytest.mark.parametrize("part", [b"", b"part of it", b"id: 1\ndata: a\n\nid: 2\nda"])
+async def test_an_answer_without_a_length_that_is_reset_is_not_whole(ending_worker, client, part, read):
+    ending_worker.says, ending_worker.reset = UNFRAMED + part, True
+    answer = await client.send(call_of(ending_worker), lambda: 1_000_000)
+    ending_worker.go.set()
+    with pytest.raises(BrokenError):
+        await read(answer)
+
+
+@pytest.mark.parametrize("read", [body_of, chunks_of])
+@pytest.mark.parametrize("part", [b"", b"all of it"])
+async def test_an_answer_without_a_length_ends_with_its_connection(ending_worker, client, part, read):
+    ending_worker.says = UNFRAMED + part
+    answer = await client.send(call_of(ending_worker), lambda: 1_000_000)
+    ending_worker.go.set()
+    assert await read(answer) == part
+
+
+@pytest.mark.parametrize("reset", [False, True])
+async def test_a_worker_that_ends_before_its_head_may_have_run_the_call(ending_worker, client, reset):
+    ending_worker.reset = reset
+    ending_worker.go.set()
+    with pytest.raises(BrokenError):
+        await client.send(call_of(ending_worker), lambda: 1_000_000)
+
+
+async def test_a_reset_after_a_whole_answer_with_a_length_takes_nothing_from_it(ending_worker, client):
+    ending_worker.says, ending_worker.reset = OK, True
+    answer = await client.send(call_of(ending_worker), lambda: 1_000_000)
+    ending_worker.go.set()
+    assert await answer.body() == b"ok"
+
+
 async def test_an_answer_to_another_request_is_never_passed_on(worker, client):
     worker.says = [OK.replace(b"q1", b"q7")]
     with pytest.raises(BrokenError):
