Replication bounded by bytes, confirmed by a majority; first epochs drop nothing

Stamps of replicas come back once a majority has answered a later round (`confirmed_age`). Entries that are not committed, and those that are kept, are bounded by bytes. An epoch says whether an operator founded it; a record that holds operations follows no other. `change_voters` asks for a majority within two heartbeats and replaces an erased voter in one step. Memory and progress have modules of their own.

--- a/benchmarks/control_fleet.py
+++ b/benchmarks/control_fleet.py
@@ -13,7 +13,7 @@
 from hazelbend.control.config_machine import ChangeResult, StoredConfig
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.fleet import memory_file
-from hazelbend.fleet.record import Memory
+from hazelbend.fleet.memory import Memory
 
 MS, S = 1_000, 1_000_000
 HEARTBEAT = 1_200 * MS
--- a/benchmarks/control_sim.py
+++ b/benchmarks/control_sim.py
@@ -21,7 +21,8 @@
 from benchmarks.control_fleet import BrokenRuleError, Fleet, Machine
 from hazelbend.control import engine as ce
 from hazelbend.control.config_machine import ChangeResult, StoredConfig
-from hazelbend.fleet.record import Done, Memory
+from hazelbend.fleet.memory import Memory
+from hazelbend.fleet.record import Done
 
 STALE = 1_000_000  # tickets of reads that a planted defect answers without asking a majority
 
--- a/benchmarks/fleet_search.py
+++ b/benchmarks/fleet_search.py
@@ -24,8 +24,9 @@
 
 from benchmarks.fleet_defects import Hopeful, Rash
 from hazelbend.fleet.leases import Leases, Limits, Open, encode
+from hazelbend.fleet.memory import Memory
 from hazelbend.fleet.messages import Entry, Message, TimeIsUp
-from hazelbend.fleet.record import Memory, Record, Role, Timing
+from hazelbend.fleet.record import Record, Role, Timing
 
 VOTERS = ("a", "b", "c")
 DEFECTS = (
@@ -146,6 +147,7 @@
     made.machine = copy.deepcopy(record.machine)
     made.votes, made.peers = set(record.votes), {name: copy.copy(peer) for name, peer in record.peers.items()}
     made.out, made.done, made.reads, made.tickets = [], [], [], {}
+    made._rounds = record._rounds.copy()
     return made
 
 
--- a/benchmarks/fleet_sim.py
+++ b/benchmarks/fleet_sim.py
@@ -26,8 +26,9 @@
 from hazelbend.fleet import memory_file
 from hazelbend.fleet.holder import Holder, Request, Stage
 from hazelbend.fleet.leases import Answer, Leases, Limits, Operation, Watch, encode
+from hazelbend.fleet.memory import Memory, epoch_number
 from hazelbend.fleet.messages import Entry, Message
-from hazelbend.fleet.record import Memory, Record, Timing, epoch_number
+from hazelbend.fleet.record import Record, Timing
 from hazelbend.fleet.voters import next_voters
 
 S = 1_000_000  # microseconds
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -22,8 +22,9 @@
 from hazelbend.control.phase_planner import PhaseOrder, PhasePlanner
 from hazelbend.control.workers import RECALLED_BEATS, SILENT_BEATS, WorkerRecord, WorkerRegistry, WorkerState
 from hazelbend.fleet.members import address_of
+from hazelbend.fleet.memory import Memory, epoch_number
 from hazelbend.fleet.messages import Message
-from hazelbend.fleet.record import Memory, Record, Timing, epoch_number
+from hazelbend.fleet.record import Record, Timing
 from hazelbend.fleet.voters import next_voters
 
 HELLO_EVERY = 250_000  # microseconds between two greetings to a control process
--- a/hazelbend/fleet/engine.py
+++ b/hazelbend/fleet/engine.py
@@ -22,8 +22,9 @@
 from hazelbend.fleet import record as rc
 from hazelbend.fleet.holder import parked
 from hazelbend.fleet.leases import Acquire, Answer, Leases, Limits, Operation, Watch, encode
+from hazelbend.fleet.memory import Memory, epoch_number
 from hazelbend.fleet.messages import Message
-from hazelbend.fleet.record import Memory, Record, epoch_number
+from hazelbend.fleet.record import Record
 from hazelbend.fleet.voters import next_voters
 
 TEND = 500_000  # microseconds between looks at the voters
--- a/hazelbend/fleet/memory_file.py
+++ b/hazelbend/fleet/memory_file.py
@@ -22,8 +22,9 @@
 
 import msgspec
 
+from hazelbend.fleet.memory import Memory
 from hazelbend.fleet.messages import Entry
-from hazelbend.fleet.record import Memory, Record
+from hazelbend.fleet.record import Record
 
 MAGIC = b"hazelbend-fleet 1\n"
 NUMBER = 4  # bytes of a number in a head
--- a/hazelbend/fleet/messages.py
+++ b/hazelbend/fleet/messages.py
@@ -29,14 +29,26 @@
     pre: bool
 
 
+class Stamp(msgspec.Struct, frozen=True, array_like=True):
+    """A time of one process's clock, in microseconds, and the life of that process that it belongs to."""
+
+    life: int
+    at: int
+
+
 class Put(msgspec.Struct, frozen=True, tag=True):
-    """Entries after one that both should hold; without any, a sign of life."""
+    """Entries after one that both should hold; without any, a heartbeat.
+
+    `confirmed`: the newest stamp of the receiver after which a majority has confirmed the leader, so that all
+    that was committed at that time lies at or below `commit`.
+    """
 
     before: int
     before_term: int
     entries: tuple[Entry, ...]
     commit: int
     round: int
+    confirmed: Stamp | None = None
 
 
 class Install(msgspec.Struct, frozen=True, tag=True):
@@ -49,19 +61,40 @@
     round: int
 
 
+class Piece(msgspec.Struct, frozen=True, tag=True):
+    """A part of an encoded `Put` or `Install` that is too large for one message. The leader's `number` names
+    the transfer within its term."""
+
+    number: int
+    offset: int
+    total: int
+    data: bytes
+    round: int
+
+
+class PieceTaken(msgspec.Struct, frozen=True, tag=True):
+    """Bytes of this transfer that the replica holds; 0 where it knows nothing of it, as after a restart."""
+
+    number: int
+    offset: int
+    round: int
+
+
 class Taken(msgspec.Struct, frozen=True, tag=True):
-    """`ok`: all up to this index is held as the leader holds it; else up to it may be."""
+    """`ok`: all up to this index is held as the leader holds it; else up to it may be. `stamp`: the sender's
+    time, which comes back in `Put.confirmed`."""
 
     ok: bool
     index: int
     round: int
+    stamp: Stamp | None = None
 
 
 class TimeIsUp(msgspec.Struct, frozen=True, tag=True):
     """Stand for election at once: the leader hands over."""
 
 
-Body = Ask | Vote | Put | Install | Taken | TimeIsUp
+Body = Ask | Vote | Put | Install | Piece | PieceTaken | Taken | TimeIsUp
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
@@ -70,3 +103,21 @@
     epoch: int
     term: int
     body: Body
+
+
+_encoder = msgspec.msgpack.Encoder()
+_transferred = msgspec.msgpack.Decoder(Put | Install)
+
+
+def encode_transfer(body: Put | Install) -> bytes:
+    """What goes out in pieces."""
+    return _encoder.encode(body)
+
+
+def decode_transfer(content: bytes) -> Put | Install:
+    """What has come in pieces.
+
+    Raises:
+        msgspec.DecodeError: it is none.
+    """
+    return _transferred.decode(content)
--- a/hazelbend/fleet/record.py
+++ b/hazelbend/fleet/record.py
@@ -33,23 +33,44 @@
 from __future__ import annotations
 
 import random
-import zlib
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
-from hazelbend.fleet.messages import Ask, Body, Entry, Install, Message, Put, Taken, TimeIsUp, Vote
-
-EPOCH_BITS = 8  # of an epoch below the time at which it was started
-EPOCH_S = 16  # seconds that such a time is counted in, so that tokens have room for their count
-
-
-def epoch_number(known: int, unix_s: float, identity: str) -> int:
-    """For a new epoch: above the known one, and above those that nobody remembers as far as the wall clock is
-    right; two operators who start one at once get two numbers, but for one time in 256."""
-    after = max(int(unix_s) // EPOCH_S, (known >> EPOCH_BITS) + 1)
-    return (after << EPOCH_BITS) + zlib.crc32(identity.encode()) % (1 << EPOCH_BITS)
+import msgspec
+
+from hazelbend.fleet.memory import Memory, founded_by_operator
+from hazelbend.fleet.messages import (
+    Ask,
+    Body,
+    Entry,
+    Install,
+    Message,
+    Piece,
+    PieceTaken,
+    Put,
+    Stamp,
+    Taken,
+    TimeIsUp,
+    Vote,
+    decode_transfer,
+)
+from hazelbend.fleet.replication import (
+    BATCH_BYTES,
+    Assembly,
+    Progress,
+    batch,
+    begin_transfer,
+    needs_transfer,
+    size_of,
+)
+
+PIECE_PATIENCE = 10  # heartbeats without an answer to a piece, after which it is sent again
+
+
+LIFE_BITS = 53
 
 
 class Role(Enum):
@@ -68,6 +89,8 @@
     election: int = 1_000_000
     batch: int = 64  # entries in a message
     kept: int = 512  # entries that are committed, after which a snapshot takes their place
+    kept_bytes: int = 4 * 1024 * 1024  # the same by their size
+    pending_bytes: int = 12 * 1024 * 1024  # of entries that are not committed: no more are taken
 
 
 class Machine(Protocol):
@@ -82,48 +105,6 @@
     def restore(self, state: bytes) -> None: ...
 
 
-@dataclass(slots=True)
-class Memory:
-    """All that a voter must not forget. `entries[0]` is the one after `base`."""
-
-    identity: str
-    epoch: int = 0
-    term: int = 0
-    vote: str = ""
-    base: int = 0
-    base_term: int = 0
-    base_voters: tuple[str, ...] = ()
-    base_state: bytes = b""
-    entries: list[Entry] = field(default_factory=list)
-
-    @property
-    def last(self) -> int:
-        return self.base + len(self.entries)
-
-    def term_at(self, index: int) -> int | None:
-        """None: not held any more, or not yet."""
-        if index == self.base:
-            return self.base_term
-        return self.entries[index - self.base - 1].term if self.base < index <= self.last else None
-
-    def voters_at(self, index: int) -> tuple[str, ...]:
-        """The list in force there, committed or not."""
-        for entry in reversed(self.entries[: index - self.base]):
-            if entry.voters is not None:
-                return entry.voters
-        return self.base_voters
-
-
-@dataclass(slots=True)
-class Peer:
-    """What the leader knows of one that it sends to."""
-
-    next: int
-    match: int = 0
-    heard_at: int = 0
-    round: int = 0  # the last of the leader's rounds that it has answered
-
-
 @dataclass(slots=True)
 class Read:
     ticket: int
@@ -159,9 +140,16 @@
         self.heard_at = now - 2 * timing.election  # of a leader; not yet
         self.stands_at = 0
         self.votes: set[str] = set()
-        self.peers: dict[str, Peer] = {}
+        self.peers: dict[str, Progress] = {}
         self.learners: set[str] = set()
+        self.life = random.Random(seed + 1).getrandbits(LIFE_BITS)  # names this start of the process
+        self.confirmed_at: int | None = None  # when what is committed here was surely all that was committed
+        self.foreign_epoch = 0  # a later one that was not followed, as something may be acknowledged in this
+        self.assembly = Assembly()
+        self.last_transfer = 0
         self.round = 0
+        self._rounds: deque[tuple[int, int]] = deque()  # rounds that are not confirmed, and when they began
+        self._to_confirm: tuple[int, int] | None = None  # a time, and the index that it is confirmed with
         self.beat_at = 0
         self.reads: list[Read] = []
         self.tickets: dict[int, int] = {}  # by index, of the own term
@@ -213,9 +201,13 @@
         self.stands_at = min(self.stands_at, at)
 
     def propose(self, op: bytes, now: int) -> int | None:
-        """A ticket that `done` will name; None: it does not lead, or is handing over."""
+        """A ticket that `done` will name; None: it does not lead, is handing over, or has too many bytes of
+        entries that are not committed."""
         if not self.leads or self.handing_to:
             return None
+        pending = size_of(self.memory.entries[self.commit - self.memory.base :])
+        if pending and pending + len(op) > self.timing.pending_bytes:
+            return None
         self.last_ticket += 1
         self.tickets[self.memory.last + 1] = self.last_ticket
         self._add(Entry(self.memory.term, None, op), now)
@@ -226,23 +218,36 @@
         if not self.settled:
             return None
         self.last_ticket += 1
-        self.round += 1
+        self._begin_round(now)
         self.reads.append(Read(self.last_ticket, self.round))
         self._broadcast(now)
         self._advance(now)
         return self.last_ticket
 
-    def change_voters(self, voters: tuple[str, ...], now: int) -> bool:
-        """One more or one less. False: not now (see the head of the file); a new one must have caught up."""
+    def change_voters(self, voters: tuple[str, ...], now: int, erased: frozenset[str] = frozenset()) -> bool:
+        """One more or one less, or one in place of another whose memory is known to be `erased`. False: not
+        now (see the head of the file); a new one must have caught up, and a majority of the list in force
+        must have confirmed the leader within the last two heartbeats."""
         more, less = set(voters) - set(self.voters), set(self.voters) - set(voters)
         pending = self.memory.voters_at(self.commit) != self.voters
-        if not self.settled or self.handing_to or pending or len(more) + len(less) != 1 or not voters:
+        one_step = len(more) + len(less) == 1 or (len(more) == len(less) == 1 and less <= erased)
+        if not self.settled or self.handing_to or pending or not one_step or not voters:
+            return False
+        age = self.confirmed_age(now)
+        if age is None or age > 2 * self.timing.heartbeat:
             return False
         if more and not self._caught_up(next(iter(more))):
             return False
         self._add(Entry(self.memory.term, tuple(sorted(voters))), now)
         return True
 
+    def confirmed_age(self, now: int) -> int | None:
+        """Microseconds since a time at which all that was committed anywhere was committed here too, as a
+        majority has confirmed since. None: no such time is known in this life."""
+        if self.leads and self.settled and self.voters == (self.me,):
+            return 0
+        return None if self.confirmed_at is None else max(now - self.confirmed_at, 0)
+
     def teach(self, learners: set[str], now: int) -> None:
         """Send the record to these too, which do not vote: so that they can be made voters."""
         self.learners = set(learners)
@@ -267,8 +272,9 @@
             if not self._heard_by_majority(now):
                 self._follow(self.memory.term, "", now)  # check-quorum: somebody else may lead
             elif now >= self.beat_at:
-                self.round += 1
+                self._begin_round(now)
                 self._broadcast(now)
+                self._confirm()
         elif now >= self.stands_at:
             self._stand(now, pre=True)
 
@@ -276,9 +282,12 @@
         """Of whatever age, as often as it comes, in whatever order."""
         if message.epoch != self.memory.epoch:
             if message.epoch < self.memory.epoch:  # the sender is told of the epoch by any answer
-                if not isinstance(message.body, (Vote, Taken)):
+                if not isinstance(message.body, (Vote, Taken, PieceTaken)):
                     self._tell(message.sender, Vote(granted=False, pre=True))
                 return
+            if not founded_by_operator(message.epoch) and self.memory.has_operations:
+                self.foreign_epoch = message.epoch
+                return  # two fleets were founded; which one goes on is an operator's word
             self._forget(message.epoch, now)
         body, term = message.body, message.term
         if isinstance(body, Ask):
@@ -290,12 +299,16 @@
             self._voted(message, body, now)
         elif isinstance(body, Taken):
             self._taken(message, body, now)
+        elif isinstance(body, PieceTaken):
+            self._piece_taken(message, body, now)
         elif term < self.memory.term:
             self._tell(message.sender, Taken(ok=False, index=0, round=0))
         elif isinstance(body, Put):
-            self._put(message, body, now)
+            self._tell(message.sender, self._put(message, body, now))
         elif isinstance(body, Install):
-            self._install(message, body, now)
+            self._tell(message.sender, self._install(message, body, now))
+        elif isinstance(body, Piece):
+            self._piece(message, body, now)
         elif isinstance(body, TimeIsUp) and self.is_voter:
             self._stand(now, pre=False, handed=True)
 
@@ -377,7 +390,8 @@
         self.role, self.leader, self.peers = Role.LEADER, self.me, {}
         self.learners &= set(self.voters)
         self._meet(now)
-        self.round += 1
+        self._rounds.clear()
+        self._begin_round(now)
         self._broadcast(now)
         self._advance(now)
 
@@ -413,6 +427,7 @@
         self.memory = Memory(self.memory.identity, epoch)
         self.commit = 0
         self.voters, self.promise_changed = (), True
+        self.confirmed_at, self._to_confirm, self.foreign_epoch = None, None, 0
         self._dirty(1)
         self.machine.begin(epoch)
         self.watcher(now)
@@ -423,7 +438,7 @@
         for gone in set(self.peers) - names:
             del self.peers[gone]
         for name in sorted(names - set(self.peers)):
-            self.peers[name] = Peer(self.memory.last + 1, heard_at=now)
+            self.peers[name] = Progress(self.memory.last + 1, heard_at=now)
 
     def _caught_up(self, name: str) -> bool:
         peer = self.peers.get(name)
@@ -436,28 +451,88 @@
 
     def _send(self, name: str, now: int) -> None:
         memory, peer = self.memory, self.peers[name]
+        if peer.transfer is not None:
+            self._tell(name, self._heartbeat(peer, 0, 0))  # entries go on once the transfer is over
+            if now - peer.transfer.sent_at >= PIECE_PATIENCE * self.timing.heartbeat:
+                self._send_piece(name, now)
+            return
         before = memory.term_at(peer.next - 1)
         if before is None:
-            base = (memory.base, memory.base_term, memory.base_voters, memory.base_state)
-            self._tell(name, Install(*base, self.round))
+            state = (memory.base, memory.base_term, memory.base_voters, memory.base_state)
+            self._transfer(name, Install(*state, self.round), now)
+            return
+        put = self._heartbeat(peer, peer.next - 1, before)
+        unanswered = memory.entries[max(peer.match - memory.base, 0) : peer.next - 1 - memory.base]
+        if size_of(unanswered) <= BATCH_BYTES:
+            entries = batch(memory.entries[peer.next - 1 - memory.base :], self.timing.batch)
+            put = msgspec.structs.replace(put, entries=entries)
+        if needs_transfer(put):
+            self._transfer(name, put, now)
             return
-        first = peer.next - 1 - memory.base
-        entries = tuple(memory.entries[first : first + self.timing.batch])
-        self._tell(name, Put(peer.next - 1, before, entries, self.commit, self.round))
-        peer.next += len(entries)  # what is lost on the way is sent again when the answer shows it
+        self._tell(name, put)
+        peer.next += len(put.entries)  # what is lost on the way is sent again when the answer shows it
 
-    def _put(self, message: Message, put: Put, now: int) -> None:
+    def _heartbeat(self, peer: Progress, before: int, before_term: int) -> Put:
+        return Put(before, before_term, (), self.commit, self.round, peer.confirmed)
+
+    def _transfer(self, name: str, body: Put | Install, now: int) -> None:
+        self.last_transfer += 1
+        self.peers[name].transfer = begin_transfer(self.last_transfer, body, now)
+        self._send_piece(name, now)
+
+    def _send_piece(self, name: str, now: int) -> None:
+        transfer = self.peers[name].transfer
+        assert transfer is not None
+        transfer.sent_at = now
+        self._tell(name, transfer.piece(self.round))
+
+    def _piece(self, message: Message, piece: Piece, now: int) -> None:
+        """A part of a message from the leader of this term."""
+        self._follow(message.term, message.sender, now)
+        key = (message.sender, message.term, piece.number)
+        if self.assembly.key != key:
+            self.assembly = Assembly(key)
+        assembly = self.assembly
+        assembly.add(piece)
+        if assembly.answer is None and len(assembly.content) < piece.total:
+            self._tell(message.sender, PieceTaken(piece.number, len(assembly.content), piece.round))
+            return
+        if assembly.answer is None:
+            body = decode_transfer(bytes(assembly.content))
+            assembly.content.clear()
+            whole = msgspec.structs.replace(message, body=body)
+            if isinstance(body, Put):
+                assembly.answer = self._put(whole, body, now)
+            else:
+                assembly.answer = self._install(whole, body, now)
+        self._tell(message.sender, assembly.answer)
+
+    def _piece_taken(self, message: Message, taken: PieceTaken, now: int) -> None:
+        peer = self.peers.get(message.sender)
+        if not self.leads or peer is None or message.term != self.memory.term:
+            return
+        peer.heard_at, peer.round = now, max(peer.round, taken.round)
+        transfer = peer.transfer
+        if transfer is not None and transfer.number == taken.number:
+            # Each answer counts once; a replica that holds nothing of it has started again.
+            restarted = taken.offset == 0 and transfer.offset > 0
+            if taken.offset > transfer.offset or restarted:
+                transfer.offset = taken.offset
+                self._send_piece(message.sender, now)
+        self._advance(now)
+
+    def _put(self, message: Message, put: Put, now: int) -> Taken:
         """Entries, or none, from the leader of this term."""
         memory = self.memory
         self._follow(message.term, message.sender, now)
+        stamp = Stamp(self.life, now)
         before = memory.term_at(put.before) if put.before >= memory.base else put.before_term
         if before != put.before_term:
             # It need not try one by one: all of a term that differs is passed over.
             hint = min(put.before, memory.last + 1)
             while hint > self.commit + 1 and memory.term_at(hint - 1) == before and before is not None:
                 hint -= 1
-            self._tell(message.sender, Taken(False, max(hint - 1, self.commit), put.round))
-            return
+            return Taken(False, max(hint - 1, self.commit), put.round, stamp)
         for index, entry in enumerate(put.entries, put.before + 1):
             if index <= memory.base or memory.term_at(index) == entry.term:
                 continue
@@ -468,9 +543,19 @@
             self._append(entry)
         match = put.before + len(put.entries)
         self._commit(min(put.commit, match), now)
-        self._tell(message.sender, Taken(True, match, put.round))
-
-    def _install(self, message: Message, install: Install, now: int) -> None:
+        self._heed_confirmation(put)
+        return Taken(True, match, put.round, stamp)
+
+    def _heed_confirmation(self, put: Put) -> None:
+        """All that was committed at the stamp's time lies below `put.commit`: once that is committed here,
+        the time counts as confirmed."""
+        if put.confirmed is not None and put.confirmed.life == self.life and self._to_confirm is None:
+            self._to_confirm = (put.confirmed.at, put.commit)
+        if self._to_confirm is not None and self.commit >= self._to_confirm[1]:
+            self.confirmed_at = max(self.confirmed_at or 0, self._to_confirm[0])
+            self._to_confirm = None
+
+    def _install(self, message: Message, install: Install, now: int) -> Taken:
         memory = self.memory
         self._follow(message.term, message.sender, now)
         if install.base > self.commit:
@@ -483,14 +568,19 @@
             self._dirty(install.base)
             self.machine.restore(install.state)
             self.watcher(now)
-        self._tell(message.sender, Taken(True, max(install.base, self.commit), install.round))
+        return Taken(True, max(install.base, self.commit), install.round, Stamp(self.life, now))
 
     def _taken(self, message: Message, taken: Taken, now: int) -> None:
         peer = self.peers.get(message.sender)
         if not self.leads or peer is None or message.term != self.memory.term:
             return
         peer.heard_at, peer.round = now, max(peer.round, taken.round)
-        if not taken.ok:
+        if taken.stamp is not None and peer.asked is None:
+            peer.asked, peer.asked_round = taken.stamp, self.round + 1
+        if peer.transfer is not None and not self._ends_transfer(peer, taken):
+            peer.match = max(peer.match, taken.index) if taken.ok else peer.match
+            self._advance(now)
+        elif not taken.ok:
             peer.next = max(min(taken.index, self.memory.last) + 1, peer.match + 1)
             if taken.index >= peer.match:  # else it is an old answer, or one that has forgotten: no hurry
                 self._send(message.sender, now)
@@ -502,6 +592,16 @@
                 self._send(message.sender, now)
         self._hand_on()
 
+    def _ends_transfer(self, peer: Progress, taken: Taken) -> bool:
+        """Whether this answers what went out in pieces, so that entries can go on. An answer to a heartbeat
+        beside it says nothing of it."""
+        assert peer.transfer is not None
+        refused = not taken.ok and taken.round >= peer.transfer.round
+        if refused or (taken.ok and taken.index > peer.match):
+            peer.transfer = None
+            return True
+        return False
+
     def _majority_holds(self) -> int:
         """All up to this index."""
         match = {name: peer.match for name, peer in self.peers.items()} | {self.me: self.memory.last}
@@ -517,10 +617,27 @@
                 self._broadcast(now)
         if not self.leads:
             return
+        self._confirm()
         answered = [read for read in self.reads if self._round_taken(read.round)]
         self.done += [Done(read.ticket, True) for read in answered]
         self.reads = [read for read in self.reads if read not in answered]
 
+    def _begin_round(self, now: int) -> None:
+        """A majority's answers to messages of this round say that nobody else led when it began."""
+        self.round += 1
+        self._rounds.append((self.round, now))
+
+    def _confirm(self) -> None:
+        """Note which rounds a majority has answered, and which stamps of replicas that confirms."""
+        if not self.settled:
+            return
+        while self._rounds and self._round_taken(self._rounds[0][0]):
+            began = self._rounds.popleft()[1]
+            self.confirmed_at = max(self.confirmed_at or 0, began)
+        for peer in self.peers.values():
+            if peer.asked is not None and self._round_taken(peer.asked_round):
+                peer.confirmed, peer.asked = peer.asked, None
+
     def _round_taken(self, number: int) -> bool:
         return self._majority({name for name, peer in self.peers.items() if peer.round >= number} | {self.me})
 
@@ -540,7 +657,8 @@
 
     def _compact(self) -> None:
         memory, base = self.memory, self.commit
-        if base - memory.base < self.timing.kept:
+        applied = memory.entries[: base - memory.base]
+        if len(applied) < self.timing.kept and size_of(applied) <= self.timing.kept_bytes:
             return
         term = memory.term_at(base)
         assert term is not None
--- a/hazelbend/system/agreement.py
+++ b/hazelbend/system/agreement.py
@@ -14,7 +14,7 @@
 from hazelbend.control.engine import Answer, ControlEngine, ControlPlan, SoftSpoken, Spoken
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.fleet import memory_file
-from hazelbend.fleet.record import Memory
+from hazelbend.fleet.memory import Memory
 from hazelbend.system.clock import clock
 from hazelbend.transport.control_store import ControlStore, Part, StoreError
 from hazelbend.transport.frame_link import FrameLink
--- a/hazelbend/transport/control_store.py
+++ b/hazelbend/transport/control_store.py
@@ -16,9 +16,9 @@
 import msgspec
 
 from hazelbend.fleet import memory_file
+from hazelbend.fleet.memory import Memory
 from hazelbend.fleet.memory_file import Base, DamagedError, Entries, Promise
 from hazelbend.fleet.messages import Entry
-from hazelbend.fleet.record import Memory
 
 DATABASE = "control.db"
 DAMAGED = "control.damaged"
--- a/hazelbend/transport/fleet_store.py
+++ b/hazelbend/transport/fleet_store.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from hazelbend.fleet import memory_file
-from hazelbend.fleet.record import Memory
+from hazelbend.fleet.memory import Memory
 
 NAME, NEW = "memory", "memory.new"
 LARGE = 4 * 1024 * 1024  # bytes, after which the file is written anew
--- /dev/null
+++ b/tests/test_replication.py
@@ -0,0 +1,252 @@
+"""Replication of the log between records: bytes bound what is under way, and confirmation by a majority."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from hazelbend.fleet.memory import Memory, epoch_number
+from hazelbend.fleet.messages import Install, Message, Piece, Put
+from hazelbend.fleet.record import Record, Timing
+from hazelbend.fleet.replication import BATCH_BYTES, PIECE_BYTES
+
+MS, S = 1_000, 1_000_000
+TIMING = Timing(heartbeat=100 * MS, election=500 * MS, batch=32, kept=48)
+
+
+class LastValue:
+    """A machine that keeps the last operation."""
+
+    def __init__(self) -> None:
+        self.value = b""
+
+    def begin(self, epoch: int) -> None:
+        self.value = b""
+
+    def apply(self, index: int, op: bytes) -> object:
+        self.value = op
+        return index
+
+    def snapshot(self) -> bytes:
+        return self.value
+
+    def restore(self, state: bytes) -> None:
+        self.value = state
+
+
+class Group:
+    """Voters a, b, c on links of a given speed; `cut` holds those that are cut off."""
+
+    def __init__(self, bytes_per_s: float = 1e9, delay: int = 1 * MS) -> None:
+        self.now, self.bytes_per_s, self.delay = 0, bytes_per_s, delay
+        self.cut: set[str] = set()
+        self.largest: dict[type, int] = {}
+        self.sent = 0  # bytes
+        self.records: dict[str, Record] = {}
+        self._arrivals: list[tuple[int, int, Message]] = []
+        self._free_at: dict[tuple[str, str], int] = {}
+        for number, name in enumerate("abc"):
+            memory = Memory(name, 256, 1, "", 1, 1, ("a", "b", "c"), b"")
+            self.records[name] = Record(memory, LastValue(), TIMING, number + 1, 0)
+
+    @property
+    def leader(self) -> Record | None:
+        leading = [each for name, each in self.records.items() if each.settled and name not in self.cut]
+        return max(leading, key=lambda each: each.memory.term, default=None)
+
+    def restart(self, name: str) -> None:
+        before = self.records[name]
+        self.records[name] = Record(before.memory, LastValue(), TIMING, 77, self.now)
+        self.records[name].recall_commit(before.commit, self.now)
+
+    def run(self, duration: int, step: int = 1 * MS) -> None:
+        end = self.now + duration
+        while self.now < end:
+            self.now += step
+            due = [each for each in self._arrivals if each[0] <= self.now]
+            self._arrivals = [each for each in self._arrivals if each[0] > self.now]
+            for _, _, message in sorted(due, key=lambda each: each[:2]):
+                if message.to not in self.cut and message.sender not in self.cut:
+                    self.records[message.to].receive(message, self.now)
+            for record in self.records.values():
+                if self.now >= record.due:
+                    record.tick(self.now)
+                self._carry(record)
+
+    def _carry(self, record: Record) -> None:
+        out, record.out = record.out, []
+        for message in out:
+            body = message.body
+            size = sum(len(each.op) for each in body.entries) if isinstance(body, Put) else 0
+            size += len(body.data) if isinstance(body, Piece) else 0
+            self.largest[type(body)] = max(self.largest.get(type(body), 0), size)
+            self.sent += size
+            link = (message.sender, message.to)
+            start = max(self._free_at.get(link, 0), self.now)
+            self._free_at[link] = start + round((size + 100) / self.bytes_per_s * S)
+            self._arrivals.append((self._free_at[link] + self.delay, self.sent, message))
+
+    def until(self, holds, most: int) -> bool:
+        end = self.now + most
+        while self.now < end and not holds():
+            self.run(5 * MS)
+        return holds()
+
+
+def led(group: Group) -> Record:
+    assert group.until(lambda: group.leader is not None, 5 * S)
+    assert group.leader is not None
+    return group.leader
+
+
+# --- bytes bound what is under way ---
+
+
+@pytest.mark.parametrize("size, changes", [(100_000, 300), (4 * 1024 * 1024, 3)])
+def test_a_replica_that_was_cut_off_catches_up_on_a_slow_link_and_heartbeats_pass(size, changes):
+    """Given a link of 5 Mbit/s and one replica cut off during many changes, when it is back, then it catches
+    up in the time of the bytes that are kept, nobody else leads meanwhile, and no message is large."""
+    group = Group(bytes_per_s=625_000)
+    leader = led(group)
+    lost = next(name for name in group.records if name != leader.me)
+    group.cut.add(lost)
+    chance = random.Random(1)
+    for _ in range(changes):
+        leader.propose(chance.randbytes(size), group.now)
+        assert group.until(lambda: leader.commit == leader.memory.last, 60 * S)
+    group.cut.clear()
+    term, kept = leader.memory.term, sum(len(each.op) for each in leader.memory.entries)
+    state = len(leader.memory.base_state)
+    needed = (kept + state) / 625_000 * S
+    assert group.until(lambda: group.records[lost].commit == leader.commit, round(2 * needed) + 4 * S)
+    assert (leader.leads, leader.memory.term) == (True, term)
+    assert max(group.largest.values()) <= max(BATCH_BYTES, PIECE_BYTES)
+    assert kept <= TIMING.kept_bytes + size and Install not in group.largest
+
+
+def test_a_replica_that_starts_again_within_a_transfer_is_sent_it_anew():
+    group = Group(bytes_per_s=625_000)
+    leader = led(group)
+    other = next(name for name in group.records if name != leader.me)
+    leader.propose(b"x" * 1_000_000, group.now)
+    group.run(600 * MS)
+    assert leader.peers[other].transfer.offset > 0
+    group.restart(other)
+    assert group.until(lambda: group.records[other].commit == leader.memory.last, 10 * S)
+
+
+def test_entries_that_no_majority_takes_are_bounded_by_their_bytes():
+    group = Group()
+    leader = led(group)
+    group.cut |= set(group.records) - {leader.me}
+    taken = [leader.propose(b"x" * 4_000_000, group.now) for _ in range(8)]
+    assert sum(each is not None for each in taken) == 3
+
+
+# --- confirmation ---
+
+
+def test_what_is_committed_counts_as_confirmed_by_a_majority_of_late():
+    group = Group()
+    leader = led(group)
+    group.run(1 * S)
+    for record in group.records.values():
+        age = record.confirmed_age(group.now)
+        assert age is not None and age < 450 * MS
+    cut = next(name for name in group.records if name != leader.me)
+    group.cut.add(cut)
+    group.run(20 * S)
+    assert group.records[cut].confirmed_age(group.now) > 19 * S
+    assert leader.confirmed_age(group.now) < 200 * MS
+
+
+def test_a_leader_that_is_cut_off_is_not_confirmed_and_steps_down():
+    group = Group()
+    old = led(group)
+    group.cut.add(old.me)
+    group.run(900 * MS)
+    assert old.confirmed_age(group.now) > 700 * MS
+    group.run(600 * MS)
+    assert not old.leads
+
+
+def test_a_confirmation_of_an_earlier_life_counts_for_nothing():
+    group = Group()
+    leader = led(group)
+    group.run(1 * S)
+    other = next(name for name in group.records if name != leader.me)
+    late = Message(
+        leader.me, other, 256, leader.memory.term,
+        Put(0, 0, (), leader.commit, leader.round, leader.peers[other].confirmed),
+    )  # fmt: skip
+    group.restart(other)
+    group.records[other].receive(late, group.now)
+    assert group.records[other].confirmed_age(group.now) is None
+
+
+def test_a_confirmation_waits_until_all_that_it_speaks_of_is_committed_here():
+    group = Group()
+    leader = led(group)
+    group.run(1 * S)
+    other = group.records[next(name for name in group.records if name != leader.me)]
+    before = other.confirmed_at
+    ahead = Put(0, 0, (), other.commit + 1, leader.round, leader.peers[other.me].confirmed)
+    other.receive(Message(leader.me, other.me, 256, leader.memory.term, ahead), group.now)
+    assert other.confirmed_at == before
+
+
+# --- changes of the list ---
+
+
+def test_a_list_is_changed_only_while_a_majority_confirms_the_leader():
+    group = Group()
+    leader = led(group)
+    gone = next(name for name in leader.voters if name != leader.me)
+    fewer = tuple(each for each in leader.voters if each != gone)
+    group.cut |= set(group.records) - {leader.me}
+    group.run(300 * MS)
+    assert leader.leads and not leader.change_voters(fewer, group.now)
+    group.cut.clear()
+    group.run(300 * MS)
+    assert leader.change_voters(fewer, group.now)
+
+
+def test_a_voter_is_replaced_in_one_step_only_where_its_memory_is_known_to_be_erased():
+    group = Group()
+    leader = led(group)
+    group.run(300 * MS)
+    erased = next(name for name in leader.voters if name != leader.me)
+    group.records["d"] = Record(Memory("d", 256), LastValue(), TIMING, 9, group.now)
+    replaced = tuple(sorted({*leader.voters, "d"} - {erased}))
+    leader.teach({"d"}, group.now)
+    group.run(500 * MS)
+    assert not leader.change_voters(replaced, group.now)
+    assert leader.change_voters(replaced, group.now, frozenset({erased}))
+    group.run(200 * MS)
+    assert leader.memory.voters_at(leader.commit) == replaced
+
+
+# --- epochs ---
+
+
+def test_a_record_that_may_have_acknowledged_something_follows_another_epoch_only_on_an_operators_word():
+    group = Group()
+    leader = led(group)
+    leader.propose(b"op", group.now)
+    group.run(300 * MS)
+    first = epoch_number(256, 5_000.0, "x", by_operator=False)
+    word = epoch_number(256, 5_000.0, "x")
+    other = group.records[next(name for name in group.records if name != leader.me)]
+    for epoch, followed in ((first, False), (word, True)):
+        heartbeat = Put(0, 0, (), 0, 1)
+        other.receive(Message("x", other.me, epoch, 1, heartbeat), group.now)
+        assert (other.memory.epoch == epoch) is followed
+        assert (other.foreign_epoch == epoch) is not followed
+
+
+def test_an_empty_record_follows_the_first_epoch_that_it_hears_of():
+    record = Record(Memory("a"), LastValue(), TIMING, 1, 0)
+    epoch = epoch_number(0, 5_000.0, "x", by_operator=False)
+    record.receive(Message("x", "a", epoch, 1, Put(0, 0, (), 0, 1)), 0)
+    assert record.memory.epoch == epoch
--- a/tests/test_system_sockets.py
+++ b/tests/test_system_sockets.py
@@ -12,8 +12,8 @@
 import pytest
 
 from hazelbend.fleet import memory_file
+from hazelbend.fleet.memory import Memory
 from hazelbend.fleet.messages import Entry
-from hazelbend.fleet.record import Memory
 from hazelbend.forwarding.ports import BrokenError, ClientReply, ClientRequest, NotSentError, WorkerCall
 from hazelbend.transport.asgi_server import AsgiServer, HttpAnswer, HttpCall
 from hazelbend.transport.control_store import DAMAGED, DATABASE, ControlStore
