An erased voter at its leader's own address is removed; one machine is never listed twice

The one that led had come back without its memory at the address of an erased voter; of its own address it knew no peer, so it never held that voter for lost, and the list kept four with one gone for good. A new leader had added it beside the old identity, as it had no proof yet.

Change: another identity at one's own address is erased; one at the address of a voter that is not lost is no candidate. Histories end with a check that all that are listed are there.

--- a/benchmarks/control/history.py
+++ b/benchmarks/control/history.py
@@ -93,6 +93,10 @@
         leader = self.fleet.leader
         if leader is None:
             raise BrokenRuleError("nobody leads though all is well")
+        standing = {machine.engine.me for machine in self.fleet.alive}
+        gone = set(leader.engine.record.voters) - standing
+        if gone:
+            raise BrokenRuleError(f"{min(gone)} is still listed {RECOVERY / S:.0f} s after all")
         for machine in self.fleet.alive:
             if machine.address in self.fleet.observers:
                 continue
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -51,7 +51,7 @@
         if memory is not None:
             self.record.stand_by(now + random.Random(seed).randint(*FIRST_ELECTION))
         self.registry = WorkerRegistry(plan.heartbeat)
-        self.peers = PeerTable(plan.address, plan.seeds, self.record.life, now)
+        self.peers = PeerTable(self.record.me, plan.address, plan.seeds, self.record.life, now)
         self.announcements = Announcements(self.record.life)
         self.own_routers: set[str] = set()  # those that watch this process
         self.most_routers = 1  # that have watched the fleet at a time: they share what may be spent
@@ -299,7 +299,7 @@
     def _greet(self, now: int) -> None:
         self._greet_at = now + GREETING_PERIOD
         leader = self.record.leader if self.plan.counted else ""
-        self._volatile.out += self.peers.greetings(self.me, self.plan.counted, leader, now)
+        self._volatile.out += self.peers.greetings(self.plan.counted, leader, now)
 
     def _greeted(self, sender: str, hello: m.Hello, now: int) -> None:
         if self.peers.greeted(sender, hello, now):  # it may have started with nothing, or was cut off
@@ -326,10 +326,9 @@
         if not record.leads:
             return
         self.peers.note_voters(record.voters, now)
-        alive = self.peers.alive(now).values()
+        lost = {each for each in record.voters if self.peers.is_lost(each, now)}
         members = [self.me] if self.plan.counted else []
-        members += sorted(peer.identity for peer in alive if peer.counted and not peer.leaving)
-        lost = {each for each in record.voters if each not in members and self.peers.is_lost(each, now)}
+        members += self.peers.candidates(record.voters, lost, now)
         erased = frozenset(each for each in lost if self.peers.is_erased(each))
         least = 2 * self.plan.tolerance + 1
         # None that is merely unheard is surplus: a list shrinks only by those that are lost.
--- a/hazelbend/control/peers.py
+++ b/hazelbend/control/peers.py
@@ -39,9 +39,9 @@
 class PeerTable:
     """All of them, by address."""
 
-    def __init__(self, address: str, seeds: tuple[str, ...], life: int, now: int) -> None:
-        """`address`: this process's own; `life`: names this start of it."""
-        self.address, self.seeds, self._life, self._born = address, seeds, life, now
+    def __init__(self, identity: str, address: str, seeds: tuple[str, ...], life: int, now: int) -> None:
+        """`identity`, `address`: this process's own; `life`: names this start of it."""
+        self.identity, self.address, self.seeds, self._life, self._born = identity, address, seeds, life, now
         self.leaving = False  # this process is about to end
         self._table = {each: Peer() for each in seeds if each != address}
         self._known_alive: dict[str, int] = {}  # voters, by identity: when each was surely there
@@ -84,7 +84,7 @@
 
     # --- greetings ---
 
-    def greetings(self, identity: str, counted: bool, leader: str, now: int) -> list[tuple[str, Hello]]:
+    def greetings(self, counted: bool, leader: str, now: int) -> list[tuple[str, Hello]]:
         """One to each address; those that have been silent for long are dropped."""
         known = (self.address, *self.alive(now))
         stamp = Stamp(self._life, now)
@@ -94,7 +94,7 @@
             if silent and address not in self.seeds:
                 del self._table[address]
                 continue
-            hello = Hello(identity, counted, known, leader, self.leaving, stamp, peer.stamp)
+            hello = Hello(self.identity, counted, known, leader, self.leaving, stamp, peer.stamp)
             greetings.append((address, hello))
         return greetings
 
@@ -130,6 +130,8 @@
     def is_erased(self, identity: str) -> bool:
         """Whether the memory of this voter is surely gone: another identity has answered at its address
         after it was last known there, and only one that starts without a memory takes a new identity."""
+        if address_of(identity) == self.address:
+            return identity != self.identity
         peer = self._table.get(address_of(identity))
         if peer is None or not peer.proven or peer.proven == identity:
             return False
@@ -137,12 +139,25 @@
 
     def is_lost(self, identity: str, now: int) -> bool:
         """Whether this voter is erased, silent for long, or about to end."""
+        if address_of(identity) == self.address:
+            return identity != self.identity
         peer = self._table.get(address_of(identity))
         if peer is None:
             return False
         leaves = peer.leaving and peer.identity == identity
         return leaves or self.is_erased(identity) or now - peer.heard_at > LOST
 
+    def candidates(self, voters: Iterable[str], lost: set[str], now: int) -> list[str]:
+        """Identities of those alive that count and stay. One at the address of a voter that is not known to
+        be lost is none yet: two of one machine are never listed together."""
+        taken = {address_of(each): each for each in voters if each not in lost}
+        found = [
+            peer.identity
+            for address, peer in self.alive(now).items()
+            if peer.counted and not peer.leaving and taken.get(address, peer.identity) == peer.identity
+        ]
+        return sorted(found)
+
     # --- the first start ---
 
     def may_found(self, now: int) -> bool:
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -313,7 +313,7 @@
 
 
 def test_a_voter_counts_as_erased_only_once_another_identity_has_answered_after_it_was_known():
-    table = PeerTable("10.0.1.1:7", ("10.0.2.1:7",), life=9, now=0)
+    table = PeerTable("a@10.0.1.1:7", "10.0.1.1:7", ("10.0.2.1:7",), life=9, now=0)
     there = "10.0.2.1:7"
     table.greeted(there, hello("x@10.0.2.1:7"), 1 * S)
     table.note_voters(("x@10.0.2.1:7",), 1 * S)
@@ -325,9 +325,25 @@
 
 
 def test_a_late_greeting_of_an_earlier_identity_does_not_undo_a_proof():
-    table = PeerTable("10.0.1.1:7", ("10.0.2.1:7",), life=9, now=0)
+    table = PeerTable("a@10.0.1.1:7", "10.0.1.1:7", ("10.0.2.1:7",), life=9, now=0)
     there = "10.0.2.1:7"
     table.note_voters(("y@10.0.2.1:7",), 0)
     table.greeted(there, hello("y@10.0.2.1:7", answers=Stamp(9, 3 * S)), 3 * S)
     table.greeted(there, hello("x@10.0.2.1:7", answers=Stamp(9, 2 * S)), 4 * S)
     assert not table.is_erased("y@10.0.2.1:7")
+
+
+def test_a_voter_that_had_the_address_of_its_leader_is_erased():
+    """The leader is the one that came back at that address, with nothing."""
+    table = PeerTable("new@10.0.1.1:7", "10.0.1.1:7", ("10.0.2.1:7",), life=9, now=0)
+    table.note_voters(("old@10.0.1.1:7", "new@10.0.1.1:7"), 0)
+    assert table.is_erased("old@10.0.1.1:7") and table.is_lost("old@10.0.1.1:7", 0)
+    assert not table.is_erased("new@10.0.1.1:7") and not table.is_lost("new@10.0.1.1:7", 0)
+
+
+def test_two_identities_of_one_machine_are_never_listed_together():
+    table = PeerTable("a@10.0.1.1:7", "10.0.1.1:7", ("10.0.2.1:7",), life=9, now=0)
+    table.greeted("10.0.2.1:7", hello("y@10.0.2.1:7"), 1 * S)
+    voters = ("a@10.0.1.1:7", "x@10.0.2.1:7")
+    assert table.candidates(voters, set(), 1 * S) == []
+    assert table.candidates(voters, {"x@10.0.2.1:7"}, 1 * S) == ["y@10.0.2.1:7"]
