--- a/benchmarks/control/defects.py
+++ b/benchmarks/control/defects.py
@@ -10,8 +10,10 @@
 from contextlib import contextmanager
 from typing import Any
 
+import msgspec
+
 from benchmarks.control.fleet import Fleet, Machine
-from hazelbend.control import config_machine, engine, outputs
+from hazelbend.control import announcements, config_machine, engine, outputs
 from hazelbend.control.announcements import Announcements
 from hazelbend.control.config_machine import ChangeResult, ConfigMachine, StoredConfig
 from hazelbend.control.engine import ControlEngine
@@ -160,15 +162,15 @@
     """An answer counts whatever life it is for."""
     original = Announcements.taken
 
-    def taken(self: Announcements, sender: str, answer: WorkerNewsTaken) -> None:
-        original(self, sender, WorkerNewsTaken(answer.number, self._life))
+    def taken(self: Announcements, answer: WorkerNewsTaken) -> None:
+        original(self, msgspec.structs.replace(answer, life=self._life))
 
     return [(Announcements, "taken", taken)]
 
 
 def _drain_by_one() -> list[Patch]:
     """A drain is acknowledged before anybody else holds it."""
-    return [(ControlEngine, "_copies_needed", 0)]
+    return [(announcements._Announcement, "is_held", lambda self, tolerance: bool(self.holders))]
 
 
 def _no_lease_before_orders() -> list[Patch]:
--- a/hazelbend/control/announcements.py
+++ b/hazelbend/control/announcements.py
@@ -25,35 +25,42 @@
 @dataclass(slots=True)
 class _Announcement:
     until: int
-    needed: int  # other counted processes
-    holders: set[str] = field(default_factory=set)  # their addresses
+    holders: dict[str, tuple[str, ...]] = field(default_factory=dict)  # identities, and the voters they know
+
+    def is_held(self, tolerance: int) -> bool:
+        """Whether a majority of the voters hold it, by every list of them that a holder who votes knows, and
+        more than may be lost."""
+        lists = {voters for identity, voters in self.holders.items() if identity in voters}
+        majorities = [2 * len(self.holders.keys() & set(voters)) > len(voters) for voters in lists]
+        return bool(lists) and all(majorities) and len(self.holders) > tolerance
 
 
 class Announcements:
     """Those that are under way."""
 
-    def __init__(self, life: int) -> None:
-        self._life = life
+    def __init__(self, life: int, tolerance: int) -> None:
+        """`tolerance`: counted processes that may be lost at one time."""
+        self._life, self._tolerance = life, tolerance
         self._pending: dict[int, _Announcement] = {}
-        self.done: list[WorkerDone] = []
+        self._done: list[WorkerDone] = []
 
     @property
     def due(self) -> int | None:
         """When the next one is over; None: there is none."""
         return min((each.until for each in self._pending.values()), default=None)
 
-    def begin(self, number: int, record: WorkerRecord, needed: int, now: int) -> WorkerNews:
-        """The message that asks others to hold it. `needed`: so many of them, at least one."""
-        self._pending[number] = _Announcement(now + ANNOUNCEMENT_WAIT, needed)
+    def begin(self, number: int, record: WorkerRecord, now: int) -> WorkerNews:
+        """The message that asks others to hold it."""
+        self._pending[number] = _Announcement(now + ANNOUNCEMENT_WAIT)
         return WorkerNews(number, (record,), life=self._life)
 
-    def taken(self, sender: str, answer: WorkerNewsTaken) -> None:
-        """A counted process at this address holds one."""
+    def taken(self, answer: WorkerNewsTaken) -> None:
+        """A counted process, maybe this one, holds an announcement."""
         pending = self._pending.get(answer.number)
         if answer.life != self._life or pending is None:
             return
-        pending.holders.add(sender)
-        if len(pending.holders) >= pending.needed:
+        pending.holders[answer.identity] = answer.voters
+        if pending.is_held(self._tolerance):
             self._end(answer.number, held=True)
 
     def expire(self, now: int) -> None:
@@ -64,9 +71,9 @@
 
     def take_done(self) -> list[WorkerDone]:
         """Those that are decided since the last call."""
-        done, self.done = self.done, []
+        done, self._done = self._done, []
         return done
 
     def _end(self, number: int, held: bool) -> None:
         del self._pending[number]
-        self.done.append(WorkerDone(number, held))
+        self._done.append(WorkerDone(number, held))
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -52,7 +52,7 @@
             self.record.stand_by(now + random.Random(seed).randint(*FIRST_ELECTION))
         self.registry = WorkerRegistry(plan.heartbeat)
         self.peers = PeerTable(self.record.me, plan.address, plan.seeds, self.record.life, now)
-        self.announcements = Announcements(self.record.life)
+        self.announcements = Announcements(self.record.life, plan.tolerance)
         self.own_routers: set[str] = set()  # those that watch this process
         self.most_routers = 1  # that have watched the fleet at a time: they share what may be spent
         self.planner = PhasePlanner()
@@ -194,23 +194,19 @@
         """A worker has called: the number of the answer to wait for, or None where it needs no other."""
         known = self.registry.listed.get(record.instance)
         self._spread(self.registry.merge(record, now))
-        needed = self._copies_needed
-        if record.state is WorkerState.READY or not needed:
+        if record.state is WorkerState.READY:
             return None
         if known is not None and known.record.state is WorkerState.GONE:
             record = known.record
         number = self._next_number()
-        news = self.announcements.begin(number, record, needed, now)
+        news = self.announcements.begin(number, record, now)
         self._volatile.out += [(address, news) for address in self.peers.addresses]
+        if self.plan.counted:
+            self.announcements.taken(self._holds(news))
         return number
 
-    @property
-    def _copies_needed(self) -> int:
-        """Counted control processes beside this one that must hold what is acknowledged: with it a majority,
-        so that routers whose control processes are confirmed hear of it, and more than may be lost."""
-        counted = self.peers.counted + int(self.plan.counted)
-        copies = max(self.plan.tolerance + 1, max(counted, len(self.record.voters)) // 2 + 1)
-        return copies - 1 if self.plan.counted else copies
+    def _holds(self, news: m.WorkerNews) -> m.WorkerNewsTaken:
+        return m.WorkerNewsTaken(news.number, news.life, self.me, self.record.voters)
 
     def worker_left(self, instance: str, now: int) -> int | None:
         """A worker has deregistered; as `worker_heard`."""
@@ -251,9 +247,7 @@
             case m.WorkerNews():
                 self._worker_news(sender, body, now)
             case m.WorkerNewsTaken():
-                peer = self.peers.get(sender)
-                if peer is not None and peer.counted:
-                    self.announcements.taken(sender, body)
+                self.announcements.taken(body)
             case m.Ages():
                 self._ages(sender, body, now)
 
@@ -310,8 +304,8 @@
         for record in news.records:
             heard_at = now - news.ages.get(record.instance, 0)
             self._spread(self.registry.merge(record, heard_at))
-        if news.number:
-            self._volatile.out.append((sender, m.WorkerNewsTaken(news.number, news.life)))
+        if news.number and self.plan.counted:
+            self._volatile.out.append((sender, self._holds(news)))
 
     def _ages(self, sender: str, news: m.Ages, now: int) -> None:
         peer = self.peers.get(sender)
--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -38,10 +38,12 @@
 
 
 class WorkerNewsTaken(msgspec.Struct, frozen=True, tag=True):
-    """The records of this number are held."""
+    """A counted process holds the records of this number."""
 
     number: int
-    life: int = 0  # of the process that asked
+    life: int  # of the process that asked
+    identity: str  # of the one that holds them
+    voters: tuple[str, ...]  # as it knows them
 
 
 class Ages(msgspec.Struct, frozen=True, tag=True):
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from benchmarks.control.fleet import MS, Fleet, S, whole
@@ -88,10 +89,11 @@
     first, second = fleet.alive[0], fleet.alive[1]
     number = first.engine.worker_heard(DRAINING, fleet.now)
     asked = [body for _, body in first.engine.take_volatile().out if getattr(body, "number", 0) == number]
-    earlier = m.WorkerNewsTaken(number, asked[0].life + 1)
+    answer = m.WorkerNewsTaken(number, asked[0].life, second.engine.me, second.engine.record.voters)
+    earlier = msgspec.structs.replace(answer, life=answer.life + 1)
     first.engine.receive(second.address, earlier, fleet.now)
     assert first.engine.take_volatile().answers == []
-    first.engine.receive(second.address, m.WorkerNewsTaken(number, asked[0].life), fleet.now)
+    first.engine.receive(second.address, answer, fleet.now)
     [done] = first.engine.take_volatile().answers
     assert (done.number, done.held) == (number, True)
 
@@ -119,6 +121,24 @@
     assert told == [False, True]
 
 
+def test_a_drain_is_held_by_a_majority_of_the_voters_not_by_any_who_count():
+    """Of four one is killed and leaves the list; it is back on the smaller side of a cut: two of four hold
+    the drain there, but one of three voters."""
+    fleet = started(4)
+    back = next(each for each in fleet.alive if each is not fleet.leader)
+    fleet.kill(back.address)
+    assert fleet.until(lambda: len(fleet.leader.engine.record.voters) == 3, 4 * S)
+    beside = next(each for each in fleet.alive if each is not fleet.leader)
+    apart(fleet, [back.address, beside.address])
+    fleet.start(back.address)
+    fleet.run(1 * S)
+    told: list[bool] = []
+    for address in (back.address, beside.address):
+        fleet.worker(address, DRAINING, told.append)
+        fleet.run(1 * S)
+    assert told == [False, False]
+
+
 # --- row 4: what is accepted is known by a bounded number of digests ---
 
 
@@ -153,8 +173,6 @@
 
 
 def test_a_snapshot_of_the_earlier_format_is_read_and_its_changes_are_still_known():
-    import msgspec
-
     machine = ConfigMachine()
     for version in (1, 2):
         machine.apply(version, change_entry(version - 1, version, body_of(version)))
