A worker that announces its end counts as gone for its part at once

Of five model workers two made tokens; they announced their end at 8.48 and 11.40 s, the only order came at 11.65 s and took effect at 15.55 s, so nobody made tokens for 4 s.

The look follows a change of workers within 50 ms.

--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -8,6 +8,7 @@
 from hazelbend.control import messages as m
 from hazelbend.control.load_table import RouterLoad
 from hazelbend.control.outputs import ControlPlan
+from hazelbend.control.workers import WorkerRecord
 from hazelbend.fleet.members import address_of
 from hazelbend.system.agreement import Agreement
 from hazelbend.system.clock import clock
@@ -44,7 +45,7 @@
             plan,
             ControlStore(folder) if folder is not None else None,
             lambda config: self._watches.config_changed(config),
-            lambda records: self._watches.workers_changed(records),
+            self._workers_changed,
         )
         self._watches = WatchService(self._agreement, folder / SOFT_STATE if folder is not None else None)
         self._orders = PhaseOrders(self._agreement, self._watches.loads.totals, self._watches.tell_fleet)
@@ -74,6 +75,10 @@
         """The settings file has changed: the seeds may be others."""
         self._agreement.engine.seeds_changed(settings.seed_peers, clock())
 
+    def _workers_changed(self, records: list[WorkerRecord]) -> None:
+        self._watches.workers_changed(records)
+        self._orders.workers_changed()
+
     def _hear(self, connection: FrameConnection, frame: bytes) -> None:
         try:
             body = m.decode(frame)
--- a/hazelbend/system/phase_orders.py
+++ b/hazelbend/system/phase_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 import picologging
@@ -16,6 +17,7 @@
 log = picologging.getLogger("hazelbend.control")
 
 PLAN_EVERY = 0.5  # seconds between two looks at the parts that workers play
+PLAN_SOON = 0.05  # after a change of workers, so that several at once are one look
 
 
 class PhaseOrders:
@@ -27,6 +29,7 @@
         """`announce` lets routers know of an order before it is given."""
         self._agreement, self._loads, self._announce = agreement, loads, announce
         self._task: asyncio.Task[None] | None = None
+        self._changed = asyncio.Event()
 
     def start(self) -> None:
         """Begin to look."""
@@ -37,9 +40,16 @@
         if self._task is not None:
             self._task.cancel()
 
+    def workers_changed(self) -> None:
+        """Look soon: a worker may have announced its end."""
+        self._changed.set()
+
     async def _plan(self) -> None:
         while True:
-            await asyncio.sleep(PLAN_EVERY)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self._changed.wait(), PLAN_EVERY)
+                await asyncio.sleep(PLAN_SOON)
+            self._changed.clear()
             for order in self._agreement.engine.phase_orders(self._loads(), clock()):
                 await self._order(order)
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -5,6 +5,7 @@
 import json
 import random
 
+import msgspec
 import pytest
 
 from benchmarks.control.defects import DEFECTS, POINTS, planted
@@ -549,6 +550,52 @@
     assert len(plans(workers, {"i-3": Load(60, 0)}, looks=10)) == 1
 
 
+def leaving(worker: WorkerRecord) -> WorkerRecord:
+    return msgspec.structs.replace(worker, state=WorkerState.DRAINING, seq=worker.seq + 1)
+
+
+def test_another_makes_tokens_as_soon_as_one_of_two_that_do_announces_its_end():
+    """Given two that make tokens and three that read, when one of the two announces its end, then a reader is
+    ordered at the next look, while the other still serves; and one more when that one leaves as well."""
+    planner = PhasePlanner()
+    workers = [model_worker(n, "prefill") for n in range(3)] + [
+        model_worker(n, "decode") for n in range(3, 5)
+    ]
+    for look in range(6):
+        assert planner.plan(workers, {}, look * S // 2) == []
+    workers[3] = leaving(workers[3])
+    [first] = planner.plan(workers, {}, 3 * S)
+    assert first.phase == "decode"
+    assert planner.plan(workers, {}, 3 * S + S // 2) == []
+    workers[4] = leaving(workers[4])
+    [second] = planner.plan(workers, {}, 5 * S)
+    assert second.phase == "decode" and second.instance != first.instance
+    assert planner.plan(workers, {}, 7 * S) == [], "the last one that reads"
+    assert set(planner.switching) == {first.instance, second.instance}
+
+
+def test_a_fleet_that_is_left_with_one_that_makes_tokens_gets_a_second_one():
+    planner = PhasePlanner()
+    workers = [model_worker(n, "prefill") for n in range(3)] + [
+        model_worker(n, "decode") for n in range(3, 5)
+    ]
+    for look in range(6):
+        planner.plan(workers, {}, look * S // 2)
+    del workers[4]
+    [order] = planner.plan(workers, {}, 4 * S)
+    assert order.phase == "decode"
+
+
+def test_one_reads_where_all_that_did_are_about_to_leave():
+    planner = PhasePlanner()
+    workers = [model_worker(0, "prefill")] + [model_worker(n, "decode") for n in range(1, 6)]
+    for look in range(6):
+        assert planner.plan(workers, {}, look * S // 2) == []
+    workers[0] = leaving(workers[0])
+    [order] = planner.plan(workers, {}, 4 * S)
+    assert order.phase == "prefill"
+
+
 def test_only_a_leader_of_longer_than_a_lease_gives_orders(fleet):
     leader = fleet.leader
     for number in range(3):
