--- a/hazelbend/transport/aiohttp_client.py
+++ b/hazelbend/transport/aiohttp_client.py
@@ -28,7 +28,8 @@
 
 
 class StaleConnectionError(Exception):
-    """Something came on this kept connection since its last answer was over; not a byte was written on it."""
+    """Something came on this kept connection since its last answer was over, or waits on it to be sent; not a
+    byte was written on it."""
 
 
 class RequestWriting:
@@ -39,7 +40,15 @@
     `time_field` is the field of the head that tells what is left, in milliseconds.
     """
 
-    __slots__ = ("_tell", "before_first_byte", "has_body", "reused_connection", "time_field", "whole")
+    __slots__ = (
+        "_protocol",
+        "_tell",
+        "before_first_byte",
+        "has_body",
+        "reused_connection",
+        "time_field",
+        "whole",
+    )
 
     def __init__(
         self,
@@ -52,6 +61,18 @@
         self.has_body, self.before_first_byte, self._tell = has_body, before_first_byte, tell
         self.whole = False
         self.reused_connection = False
+        self._protocol: ResponseHandler | None = None
+
+    def connected(self, protocol: ResponseHandler | None) -> None:
+        """This connection carries the request."""
+        self._protocol = protocol
+
+    def end_connection(self) -> None:
+        """Use the connection for nothing more, also where it rests among the kept ones by now: an answer
+        that came on it belongs to no request that is known."""
+        if self._protocol is not None:
+            self._protocol.force_close()
+            self._protocol.close()
 
     def done(self) -> None:
         """The last byte is handed to the connection: from now on the request may run."""
@@ -80,18 +101,25 @@
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
         """Check, complete the head, and write; raises WithdrawnError or StaleConnectionError before the
         first byte."""
-        if conn.protocol is not None and conn.protocol.should_close:
-            conn.close()  # what came would be taken for the answer to this request
+        if conn.protocol is not None and (conn.protocol.should_close or _has_unsent(conn.protocol)):
+            # What came would be taken for the answer to this request; what has not gone out would hold it up.
+            conn.close()
             raise StaleConnectionError
         if self.writing is not None:
             left = self.writing.before_first_byte()
             if left is None:
                 conn.release()  # unused, so fit for the next request
                 raise WithdrawnError
+            self.writing.connected(conn.protocol)
             self.headers[self.writing.time_field] = str(max(left // 1_000, 1))
         return await super().send(conn)
 
 
+def _has_unsent(protocol: ResponseHandler) -> bool:
+    """Whether bytes of an earlier request wait, as the other side does not read."""
+    return protocol.transport is not None and protocol.transport.get_write_buffer_size() > 0
+
+
 class StrictResponseHandler(ResponseHandler):
     """A connection whose reset is never taken for the end of an answer that has no length.
 
--- a/hazelbend/transport/worker_client.py
+++ b/hazelbend/transport/worker_client.py
@@ -116,9 +116,9 @@
                 raise BrokenError(str(error)) from None
             raise NotSentError(withdrawn=False) from None
         self._heed_keepalive(response.headers.get("Keep-Alive"))
-        echoed = response.headers.get("Request-Id")
-        if echoed != request.id and (echoed is not None or response.status < 300):
+        if not _answers(response, request.id, writing.reused_connection):
             response.close()
+            writing.end_connection()
             raise BrokenError("an answer to another request")
         return HttpWorkerAnswer(response)
 
@@ -156,7 +156,7 @@
         """See the Protocol."""
         url = raw_url(f"http://{address}", f"/kv-handle/{handle}")
         headers = {"Expect-Instance": instance}  # the address may be another worker's by now
-        with contextlib.suppress(TimeoutError, *FAILED):
+        with contextlib.suppress(TimeoutError, StaleConnectionError, *FAILED):
             async with asyncio.timeout(FREE_WAIT), self._session.delete(url, headers=headers) as response:
                 await response.read()
 
@@ -165,6 +165,15 @@
         await self._session.close()
 
 
+def _answers(response: aiohttp.ClientResponse, request_id: str, reused: bool) -> bool:
+    """Whether it is the answer to this request. A failure may come without an id, as from a worker that has
+    not understood the request, but not on a connection on which it may be a late answer to another one."""
+    echoed = response.headers.get("Request-Id")
+    if echoed is None:
+        return response.status >= 300 and not reused
+    return echoed == request_id
+
+
 def _keepalive_seconds(text: str | None) -> float | None:
     """What `Keep-Alive: timeout=5, max=9` says."""
     for part in (text or "").split(","):
