--- a/benchmarks/control/defects.py
+++ b/benchmarks/control/defects.py
@@ -19,7 +19,7 @@
 from hazelbend.control.engine import ControlEngine
 from hazelbend.control.messages import WorkerNewsTaken
 from hazelbend.control.peers import PeerTable
-from hazelbend.fleet import record as fleet_record
+from hazelbend.fleet import replicator
 from hazelbend.fleet.memory import Memory
 from hazelbend.fleet.record import Done, Record
 
@@ -155,7 +155,7 @@
 
 
 def _lost_piece_is_not_sent_again() -> list[Patch]:
-    return [(fleet_record, "PIECE_PATIENCE", NEVER)]
+    return [(replicator, "PIECE_PATIENCE", NEVER)]
 
 
 def _number_alone() -> list[Patch]:
--- a/benchmarks/control/fleet.py
+++ b/benchmarks/control/fleet.py
@@ -142,7 +142,7 @@
             identity, plan, seed, self.now, lambda: self.now / S + machine.clock_offset, memory
         )
         if memory is not None:
-            machine.engine.record.recall_commit(machine.disk.commit, self.now)
+            machine.engine.record.restore_commit(machine.disk.commit, self.now)
         machine.saving, machine.waiting = False, {}
         machine.published, machine.back_at, machine.confirmed_at = 0, self.now, None
         self._pump(machine, machine.life)
--- a/benchmarks/control/model.py
+++ b/benchmarks/control/model.py
@@ -35,7 +35,7 @@
 from hazelbend.control.config_machine import ChangeResult, ConfigMachine, change_entry
 from hazelbend.control.engine import TIMING
 from hazelbend.fleet.memory import Memory
-from hazelbend.fleet.messages import Entry, Message, Vote
+from hazelbend.fleet.messages import Entry, Message, VoteResponse
 from hazelbend.fleet.record import Record, Role
 from hazelbend.fleet.replication import Assembly, Progress
 
@@ -116,7 +116,7 @@
         for holds in (None, *reached) if self.left.late and self.held is None else (None,):
             after = self._copy(stands=1)
             record = after.records[slot]
-            record._stand(0, pre=False, handed=True)
+            record._campaign(0, pre=False, handed=True)
             asked = {message.to: message for message in record.out}
             record.out.clear()
             for other in reached:
@@ -125,7 +125,7 @@
                     continue
                 voter.receive(asked[voter.me], 0)
                 for answer in after._take(voter, name):
-                    if other == holds and isinstance(answer.body, Vote):
+                    if other == holds and isinstance(answer.body, VoteResponse):
                         after.held, after.left = answer, after.left._replace(late=after.left.late - 1)
                     else:
                         record.receive(answer, 0)
@@ -150,7 +150,7 @@
         if not leader.leads:
             return False
         if replica.me not in leader.peers:
-            leader.teach({replica.me}, 0)
+            leader.set_learners({replica.me}, 0)
         leader._send(replica.me, 0)
         for _ in range(MOST_MESSAGES):
             requests = self._take(leader, replica.me)
@@ -216,7 +216,7 @@
             replaced = copy.copy(after)
             replaced.records = [_copy(each) for each in after.records]
             voters = tuple(sorted({*leader.voters, NEWCOMER} - gone))
-            replaced.records[slot].teach({NEWCOMER}, 0)
+            replaced.records[slot].set_learners({NEWCOMER}, 0)
             if replaced.records[slot].change_voters(voters, 0, after.erased):
                 yield f"{leader.me} replaces {min(gone)}, heard by {names}", replaced._settled()
 
@@ -224,7 +224,7 @@
         after = self._copy(restarts=1)
         before = after.records[slot]
         after.records[slot] = self._make(before.memory)
-        after.records[slot].recall_commit(before.commit, 0)
+        after.records[slot].restore_commit(before.commit, 0)
         return after._settled()
 
     def _wipe(self, slot: int) -> World:
--- a/benchmarks/fleet_defects.py
+++ b/benchmarks/fleet_defects.py
@@ -35,7 +35,7 @@
     def change_voters(self, voters: tuple[str, ...], now: int) -> bool:
         if not self.leads or not voters:
             return False
-        self._add(Entry(self.memory.term, tuple(sorted(voters))), now)
+        self._append_and_send(Entry(self.memory.term, tuple(sorted(voters))), now)
         return True
 
 
--- a/benchmarks/fleet_search.py
+++ b/benchmarks/fleet_search.py
@@ -25,7 +25,7 @@
 from benchmarks.fleet_defects import Hopeful, Rash
 from hazelbend.fleet.leases import Leases, Limits, Open, encode
 from hazelbend.fleet.memory import Memory
-from hazelbend.fleet.messages import Entry, Message, TimeIsUp
+from hazelbend.fleet.messages import Entry, Message, TimeoutNow
 from hazelbend.fleet.record import Record, Role, Timing
 
 VOTERS = ("a", "b", "c")
@@ -105,7 +105,7 @@
                 memory = Memory(name, 1, 1, "", 1, 1, VOTERS, memory.base_state)
             record = self._make(memory)
         elif what == "stand":
-            record.receive(Message("", name, 1, record.memory.term, TimeIsUp()), 0)
+            record.receive(Message("", name, 1, record.memory.term, TimeoutNow()), 0)
         elif what == "put":
             record.propose(OP, 0)
         elif isinstance(what, str):
--- a/benchmarks/fleet_sim.py
+++ b/benchmarks/fleet_sim.py
@@ -336,7 +336,7 @@
             if name not in up and self.now - (self.nodes[self._number(name)].down_since or 0) > LOST_AFTER
         }
         wish = next_voters(record.voters, record.me, sorted(up), gone, self.wanted)
-        record.teach(set(wish or ()) - set(record.voters), now)
+        record.set_learners(set(wish or ()) - set(record.voters), now)
         if wish is not None:
             self.counts["voter changes"] += record.change_voters(wish, now)
 
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -49,7 +49,7 @@
         self.machine = ConfigMachine()
         self.record = Record(memory or Memory(identity), self.machine, TIMING, seed, now)
         if memory is not None:
-            self.record.stand_by(now + random.Random(seed).randint(*FIRST_ELECTION))
+            self.record.campaign_at(now + random.Random(seed).randint(*FIRST_ELECTION))
         self.registry = WorkerRegistry(plan.heartbeat)
         self.peers = PeerTable(self.record.me, plan.address, plan.seeds, self.record.life, now)
         self.announcements = Announcements(self.record.life, plan.tolerance)
@@ -328,7 +328,7 @@
         # None that is merely unheard is surplus: a list shrinks only by those that are lost.
         wanted = max(least, len({*members, *record.voters} - lost))
         wish = next_voters(record.voters, self.me, members, lost, wanted, least, erased)
-        record.teach(set(wish or ()) - set(record.voters), now)
+        record.set_learners(set(wish or ()) - set(record.voters), now)
         if wish is not None:
             record.change_voters(wish, now, erased)
 
--- a/hazelbend/fleet/engine.py
+++ b/hazelbend/fleet/engine.py
@@ -245,7 +245,7 @@
             well = self.members.well()
             lost = {each for each in record.voters if each not in well}
             wish = next_voters(record.voters, self.me, well, lost, self.plan.voters)
-            record.teach(set(wish or ()) - set(record.voters), now)
+            record.set_learners(set(wish or ()) - set(record.voters), now)
             if wish is not None:
                 record.change_voters(wish, now)
 
--- a/hazelbend/fleet/messages.py
+++ b/hazelbend/fleet/messages.py
@@ -1,5 +1,8 @@
-"""What dispatchers of a fleet say to each other. The bodies of HTTP requests, by msgspec; see record.py for
-what each means. Every message can be lost, doubled, late, or out of order."""
+"""Messages between the members of a fleet, by msgspec; see record.py for what each means.
+
+Every message can be lost, doubled, late, or out of order. Their tags are the names of earlier versions, with
+which they interoperate.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +18,7 @@
     op: bytes = b""
 
 
-class Ask(msgspec.Struct, frozen=True, tag=True):
+class VoteRequest(msgspec.Struct, frozen=True, tag="Ask"):
     """For a vote; `pre`: whether it would get one."""
 
     pre: bool
@@ -24,7 +27,7 @@
     handed: bool = False  # the leader itself asked it to stand
 
 
-class Vote(msgspec.Struct, frozen=True, tag=True):
+class VoteResponse(msgspec.Struct, frozen=True, tag="Vote"):
     granted: bool
     pre: bool
 
@@ -36,7 +39,7 @@
     at: int
 
 
-class Put(msgspec.Struct, frozen=True, tag=True):
+class AppendEntries(msgspec.Struct, frozen=True, tag="Put"):
     """Entries after one that both should hold; without any, a heartbeat.
 
     `confirmed`: the newest stamp of the receiver after which a majority has confirmed the leader, so that all
@@ -51,7 +54,7 @@
     confirmed: Stamp | None = None
 
 
-class Install(msgspec.Struct, frozen=True, tag=True):
+class InstallSnapshot(msgspec.Struct, frozen=True, tag="Install"):
     """The state after an entry, for who is too far behind for the entries."""
 
     base: int
@@ -62,8 +65,8 @@
 
 
 class Piece(msgspec.Struct, frozen=True, tag=True):
-    """A part of an encoded `Put` or `Install` that is too large for one message. The leader's `number` names
-    the transfer within its term."""
+    """A part of an encoded `AppendEntries` or `InstallSnapshot` that is too large for one message. The
+    leader's `number` names the transfer within its term."""
 
     number: int
     offset: int
@@ -72,7 +75,7 @@
     round: int
 
 
-class PieceTaken(msgspec.Struct, frozen=True, tag=True):
+class PieceResponse(msgspec.Struct, frozen=True, tag="PieceTaken"):
     """Bytes of this transfer that the replica holds; 0 where it knows nothing of it, as after a restart."""
 
     number: int
@@ -80,9 +83,9 @@
     round: int
 
 
-class Taken(msgspec.Struct, frozen=True, tag=True):
+class AppendResponse(msgspec.Struct, frozen=True, tag="Taken"):
     """`ok`: all up to this index is held as the leader holds it; else up to it may be. `stamp`: the sender's
-    time, which comes back in `Put.confirmed`."""
+    time, which comes back in `AppendEntries.confirmed`."""
 
     ok: bool
     index: int
@@ -90,11 +93,20 @@
     stamp: Stamp | None = None
 
 
-class TimeIsUp(msgspec.Struct, frozen=True, tag=True):
+class TimeoutNow(msgspec.Struct, frozen=True, tag="TimeIsUp"):
     """Stand for election at once: the leader hands over."""
 
 
-Body = Ask | Vote | Put | Install | Piece | PieceTaken | Taken | TimeIsUp
+Body = (
+    VoteRequest
+    | VoteResponse
+    | AppendEntries
+    | InstallSnapshot
+    | Piece
+    | PieceResponse
+    | AppendResponse
+    | TimeoutNow
+)
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True):
@@ -106,15 +118,15 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_transferred = msgspec.msgpack.Decoder(Put | Install)
+_transferred = msgspec.msgpack.Decoder(AppendEntries | InstallSnapshot)
 
 
-def encode_transfer(body: Put | Install) -> bytes:
+def encode_transfer(body: AppendEntries | InstallSnapshot) -> bytes:
     """What goes out in pieces."""
     return _encoder.encode(body)
 
 
-def decode_transfer(content: bytes) -> Put | Install:
+def decode_transfer(content: bytes) -> AppendEntries | InstallSnapshot:
     """What has come in pieces.
 
     Raises:
--- a/hazelbend/fleet/replication.py
+++ b/hazelbend/fleet/replication.py
@@ -10,7 +10,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from hazelbend.fleet.messages import Entry, Install, Piece, Put, Stamp, Taken, encode_transfer
+from hazelbend.fleet.messages import (
+    AppendEntries,
+    AppendResponse,
+    Entry,
+    InstallSnapshot,
+    Piece,
+    Stamp,
+    encode_transfer,
+)
 
 BATCH_BYTES = 64 * 1024  # of entries in one message
 PIECE_BYTES = 64 * 1024  # of a transfer in one message
@@ -54,7 +62,7 @@
 
     key: tuple[str, int, int] = ("", 0, 0)  # sender, term, number
     content: bytearray = field(default_factory=bytearray)
-    answer: Taken | None = None  # once it is whole
+    answer: AppendResponse | None = None  # once it is whole
 
     def add(self, piece: Piece) -> None:
         """Take the piece if it is the next one."""
@@ -79,12 +87,12 @@
     return tuple(chosen)
 
 
-def needs_transfer(body: Put | Install) -> bool:
+def needs_transfer(body: AppendEntries | InstallSnapshot) -> bool:
     """Whether it is too large for one message. A snapshot always goes as a transfer, so that it is not sent
     again with each heartbeat."""
-    return isinstance(body, Install) or size_of(body.entries) > BATCH_BYTES
+    return isinstance(body, InstallSnapshot) or size_of(body.entries) > BATCH_BYTES
 
 
-def begin_transfer(number: int, body: Put | Install, now: int) -> Transfer:
+def begin_transfer(number: int, body: AppendEntries | InstallSnapshot, now: int) -> Transfer:
     """A transfer of this message, of which nothing is sent yet."""
     return Transfer(number, encode_transfer(body), body.round, sent_at=now)
--- /dev/null
+++ b/hazelbend/fleet/replicator.py
@@ -0,0 +1,209 @@
+"""What a leader sends to its replicas, and what a majority has answered.
+
+Replication goes by rounds: each heartbeat begins one, and a majority's answers to a round say that nobody
+else led when it began. A replica's stamp that came before the round began is confirmed by it, and goes back
+with the next heartbeat: so each replica knows, by its own clock alone, how old its copy is at most.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+
+from hazelbend.fleet.log import Machine, ReplicatedLog
+from hazelbend.fleet.memory import Memory
+from hazelbend.fleet.messages import (
+    AppendEntries,
+    AppendResponse,
+    Body,
+    InstallSnapshot,
+    Message,
+)
+from hazelbend.fleet.replication import (
+    BATCH_BYTES,
+    Assembly,
+    Progress,
+    batch,
+    begin_transfer,
+    needs_transfer,
+    size_of,
+)
+
+PIECE_PATIENCE = 10  # heartbeats without an answer to a piece, after which it is sent again
+LIFE_BITS = 53
+
+
+class Role(Enum):
+    """What a member is in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "asking"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass(slots=True, frozen=True)
+class Timing:
+    """Microseconds. `election` is the least time without a leader after which one stands; the most is
+    twice."""
+
+    heartbeat: int = 200_000
+    election: int = 1_000_000
+    batch: int = 64  # entries in a message
+    kept: int = 512  # entries that are committed, after which a snapshot takes their place
+    kept_bytes: int = 4 * 1024 * 1024  # the same by their size
+    pending_bytes: int = 12 * 1024 * 1024  # of entries that are not committed: no more are taken
+
+
+class Replicator(ReplicatedLog):
+    """See the head of the file. Who leads, and in which term, is for the subclass."""
+
+    def __init__(self, memory: Memory, machine: Machine, timing: Timing, seed: int) -> None:
+        super().__init__(memory, machine)
+        self.timing = timing
+        self.role = Role.FOLLOWER
+        self.out: list[Message] = []
+        self.peers: dict[str, Progress] = {}
+        self.learners: set[str] = set()
+        self.life = random.Random(seed + 1).getrandbits(LIFE_BITS)  # names this start of the process
+        self.confirmed_at: int | None = None  # when what is committed here was surely all that was committed
+        self.assembly = Assembly()
+        self.last_transfer = 0
+        self.round = 0
+        self._rounds: deque[tuple[int, int]] = deque()  # rounds that are not confirmed, and when they began
+        self._to_confirm: tuple[int, int] | None = None  # a time, and the index that it is confirmed with
+        self.heartbeat_due = 0
+
+    @property
+    def me(self) -> str:
+        return self.memory.identity
+
+    @property
+    def leads(self) -> bool:
+        return self.role is Role.LEADER
+
+    @property
+    def settled(self) -> bool:
+        """Whether it leads and has committed in its own term: what it has applied is all that was
+        committed."""
+        return self.leads and self.memory.term_at(self.commit) == self.memory.term
+
+    def confirmed_age(self, now: int) -> int | None:
+        """Microseconds since a time at which all that was committed anywhere was committed here too, as a
+        majority has confirmed since. None: no such time is known in this life."""
+        return None if self.confirmed_at is None else max(now - self.confirmed_at, 0)
+
+    # --- whom to send to ---
+
+    def _update_peers(self, now: int) -> None:
+        """Know those to send to."""
+        names = (set(self.voters) | self.learners) - {self.me}
+        for gone in set(self.peers) - names:
+            del self.peers[gone]
+        for name in sorted(names - set(self.peers)):
+            self.peers[name] = Progress(self.memory.last + 1, heard_at=now)
+
+    def _caught_up(self, name: str) -> bool:
+        peer = self.peers.get(name)
+        return peer is not None and peer.match >= self.commit
+
+    # --- what is sent ---
+
+    def _broadcast(self, now: int) -> None:
+        self.heartbeat_due = now + self.timing.heartbeat
+        for name in self.peers:
+            self._send(name, now)
+
+    def _send(self, name: str, now: int) -> None:
+        memory, peer = self.memory, self.peers[name]
+        if peer.transfer is not None:
+            self._send_to(name, self._heartbeat(peer, 0, 0))  # entries go on once the transfer is over
+            if now - peer.transfer.sent_at >= PIECE_PATIENCE * self.timing.heartbeat:
+                self._send_piece(name, now)
+            return
+        before = memory.term_at(peer.next - 1)
+        if before is None:
+            state = (memory.base, memory.base_term, memory.base_voters, memory.base_state)
+            self._transfer(name, InstallSnapshot(*state, self.round), now)
+            return
+        put = self._heartbeat(peer, peer.next - 1, before)
+        unanswered = memory.entries[max(peer.match - memory.base, 0) : peer.next - 1 - memory.base]
+        if size_of(unanswered) <= BATCH_BYTES:
+            entries = batch(memory.entries[peer.next - 1 - memory.base :], self.timing.batch)
+            put = msgspec.structs.replace(put, entries=entries)
+        if needs_transfer(put):
+            self._transfer(name, put, now)
+            return
+        self._send_to(name, put)
+        peer.next += len(put.entries)  # what is lost on the way is sent again when the answer shows it
+
+    def _heartbeat(self, peer: Progress, before: int, before_term: int) -> AppendEntries:
+        return AppendEntries(before, before_term, (), self.commit, self.round, peer.confirmed)
+
+    def _transfer(self, name: str, body: AppendEntries | InstallSnapshot, now: int) -> None:
+        self.last_transfer += 1
+        self.peers[name].transfer = begin_transfer(self.last_transfer, body, now)
+        self._send_piece(name, now)
+
+    def _send_piece(self, name: str, now: int) -> None:
+        transfer = self.peers[name].transfer
+        assert transfer is not None
+        transfer.sent_at = now
+        self._send_to(name, transfer.piece(self.round))
+
+    def _send_to(self, to: str, body: Body, term: int | None = None) -> None:
+        memory = self.memory
+        self.out.append(Message(self.me, to, memory.epoch, memory.term if term is None else term, body))
+
+    # --- what was answered ---
+
+    def _ends_transfer(self, peer: Progress, taken: AppendResponse) -> bool:
+        """Whether this answers what went out in pieces, so that entries can go on. An answer to a heartbeat
+        beside it says nothing of it."""
+        assert peer.transfer is not None
+        refused = not taken.ok and taken.round >= peer.transfer.round
+        if refused or (taken.ok and taken.index > peer.match):
+            peer.transfer = None
+            return True
+        return False
+
+    def _majority(self, names: set[str]) -> bool:
+        return 2 * len(names & set(self.voters)) > len(self.voters)
+
+    def _majority_holds(self) -> int:
+        """All up to this index."""
+        match = {name: peer.match for name, peer in self.peers.items()} | {self.me: self.memory.last}
+        held = sorted((match.get(name, 0) for name in self.voters), reverse=True)
+        return held[len(held) // 2]
+
+    def _begin_round(self, now: int) -> None:
+        """A majority's answers to messages of this round say that nobody else led when it began."""
+        self.round += 1
+        self._rounds.append((self.round, now))
+
+    def _confirm(self) -> None:
+        """Note which rounds a majority has answered, and which stamps of replicas that confirms."""
+        if not self.settled:
+            return
+        while self._rounds and self._round_taken(self._rounds[0][0]):
+            began = self._rounds.popleft()[1]
+            self.confirmed_at = max(self.confirmed_at or 0, began)
+        for peer in self.peers.values():
+            if peer.asked is not None and self._round_taken(peer.asked_round):
+                peer.confirmed, peer.asked = peer.asked, None
+
+    def _round_taken(self, number: int) -> bool:
+        return self._majority({name for name, peer in self.peers.items() if peer.round >= number} | {self.me})
+
+    def _note_confirmation(self, put: AppendEntries) -> None:
+        """All that was committed at the stamp's time lies below `put.commit`: once that is committed here,
+        the time counts as confirmed."""
+        if put.confirmed is not None and put.confirmed.life == self.life and self._to_confirm is None:
+            self._to_confirm = (put.confirmed.at, put.commit)
+        if self._to_confirm is not None and self.commit >= self._to_confirm[1]:
+            self.confirmed_at = max(self.confirmed_at or 0, self._to_confirm[0])
+            self._to_confirm = None
--- a/hazelbend/system/agreement.py
+++ b/hazelbend/system/agreement.py
@@ -67,7 +67,7 @@
         self._store_begun = memory is not None
         self.engine = ControlEngine(identity, self._plan, secrets.randbits(63), clock(), time.time, memory)
         if recalled is not None:
-            self.engine.record.recall_commit(recalled[1], clock())
+            self.engine.record.restore_commit(recalled[1], clock())
             self._stored_commit = recalled[1]
             self.config = self.engine.machine.current
         log.info("control: this is %s, %s", self.engine.me, "recalled" if memory else "new")
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -17,7 +17,7 @@
 from hazelbend.control.phase_planner import PhaseOrder
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.fleet.memory import Memory, founded_by_operator
-from hazelbend.fleet.messages import Message, Put, Stamp
+from hazelbend.fleet.messages import AppendEntries, Message, Stamp
 from hazelbend.fleet.voters import next_voters
 from hazelbend.system import phase_orders
 from hazelbend.system.phase_orders import PhaseOrders
@@ -245,7 +245,8 @@
         async def wait_for(self, number: int) -> ReadDone:
             if number == steps_down:
                 leader.record.receive(
-                    Message("x", leader.me, leader.record.memory.epoch, 9, Put(0, 0, (), 0, 1)), fleet.now
+                    Message("x", leader.me, leader.record.memory.epoch, 9, AppendEntries(0, 0, (), 0, 1)),
+                    fleet.now,
                 )
             return ReadDone(number, StoredConfig(1))
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -15,7 +15,7 @@
 from hazelbend.fleet.engine import Fleet, Plan, Reply
 from hazelbend.fleet.holder import Holder, Stage
 from hazelbend.fleet.memory import Memory, epoch_number
-from hazelbend.fleet.messages import Entry, Message, Put, Taken
+from hazelbend.fleet.messages import AppendEntries, AppendResponse, Entry, Message
 from hazelbend.fleet.record import Record, Timing
 from hazelbend.fleet.voters import next_voters
 from hazelbend.transport.fleet_store import FleetStore
@@ -214,7 +214,7 @@
 def test_what_is_not_held_is_asked_for_and_an_old_answer_makes_no_storm():
     leader, new = record("a.1"), record("b.1")
     leader.found(5, 0)
-    leader.teach({"b.1"}, 0)
+    leader.set_learners({"b.1"}, 0)
     for _ in range(600):
         leader.propose(ls.encode(ls.Open()), 0)
     assert leader.memory.base > 0, "what is applied goes into a snapshot"
@@ -231,14 +231,14 @@
     assert new.commit == leader.commit and new.machine.state.open
     leader.out.clear()
     leader.peers["b.1"].match = leader.memory.last
-    leader.receive(Message("b.1", "a.1", 5, 1, Taken(False, 3, 0)), now)
+    leader.receive(Message("b.1", "a.1", 5, 1, AppendResponse(False, 3, 0)), now)
     assert leader.out == []
 
 
 def test_a_voter_answers_only_after_its_promise_is_to_be_saved():
     """The driver saves what these name before `out` leaves; a message without them would rest on nothing."""
     voter = record("b.1")
-    voter.receive(Message("a.1", "b.1", 5, 1, Put(0, 0, (Entry(1, ("a.1", "b.1")),), 0, 1)), 0)
+    voter.receive(Message("a.1", "b.1", 5, 1, AppendEntries(0, 0, (Entry(1, ("a.1", "b.1")),), 0, 1)), 0)
     assert voter.promise_changed and voter.unsaved == 1 and voter.out
 
 
@@ -335,7 +335,9 @@
 
 def test_what_is_meant_for_the_process_that_had_the_address_before_is_not_taken():
     fleet = Fleet("a#2@h:1", Plan("f", ()), 1, 0)
-    fleet.receive(Message("b#1@h:2", "a#1@h:1", 5, 1, Put(0, 0, (Entry(1, ("a#1@h:1",)),), 0, 1)), 0)
+    fleet.receive(
+        Message("b#1@h:2", "a#1@h:1", 5, 1, AppendEntries(0, 0, (Entry(1, ("a#1@h:1",)),), 0, 1)), 0
+    )
     assert fleet.record.memory.epoch == 0 and not fleet.out
 
 
@@ -349,7 +351,9 @@
     entries = [Entry(term, None, bytes([term])) for term in (1, 1, 2)]
     for term, before, some in ((1, 0, entries[:2]), (2, 1, entries[2:]), (2, 2, entries[2:])):
         before_term = 0 if before == 0 else entries[0].term if before == 1 else 2
-        voter.receive(Message("a.1", "b.1", 5, term, Put(before, before_term, tuple(some), 0, 1)), 0)
+        voter.receive(
+            Message("a.1", "b.1", 5, term, AppendEntries(before, before_term, tuple(some), 0, 1)), 0
+        )
         content += memory_file.changed(voter)
     return content, voter.memory
 
@@ -420,7 +424,7 @@
         (206, 5, "time from the answer", "overlap"),
         (1, 5, "no wait by a new leader", "overlap"),
         (15, 5, "memory forgotten", "applies another entry"),
-        (21, 5, "stale read", "stale read"),
+        (6, 5, "stale read", "stale read"),
         (32, 5, "token reset in a new epoch", "granted twice"),
     ],
 )
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hazelbend.fleet.memory import Memory, epoch_number
-from hazelbend.fleet.messages import Install, Message, Piece, Put
+from hazelbend.fleet.messages import AppendEntries, InstallSnapshot, Message, Piece
 from hazelbend.fleet.record import Record, Timing
 from hazelbend.fleet.replication import BATCH_BYTES, PIECE_BYTES
 
@@ -58,7 +58,7 @@
     def restart(self, name: str) -> None:
         before = self.records[name]
         self.records[name] = Record(before.memory, LastValue(), TIMING, 77, self.now)
-        self.records[name].recall_commit(before.commit, self.now)
+        self.records[name].restore_commit(before.commit, self.now)
 
     def run(self, duration: int, step: int = 1 * MS) -> None:
         end = self.now + duration
@@ -78,7 +78,7 @@
         out, record.out = record.out, []
         for message in out:
             body = message.body
-            size = sum(len(each.op) for each in body.entries) if isinstance(body, Put) else 0
+            size = sum(len(each.op) for each in body.entries) if isinstance(body, AppendEntries) else 0
             size += len(body.data) if isinstance(body, Piece) else 0
             self.largest[type(body)] = max(self.largest.get(type(body), 0), size)
             self.sent += size
@@ -122,7 +122,7 @@
     assert group.until(lambda: group.records[lost].commit == leader.commit, round(2 * needed) + 4 * S)
     assert (leader.leads, leader.memory.term) == (True, term)
     assert max(group.largest.values()) <= max(BATCH_BYTES, PIECE_BYTES)
-    assert kept <= TIMING.kept_bytes + size and Install not in group.largest
+    assert kept <= TIMING.kept_bytes + size and InstallSnapshot not in group.largest
 
 
 def test_a_replica_that_starts_again_within_a_transfer_is_sent_it_anew():
@@ -178,7 +178,7 @@
     other = next(name for name in group.records if name != leader.me)
     late = Message(
         leader.me, other, 256, leader.memory.term,
-        Put(0, 0, (), leader.commit, leader.round, leader.peers[other].confirmed),
+        AppendEntries(0, 0, (), leader.commit, leader.round, leader.peers[other].confirmed),
     )  # fmt: skip
     group.restart(other)
     group.records[other].receive(late, group.now)
@@ -191,7 +191,7 @@
     group.run(1 * S)
     other = group.records[next(name for name in group.records if name != leader.me)]
     before = other.confirmed_at
-    ahead = Put(0, 0, (), other.commit + 1, leader.round, leader.peers[other.me].confirmed)
+    ahead = AppendEntries(0, 0, (), other.commit + 1, leader.round, leader.peers[other.me].confirmed)
     other.receive(Message(leader.me, other.me, 256, leader.memory.term, ahead), group.now)
     assert other.confirmed_at == before
 
@@ -219,7 +219,7 @@
     erased = next(name for name in leader.voters if name != leader.me)
     group.records["d"] = Record(Memory("d", 256), LastValue(), TIMING, 9, group.now)
     replaced = tuple(sorted({*leader.voters, "d"} - {erased}))
-    leader.teach({"d"}, group.now)
+    leader.set_learners({"d"}, group.now)
     group.run(500 * MS)
     assert not leader.change_voters(replaced, group.now)
     assert leader.change_voters(replaced, group.now, frozenset({erased}))
@@ -239,7 +239,7 @@
     word = epoch_number(256, 5_000.0, "x")
     other = group.records[next(name for name in group.records if name != leader.me)]
     for epoch, followed in ((first, False), (word, True)):
-        heartbeat = Put(0, 0, (), 0, 1)
+        heartbeat = AppendEntries(0, 0, (), 0, 1)
         other.receive(Message("x", other.me, epoch, 1, heartbeat), group.now)
         assert (other.memory.epoch == epoch) is followed
         assert (other.foreign_epoch == epoch) is not followed
@@ -248,5 +248,5 @@
 def test_an_empty_record_follows_the_first_epoch_that_it_hears_of():
     record = Record(Memory("a"), LastValue(), TIMING, 1, 0)
     epoch = epoch_number(0, 5_000.0, "x", by_operator=False)
-    record.receive(Message("x", "a", epoch, 1, Put(0, 0, (), 0, 1)), 0)
+    record.receive(Message("x", "a", epoch, 1, AppendEntries(0, 0, (), 0, 1)), 0)
     assert record.memory.epoch == epoch
