A router that reads slowly is sent the newest configuration only; names of the field

Change: while over 64 KiB wait for a router it is owed the newest one, sent when those are out. recall, tell, beats and others renamed. Measured: a test on a watch that does not read: of 38 changes the first and the last are sent.

--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -17,7 +17,13 @@
 from hazelbend.control.outputs import Answer, ControlPlan, PutDone, ReadDone, StableOutput, VolatileOutput
 from hazelbend.control.peers import PeerTable
 from hazelbend.control.phase_planner import PhaseOrder, PhasePlanner
-from hazelbend.control.workers import RECALLED_BEATS, SILENT_BEATS, WorkerRecord, WorkerRegistry, WorkerState
+from hazelbend.control.workers import (
+    RESTORED_HEARTBEATS,
+    SILENT_HEARTBEATS,
+    WorkerRecord,
+    WorkerRegistry,
+    WorkerState,
+)
 from hazelbend.fleet.members import address_of
 from hazelbend.fleet.memory import Memory, epoch_number
 from hazelbend.fleet.messages import Message
@@ -111,10 +117,10 @@
         self.most_routers = max(self.most_routers, len(routers))
         return m.FleetNews(addresses, self.most_routers, self.registry.silent_ages(now), tuple(switching))
 
-    def recall_workers(self, records: tuple[WorkerRecord, ...], now: int) -> None:
+    def restore_workers(self, records: tuple[WorkerRecord, ...], now: int) -> None:
         """Workers known before a restart. Nothing was heard because nobody listened: they have a little more
         than a heartbeat to be heard before they count as silent."""
-        heard_at = now - round((SILENT_BEATS - RECALLED_BEATS) * self.plan.heartbeat)
+        heard_at = now - round((SILENT_HEARTBEATS - RESTORED_HEARTBEATS) * self.plan.heartbeat)
         for record in records:
             if record.state is not WorkerState.GONE:
                 self._spread(self.registry.merge(record, heard_at))
--- a/hazelbend/control/workers.py
+++ b/hazelbend/control/workers.py
@@ -11,10 +11,12 @@
 
 import msgspec
 
-SILENT_BEATS = 2.2  # heartbeats that may be missing before a worker is marked as silent
-RECALLED_BEATS = 1.5  # heartbeats that a recalled worker has to be heard, before it is marked as silent
-EXPIRY_BEATS = 10.0  # after which routers forget it
-LISTED_BEATS = 12.0  # after which control processes do: later, so that each router is told of its age by then
+SILENT_HEARTBEATS = 2.2  # heartbeats that may be missing before a worker is marked as silent
+RESTORED_HEARTBEATS = 1.5  # heartbeats that a recalled worker has to be heard, before it is marked as silent
+EXPIRY_HEARTBEATS = 10.0  # after which routers forget it
+LISTED_HEARTBEATS = (
+    12.0  # after which control processes do: later, so that each router is told of its age by then
+)
 TOMBSTONE = 60_000_000  # how long the end of an instance is remembered
 
 
@@ -108,14 +110,14 @@
         """Drop what has been silent for too long."""
         for instance, each in list(self.listed.items()):
             gone = each.record.state is WorkerState.GONE
-            if now - each.heard_at > (TOMBSTONE if gone else LISTED_BEATS * self.heartbeat):
+            if now - each.heard_at > (TOMBSTONE if gone else LISTED_HEARTBEATS * self.heartbeat):
                 del self.listed[instance]
                 if self._by_address.get(each.record.address) == instance:
                     del self._by_address[each.record.address]
 
     def is_silent(self, listed: Listed, now: int) -> bool:
         """Whether its heartbeats have been missing for longer than chance explains."""
-        return now - listed.heard_at > SILENT_BEATS * self.heartbeat
+        return now - listed.heard_at > SILENT_HEARTBEATS * self.heartbeat
 
     def records(self) -> tuple[WorkerRecord, ...]:
         """All that is known, ends included."""
@@ -132,7 +134,9 @@
     def silent_ages(self, now: int) -> dict[str, int]:
         """The same of those alone that are silent."""
         return {
-            instance: age for instance, age in self.ages(now).items() if age > SILENT_BEATS * self.heartbeat
+            instance: age
+            for instance, age in self.ages(now).items()
+            if age > SILENT_HEARTBEATS * self.heartbeat
         }
 
     def take_fresh_ages(self, now: int) -> dict[str, int]:
--- a/hazelbend/system/agreement.py
+++ b/hazelbend/system/agreement.py
@@ -59,9 +59,9 @@
 
     # --- its life ---
 
-    async def recall(self) -> None:
+    async def restore(self) -> None:
         """Begin from what is stored; waits for a disk that refuses."""
-        recalled = await self._recalled()
+        recalled = await self._restored()
         memory = recalled[0] if recalled is not None else None
         identity = f"{secrets.token_hex(4)}@{self._plan.address}"
         self._store_begun = memory is not None
@@ -72,7 +72,7 @@
             self.config = self.engine.machine.current
         log.info("control: this is %s, %s", self.engine.me, "recalled" if memory else "new")
 
-    async def _recalled(self) -> tuple[Memory, int] | None:
+    async def _restored(self) -> tuple[Memory, int] | None:
         while self._store is not None:
             try:
                 return await self._store.open(self._plan.address)
--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -48,14 +48,14 @@
             self._workers_changed,
         )
         self._watches = WatchService(self._agreement, folder / SOFT_STATE if folder is not None else None)
-        self._orders = PhaseOrders(self._agreement, self._watches.loads.totals, self._watches.tell_fleet)
+        self._orders = PhaseOrders(self._agreement, self._watches.loads.totals, self._watches.send_fleet_news)
         self._api = AsgiServer(ControlApi(settings, self._agreement).answer, LARGEST_CALL)
         self._server = FrameServer(self._hear, self._gone)
         self._senders: dict[FrameConnection, str] = {}  # addresses of control processes
 
     async def start(self) -> None:
         """Recall, then serve."""
-        await self._agreement.recall()
+        await self._agreement.restore()
         await self._server.listen(*split_address(self._settings.control_peer))
         await self._api.listen(*split_address(self._settings.control))
         await self._watches.start()
--- a/hazelbend/system/phase_orders.py
+++ b/hazelbend/system/phase_orders.py
@@ -16,8 +16,8 @@
 
 log = picologging.getLogger("hazelbend.control")
 
-PLAN_EVERY = 0.5  # seconds between two looks at the parts that workers play
-PLAN_SOON = 0.05  # after a change of workers, so that several at once are one look
+PLAN_PERIOD = 0.5  # seconds between two looks at the parts that workers play
+PLAN_DELAY = 0.05  # after a change of workers, so that several at once are one look
 
 
 class PhaseOrders:
@@ -47,8 +47,8 @@
     async def _plan(self) -> None:
         while True:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), PLAN_EVERY)
-                await asyncio.sleep(PLAN_SOON)
+                await asyncio.wait_for(self._changed.wait(), PLAN_PERIOD)
+                await asyncio.sleep(PLAN_DELAY)
             self._changed.clear()
             for order in self._agreement.engine.phase_orders(self._loads(), clock()):
                 await self._order(order)
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -11,7 +11,7 @@
 
 from hazelbend.control import messages as m
 from hazelbend.control.load_table import LoadNews, LoadView, RouterLoad
-from hazelbend.control.workers import EXPIRY_BEATS
+from hazelbend.control.workers import EXPIRY_HEARTBEATS
 from hazelbend.forwarding.forwarder import FleetState, Forwarder
 from hazelbend.placement.engine import Placement
 from hazelbend.placement.retry_budget import RetryBudget
@@ -29,7 +29,7 @@
 PLATFORM_NOTICES = 2.6  # seconds until the platform sends no new connections to one that is not ready
 LAST_WORD = 0.8  # seconds of the grace that are kept for closing
 SMALL_BODY = 64 * 1024
-TELL_LOAD_AFTER = 0.015  # seconds in which changes of the own load are told together
+LOAD_DELAY = 0.015  # seconds in which changes of the own load are told together
 CLOSE_LOOK = 0.02
 
 
@@ -51,7 +51,7 @@
         self._seed = seed
         self._confirmed_at = 0  # when the configuration was surely the newest, by this process's clock
         self._state.is_current = lambda: clock() - self._confirmed_at < self._settings.config_apply
-        self._telling: asyncio.TimerHandle | None = None
+        self._load_timer: asyncio.TimerHandle | None = None
         self._others = LoadView()
         self._load_seq = clock()  # rises over restarts too
         self._placement.load_changed = self._load_changed
@@ -132,7 +132,7 @@
         self._watches.learn(news.controls)
         self._state.routers = max(self._state.routers, news.routers)
         self._placement.switching = set(news.switching)
-        self._placement.heard(news.silent, EXPIRY_BEATS * self._settings.heartbeat)
+        self._placement.heard(news.silent, EXPIRY_HEARTBEATS * self._settings.heartbeat)
         self._load_changed()  # told again now and then, as words may be lost
 
     def confirmed(self, version: int, at: float) -> None:
@@ -146,12 +146,12 @@
         self._placement.reported(self._others.loads, news.cached, clock())
 
     def _load_changed(self) -> None:
-        if self._telling is None:
-            self._telling = asyncio.get_running_loop().call_later(TELL_LOAD_AFTER, self._tell_load)
+        if self._load_timer is None:
+            self._load_timer = asyncio.get_running_loop().call_later(LOAD_DELAY, self._send_load)
 
-    def _tell_load(self) -> None:
+    def _send_load(self) -> None:
         """Let other routers know what this one has under way."""
-        self._telling = None
+        self._load_timer = None
         self._load_seq += 1
         cached, self._placement.newly_cached = tuple(self._placement.newly_cached), []
         loads = self._placement.own_loads(clock())
--- a/hazelbend/system/watch_service.py
+++ b/hazelbend/system/watch_service.py
@@ -20,15 +20,17 @@
 
 log = picologging.getLogger("hazelbend.control")
 
-FLEET_NEWS_EVERY = 0.5  # seconds between two words to routers on the fleet
-LOADS_EVERY, LOADS_EVERY_PER_ROUTER = 0.04, 0.002  # seconds between two reports of load to routers
-SOFT_STATE_EVERY = 1.5  # seconds between two writes of it
+FLEET_NEWS_PERIOD = 0.5  # seconds between two words to routers on the fleet
+LOADS_PERIOD, LOADS_PERIOD_PER_ROUTER = 0.04, 0.002  # seconds between two reports of load to routers
+SOFT_STATE_PERIOD = 1.5  # seconds between two writes of it
+UNSENT_BEFORE_CONFIG = 64 * 1024  # bytes that may wait for a router before it is sent another configuration
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class _Watcher:
     router: str
     loads: bool  # whether it wants the loads of others
+    owed: bool = False  # the newest configuration, once it has read what was sent before
 
 
 class WatchService:
@@ -46,8 +48,8 @@
 
     async def start(self) -> None:
         """Recall what was kept, and begin to tell."""
-        await self._recall()
-        upkeep = (self._tell_fleet, self._tell_loads, self._keep_soft_state)
+        await self._restore()
+        upkeep = (self._send_fleet_news_regularly, self._send_loads_regularly, self._keep_soft_state)
         self._tasks = [asyncio.create_task(each()) for each in upkeep]
 
     def close(self) -> None:
@@ -101,8 +103,20 @@
     # --- what goes to routers ---
 
     def config_changed(self, config: StoredConfig) -> None:
-        """A configuration is in force."""
-        self._tell(m.ConfigNews(config.version, config.body))
+        """A configuration is in force. A slow router is sent the newest one once it has read what was sent
+        before: else a storm of large ones would never let it have a whole one."""
+        for watcher in self._watchers.values():
+            watcher.owed = True
+        self._send_owed_configs(config)
+
+    def _send_owed_configs(self, config: StoredConfig) -> None:
+        frame = m.encode(m.ConfigNews(config.version, config.body))
+        for connection, watcher in list(self._watchers.items()):
+            if not watcher.owed or connection.unsent > UNSENT_BEFORE_CONFIG:
+                continue
+            watcher.owed = False
+            if not connection.send(frame):
+                connection.close()
 
     def workers_changed(self, records: list[WorkerRecord]) -> None:
         """Workers are known otherwise than before."""
@@ -111,26 +125,28 @@
                 self._caches.forget(record.instance)
             state = record.state.name.lower()
             log.info("control: worker %s %s %s %s", record.instance, record.service, record.phase, state)
-        self._tell(m.WorkerNews(0, tuple(records)))
+        self._send_to_all(m.WorkerNews(0, tuple(records)))
 
-    def tell_fleet(self) -> None:
+    def send_fleet_news(self) -> None:
         """What routers are told now and then, at once."""
-        self._tell(self._agreement.engine.fleet_news(clock()))
+        self._send_to_all(self._agreement.engine.fleet_news(clock()))
 
-    def _tell(self, body: m.Body) -> None:
+    def _send_to_all(self, body: m.Body) -> None:
         frame = m.encode(body)
         for connection in list(self._watchers):
             if not connection.send(frame):
                 connection.close()  # it does not read: it begins again with all there is
 
-    async def _tell_fleet(self) -> None:
+    async def _send_fleet_news_regularly(self) -> None:
         while True:
-            await asyncio.sleep(FLEET_NEWS_EVERY)
-            self.tell_fleet()
+            await asyncio.sleep(FLEET_NEWS_PERIOD)
+            self.send_fleet_news()
+            if any(watcher.owed for watcher in self._watchers.values()):
+                self._send_owed_configs(self._agreement.config)
 
-    async def _tell_loads(self) -> None:
+    async def _send_loads_regularly(self) -> None:
         while True:
-            await asyncio.sleep(max(LOADS_EVERY, LOADS_EVERY_PER_ROUTER * len(self._watchers)))
+            await asyncio.sleep(max(LOADS_PERIOD, LOADS_PERIOD_PER_ROUTER * len(self._watchers)))
             self.loads.expire(clock())
             if not self._loads_changed:
                 continue
@@ -146,7 +162,7 @@
 
     # --- what is good to know after a restart ---
 
-    async def _recall(self) -> None:
+    async def _restore(self) -> None:
         if self._soft_path is None:
             return
         content = await asyncio.to_thread(read_soft_state, self._soft_path)
@@ -157,13 +173,13 @@
         except msgspec.DecodeError as error:
             log.warning("control: soft state: %s; not used", error)
             return
-        self._agreement.engine.recall_workers(state.workers, clock())
+        self._agreement.engine.restore_workers(state.workers, clock())
         self._agreement.engine.most_routers = max(state.routers, 1)
         self._caches.add(state.cached)
 
     async def _keep_soft_state(self) -> None:
         while self._soft_path is not None:
-            await asyncio.sleep(SOFT_STATE_EVERY)
+            await asyncio.sleep(SOFT_STATE_PERIOD)
             engine = self._agreement.engine
             state = m.SoftState(engine.registry.records(), self._caches.all(), engine.most_routers)
             content = m.encode_soft_state(state)
--- a/hazelbend/transport/frame_link.py
+++ b/hazelbend/transport/frame_link.py
@@ -76,6 +76,11 @@
         transport.write(len(content).to_bytes(LENGTH, "big") + content)
         return True
 
+    @property
+    def unsent(self) -> int:
+        """Bytes that the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size() if self._transport is not None else 0
+
     def close(self) -> None:
         """End it at once: the other side may be silent."""
         if self._transport is not None:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -172,7 +172,7 @@
     fleet.run(10 * S)
     engine = fleet.alive[0].engine
     beat = engine.plan.heartbeat
-    engine.recall_workers((record("i-1"),), fleet.now)
+    engine.restore_workers((record("i-1"),), fleet.now)
     assert not engine.registry.silent_ages(fleet.now + round(1.2 * beat))
     assert engine.registry.silent_ages(fleet.now + round(1.7 * beat))
 
--- a/tests/test_system_sockets.py
+++ b/tests/test_system_sockets.py
@@ -11,10 +11,15 @@
 
 import pytest
 
+from hazelbend.control import messages as control_messages
+from hazelbend.control.config_machine import StoredConfig
+from hazelbend.control.engine import ControlEngine
+from hazelbend.control.outputs import ControlPlan
 from hazelbend.fleet import memory_file
 from hazelbend.fleet.memory import Memory
 from hazelbend.fleet.messages import Entry
 from hazelbend.forwarding.ports import BrokenError, ClientReply, ClientRequest, NotSentError, WorkerCall
+from hazelbend.system.watch_service import WatchService
 from hazelbend.transport.asgi_server import AsgiServer, HttpAnswer, HttpCall
 from hazelbend.transport.control_store import DAMAGED, DATABASE, ControlStore
 from hazelbend.transport.frame_link import FrameConnection, FrameLink, FrameServer
@@ -195,6 +200,45 @@
 # --- the API's server ---
 
 
+class SlowRouter:
+    """A watch's connection whose other side reads when the test says so."""
+
+    def __init__(self) -> None:
+        self.unsent, self.sent = 0, []
+
+    def send(self, frame: bytes) -> bool:
+        self.sent.append(control_messages.decode(frame))
+        self.unsent += len(frame)
+        return True
+
+    def close(self) -> None:
+        raise AssertionError("it is slow, not gone")
+
+
+class ControlInForce:
+    """What a watch service asks of the agreement, with a real engine."""
+
+    def __init__(self) -> None:
+        plan = ControlPlan("10.0.1.1:7", ("10.0.1.1:7",), True, True, 0, 1_200_000)
+        self.engine = ControlEngine("a@10.0.1.1:7", plan, 1, 0, lambda: 0.0)
+        self.config = StoredConfig(1, b"x")
+
+
+async def test_a_router_that_reads_slowly_is_sent_the_newest_configuration_and_none_between():
+    agreement, router = ControlInForce(), SlowRouter()
+    service = WatchService(agreement, None)
+    service.watch(router, control_messages.Watch("r", 1))
+    router.unsent, router.sent = 0, []
+    for version in range(2, 40):
+        agreement.config = StoredConfig(version, b"x" * 100_000)
+        service.config_changed(agreement.config)
+    assert [body.version for body in router.sent] == [2]
+    router.unsent = 0
+    service._send_owed_configs(agreement.config)
+    service._send_owed_configs(agreement.config)
+    assert [body.version for body in router.sent] == [2, 39]
+
+
 async def test_calls_are_answered_and_bodies_are_bounded():
     async def answer(call: HttpCall) -> HttpAnswer:
         return HttpAnswer(200, call.body + call.headers["x-a"].encode(), headers={"X-B": "c"})
