--- a/hazelbend/forwarding/forwarder.py
+++ b/hazelbend/forwarding/forwarder.py
@@ -8,16 +8,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
-from collections.abc import AsyncIterator, Callable, Coroutine
-from dataclasses import dataclass, field
-from typing import Any
+from collections.abc import AsyncIterator, Callable
 
-import msgspec
-
-from hazelbend.control.workers import WorkerRecord
 from hazelbend.forwarding.event_stream import EVENT_END, EventSplitter
+from hazelbend.forwarding.flow import LEAST_LEFT, FleetState, Flow
 from hazelbend.forwarding.ports import (
     BrokenError,
     ClientReply,
@@ -25,93 +20,27 @@
     Headers,
     NotSentError,
     WorkerAnswer,
-    WorkerCall,
     WorkerClient,
 )
-from hazelbend.placement.engine import Choice, Placement, Send, Stage
-from hazelbend.placement.prompt import Prompt, read_prompt
+from hazelbend.forwarding.prefill import PromptReader
+from hazelbend.placement.engine import Choice, Send
+from hazelbend.placement.prompt import read_prompt
 from hazelbend.placement.retry_budget import RetryBudget
 from hazelbend.placement.routes import Route, RouteTable
 
 MARGIN = 8_000  # microseconds of the client's time that are kept for the way back
 MOST_SENDS = 3  # arrivals at workers that one try may cause
-MOST_READS = 2  # calls that have its prompt read apart
 MOST_TRIES = 6  # workers that one try may turn to, those that were not reached included
-LEAST_LEFT = 30_000  # microseconds below which nothing is sent any more
 WORKER_WAIT = 700_000  # microseconds that a request waits for any worker of its service to be known
 TABLE_WAIT = 1_200_000  # and until a configuration is
 WORKER_LOOK = 0.02  # seconds
 RETRY_AFTER_S = 0.25  # where nothing better is known
 RETRY_AFTER_STARTING_S = 0.5
-READ_RANKS = (1_000, 2_500, 6_000, 12_000, 25_000)  # tokens from which a read waits for shorter ones
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that a request has not run and never will
 SIGNATURE = "server-signature"
 REASONS = {404: b"no such route\n", 502: b"a worker failed\n", 503: b"refused\n", 504: b"too late\n"}
 
 
-class _PrefillResult(msgspec.Struct):
-    handle: str = msgspec.field(name="kvHandle")
-    tokens: int = 0
-
-
-_prefill_results = msgspec.json.Decoder(_PrefillResult)
-
-
-@dataclass(slots=True, frozen=True)
-class Handle:
-    """A prompt's memory, kept by the worker that has read it."""
-
-    reader: WorkerRecord
-    name: str
-
-    @property
-    def source(self) -> str:
-        """What `Kv-From` says."""
-        return f"{self.reader.address}/{self.name}"
-
-
-@dataclass(slots=True, eq=False)
-class Flow:
-    """One request, and what has become of it so far."""
-
-    request: ClientRequest
-    route: Route
-    service: str
-    prompt: Prompt
-    has_phases: bool  # its prompt may be read by one worker and answered by another
-    deadline: int
-    tried: set[str] = field(default_factory=set)  # instances
-    sends: int = 0  # that may have arrived at a worker, beyond the reading of the prompt
-    reads: int = 0
-    may_have_run: int = 0  # of the sends
-    handle: Handle | None = None
-    begun: bool = False  # the head of the answer has gone to the client
-    events: EventSplitter | None = None
-
-
-def rank_of_read(tokens: int) -> int:
-    """Short reads go first: they hold up the others least."""
-    return sum(tokens >= bound for bound in READ_RANKS)
-
-
-class FleetState:
-    """What a router knows of the fleet. Changed by the watch, read by the forwarder."""
-
-    def __init__(self, placement: Placement) -> None:
-        self.placement = placement
-        self.table: RouteTable | None = None
-        self.routers = 1  # the most that there have been
-        self.is_current: Callable[[], bool] = lambda: False  # whether the control plane was heard of late
-
-    def use(self, table: RouteTable) -> bool:
-        """Put a configuration in force. False: a newer one is."""
-        if self.table is not None and table.configuration.version <= self.table.configuration.version:
-            return False
-        self.table = table
-        self.placement.services = table.services
-        return True
-
-
 class Forwarder:
     """Serves requests, each in the task that calls `serve`."""
 
@@ -126,7 +55,7 @@
         self._state, self._client, self._clock, self._new_budget = state, client, clock, budget
         self._random = random.Random(seed)
         self._budgets: dict[str, RetryBudget] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._prompts = PromptReader(state, client, clock, self._budget)
         self.open = 0
 
     async def serve(self, request: ClientRequest, reply: ClientReply) -> None:
@@ -155,7 +84,7 @@
                 await self._refuse(reply, RETRY_AFTER_S)
         finally:
             self.open -= 1
-            self._free(flow)
+            self._prompts.free(flow)
 
     async def _wait_for_table(self, request: ClientRequest) -> RouteTable | None:
         """No configuration is known: after a start it is about to come."""
@@ -180,7 +109,7 @@
 
     async def _run(self, flow: Flow, reply: ClientReply) -> None:
         if flow.has_phases:
-            await self._read_prompt(flow)
+            await self._prompts.read(flow)
         for _ in range(MOST_TRIES):
             if self._left(flow) < LEAST_LEFT:
                 break
@@ -203,63 +132,6 @@
         else:
             await self._refuse(reply, RETRY_AFTER_S)
 
-    # --- the prompt ---
-
-    async def _read_prompt(self, flow: Flow) -> None:
-        """Have a worker read the prompt; without success the worker that makes the tokens reads it."""
-        placement = self._state.placement
-        tried: set[str] = set()
-        budget = self._budget(flow.service)
-        for _ in range(MOST_TRIES):
-            if not budget.has_room(self._clock(), self._state.routers):
-                return  # a read that is rejected counts as one send more
-            if flow.reads and (flow.reads >= MOST_READS or not self._spend(flow)):
-                return
-            pair = placement.choose_pair(flow.service, flow.prompt, self._clock(), tried)
-            if pair is None or pair.reader is None:
-                return
-            tried.add(pair.reader.worker.record.instance)
-            handle = await self._read_at(flow, pair.reader)
-            if handle is not None:
-                flow.handle = handle
-                return
-
-    async def _read_at(self, flow: Flow, choice: Choice) -> Handle | None:
-        worker, placement = choice.worker, self._state.placement
-        send = placement.sent(choice, False, flow.prompt, self._clock())
-        reads = flow.reads
-        call = self._call(
-            flow, choice, (("Phase", Stage.PREFILL.value), ("Priority", str(rank_of_read(choice.tokens))))
-        )
-        try:
-            answer = await self._client.send(call, lambda: self._may_write(flow, choice, reading=True))
-            try:
-                self._hear(send, answer)
-                if answer.status != 200:
-                    if answer.not_executed:
-                        self._budget(flow.service).charge(self._clock())
-                    return None
-                result = _prefill_results.decode(await answer.body())
-                placement.read(send, self._clock())
-                return Handle(worker.record, result.handle)
-            finally:
-                answer.close()
-        except NotSentError as error:
-            flow.reads = reads
-            self._not_reached(choice, error)
-            return None
-        except (BrokenError, msgspec.DecodeError):
-            return None
-        finally:
-            placement.ended(send)
-
-    def _free(self, flow: Flow) -> None:
-        """A handle that nobody has taken keeps memory from others."""
-        if flow.handle is not None:
-            reader = flow.handle.reader
-            self._spawn(self._client.free_handle(reader.address, reader.instance, flow.handle.name))
-            flow.handle = None
-
     # --- attempts ---
 
     async def _wait_for_worker(self, flow: Flow) -> Choice | None:
@@ -291,16 +163,16 @@
             extra += (("Last-Event-Id", flow.events.last_id),)
         sends = flow.sends
         try:
-            call = self._call(flow, choice, extra)
+            call = flow.call(choice, extra)
             answer = await self._client.send(call, lambda: self._may_write(flow, choice))
             try:
-                self._hear(send, answer)
+                self._state.heard(send, answer, self._clock())
                 return await self._pass_on(flow, send, answer, reply)
             finally:
                 answer.close()
         except NotSentError as error:
             flow.sends = sends
-            self._not_reached(choice, error)
+            self._state.not_reached(choice, error, self._clock())
             return False
         except BrokenError:
             flow.may_have_run += 1
@@ -360,31 +232,13 @@
         else:
             placement.first_event(send, now)
 
-    def _call(self, flow: Flow, choice: Choice, extra: Headers) -> WorkerCall:
-        record = choice.worker.record
-        return WorkerCall(record.address, flow.request, (("Expect-Instance", record.instance), *extra))
-
-    def _may_write(self, flow: Flow, choice: Choice, reading: bool = False) -> int | None:
+    def _may_write(self, flow: Flow, choice: Choice) -> int | None:
         """The connection is there: what is left, or None where the worker must not get the request now."""
-        left, current = self._left(flow), self._state.placement.workers.get(choice.worker.record.instance)
-        if left < LEAST_LEFT or current is None or not current.takes_work:
-            return None
-        if reading:
-            flow.reads += 1
-        else:
+        left = self._state.time_to_write(flow, choice, self._clock())
+        if left is not None:
             flow.sends += 1
         return left
 
-    def _hear(self, send: Send, answer: WorkerAnswer) -> None:
-        worker = send.worker
-        self._state.placement.heard_of(send, self._clock())
-        if answer.held is not None and not worker.record.phase:
-            worker.running.reported(max(answer.held - worker.running.own, 0), self._clock())
-
-    def _not_reached(self, choice: Choice, error: NotSentError) -> None:
-        if not error.withdrawn:
-            choice.worker.failed(self._clock())
-
     # --- bounds ---
 
     def _left(self, flow: Flow) -> int:
@@ -416,18 +270,9 @@
     async def _fail(self, reply: ClientReply, status: int) -> None:
         await reply.answer(status, (), REASONS[status])
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def close(self) -> None:
         """End what is still under way beside requests."""
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(*tasks, return_exceptions=True)
+        await self._prompts.close()
 
 
 def _is_genuine(answer: WorkerAnswer) -> bool:
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -12,7 +12,8 @@
 from hazelbend.control import messages as m
 from hazelbend.control.load_table import LoadNews, LoadView, RouterLoad
 from hazelbend.control.workers import EXPIRY_HEARTBEATS
-from hazelbend.forwarding.forwarder import FleetState, Forwarder
+from hazelbend.forwarding.flow import FleetState
+from hazelbend.forwarding.forwarder import Forwarder
 from hazelbend.placement.engine import Placement
 from hazelbend.placement.retry_budget import RetryBudget
 from hazelbend.placement.routes import read_table
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -11,8 +11,10 @@
 
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.forwarding.event_stream import EventSplitter
-from hazelbend.forwarding.forwarder import FleetState, Forwarder, rank_of_read
+from hazelbend.forwarding.flow import FleetState
+from hazelbend.forwarding.forwarder import Forwarder
 from hazelbend.forwarding.ports import BrokenError, ClientRequest, NotSentError, WorkerCall
+from hazelbend.forwarding.prefill import rank_of_read
 from hazelbend.placement.engine import Placement
 from hazelbend.placement.retry_budget import RetryBudget
 from hazelbend.placement.routes import read_table
