Workers that a control process has missed come to it; ends held by the kernel are seen

News to a control process whose link was not up is lost, and a worker's later heartbeats change nothing, so it never learnt of it; the same would lose a drain.

Change: a link that opens is sent all workers; control processes tell a digest of what they know, and ask for all where it differs twice. A connection is polled before the first byte: where anything has come on it, be it its end, the call goes out on another; a new one that is reset at once is not sent.

--- a/benchmarks/control/history.py
+++ b/benchmarks/control/history.py
@@ -97,6 +97,13 @@
         gone = set(leader.engine.record.voters) - standing
         if gone:
             raise BrokenRuleError(f"{min(gone)} is still listed {RECOVERY / S:.0f} s after all")
+        digests = {
+            machine.engine.registry.digest
+            for machine in self.fleet.alive
+            if machine.address not in self.fleet.observers
+        }
+        if len(digests) > 1:
+            raise BrokenRuleError("control processes know different workers though all is well")
         for machine in self.fleet.alive:
             if machine.address in self.fleet.observers:
                 continue
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -35,6 +35,9 @@
 VOTERS_PERIOD = 200_000  # between the leader's looks at the voters
 FIRST_ELECTION = (120_000, 400_000)  # after a start, until one that hears of no leader stands
 TERM_BITS = 16  # of a fencing token, below the epoch; more terms carry into it
+DIFFERS_LONG = (
+    2  # messages in a row by which another one knows other workers, until all of them are asked for
+)
 LEASE_MARGIN = 1_500_000  # beyond a lease, from when a process leads until its first order
 TIMING = Timing(heartbeat=100_000, election=500_000, batch=32, kept=48)
 
@@ -214,6 +217,11 @@
     def _holds(self, news: m.WorkerNews) -> m.WorkerNewsTaken:
         return m.WorkerNewsTaken(news.number, news.life, self.me, self.record.voters)
 
+    def link_opened(self, address: str, now: int) -> None:
+        """What was sent to this control process before may be lost: it is sent all workers."""
+        news = m.WorkerNews(0, self.registry.lasting(now), self.registry.ages(now))
+        self._volatile.out.append((address, news))
+
     def worker_left(self, instance: str, now: int) -> int | None:
         """A worker has deregistered; as `worker_heard`."""
         ended = self.registry.ended(instance)
@@ -234,7 +242,8 @@
             self._ages_at = now + AGES_PERIOD
             self.registry.expire(now)
             fresh = self.registry.take_fresh_ages(now)
-            ages = m.Ages(fresh, tuple(self.own_routers), self.planner.switching)
+            digest = self.registry.digest
+            ages = m.Ages(fresh, tuple(self.own_routers), self.planner.switching, digest)
             self._volatile.out += [(address, ages) for address in self.peers.other_counted(now)]
         if now >= self._voters_at:
             self._voters_at = now + VOTERS_PERIOD
@@ -256,6 +265,8 @@
                 self.announcements.taken(body)
             case m.Ages():
                 self._ages(sender, body, now)
+            case m.WorkersWanted():
+                self.link_opened(sender, now)
 
     def refound(self, now: int) -> int:
         """An operator's word that a majority is lost for good: a new record, founded here, that begins with
@@ -303,8 +314,7 @@
 
     def _greeted(self, sender: str, hello: m.Hello, now: int) -> None:
         if self.peers.greeted(sender, hello, now):  # it may have started with nothing, or was cut off
-            records = self.registry.records()
-            self._volatile.out.append((sender, m.WorkerNews(0, records, self.registry.ages(now))))
+            self.link_opened(sender, now)
 
     def _worker_news(self, sender: str, news: m.WorkerNews, now: int) -> None:
         for record in news.records:
@@ -317,6 +327,10 @@
         peer = self.peers.get(sender)
         if peer is not None:
             peer.routers, peer.switching = news.routers, news.switching
+            peer.differs = peer.differs + 1 if news.digest != self.registry.digest else 0
+            if peer.differs >= DIFFERS_LONG:  # more than news on their way: some were lost
+                peer.differs = 0
+                self._volatile.out.append((sender, m.WorkersWanted()))
         for instance, age in news.ages.items():
             self.registry.hear(instance, now - age)
 
--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -53,6 +53,11 @@
     ages: dict[str, int]
     routers: tuple[str, ...] = ()
     switching: tuple[str, ...] = ()  # instances of which the sender has ordered another part
+    digest: int = 0  # of the workers that the sender knows
+
+
+class WorkersWanted(msgspec.Struct, frozen=True, tag=True):
+    """The sender knows other workers than the receiver: it asks for all that the receiver knows."""
 
 
 class Watch(msgspec.Struct, frozen=True, tag=True):
@@ -109,6 +114,7 @@
     | WorkerNews
     | WorkerNewsTaken
     | Ages
+    | WorkersWanted
     | Watch
     | Ping
     | Pong
--- a/hazelbend/control/peers.py
+++ b/hazelbend/control/peers.py
@@ -34,6 +34,7 @@
     stamp: Stamp | None = None  # of its last greeting, to be given back
     proven: str = ""  # the identity that it surely had after `proven_at`
     proven_at: int = 0
+    differs: int = 0  # messages in a row by which it knows other workers
 
 
 class PeerTable:
--- a/hazelbend/control/workers.py
+++ b/hazelbend/control/workers.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 from enum import IntEnum
+from hashlib import blake2b
 
 import msgspec
 
@@ -20,6 +21,11 @@
 TOMBSTONE = 60_000_000  # how long the end of an instance is remembered
 
 
+MARK_BYTES = 6  # of a record's part in the digest
+_UNSEEN = {"seq": 0, "cold_left_ms": 0}  # fields of which no router has to know each change
+_encoder = msgspec.msgpack.Encoder()
+
+
 class WorkerState(IntEnum):
     """Whether a worker takes new requests."""
 
@@ -63,6 +69,7 @@
         """`heartbeat`: microseconds between two heartbeats of a worker."""
         self.heartbeat = heartbeat
         self.listed: dict[str, Listed] = {}
+        self.digest = 0  # of all records that have not ended: equal where the same is known
         self._by_address: dict[str, str] = {}
         self._fresh: set[str] = set()  # heard since `take_fresh_ages`
 
@@ -78,7 +85,7 @@
         if known is None or _differs(known.record, record):
             changed.append(record)
         before = known.heard_at if known is not None else heard_at - 1
-        self.listed[record.instance] = Listed(record, before)
+        self._list(Listed(record, before))
         self.hear(record.instance, heard_at)
         return changed
 
@@ -91,9 +98,22 @@
         if before.state is WorkerState.GONE:
             return []
         ended = msgspec.structs.replace(before, state=WorkerState.GONE)
-        self.listed[other] = Listed(ended, now)
+        self._list(Listed(ended, now))
         return [ended]
 
+    def _list(self, listed: Listed) -> None:
+        """The only place where a record comes in or is replaced."""
+        known = self.listed.get(listed.record.instance)
+        if known is None or _differs(known.record, listed.record):
+            self.digest ^= _mark(listed.record) ^ (_mark(known.record) if known is not None else 0)
+        self.listed[listed.record.instance] = listed
+
+    def _drop(self, instance: str) -> None:
+        record = self.listed.pop(instance).record
+        self.digest ^= _mark(record)
+        if self._by_address.get(record.address) == instance:
+            del self._by_address[record.address]
+
     def ended(self, instance: str) -> WorkerRecord | None:
         """The record that says that this instance has left; None where it is not known."""
         known = self.listed.get(instance)
@@ -111,9 +131,7 @@
         for instance, each in list(self.listed.items()):
             gone = each.record.state is WorkerState.GONE
             if now - each.heard_at > (TOMBSTONE if gone else LISTED_HEARTBEATS * self.heartbeat):
-                del self.listed[instance]
-                if self._by_address.get(each.record.address) == instance:
-                    del self._by_address[each.record.address]
+                self._drop(instance)
 
     def is_silent(self, listed: Listed, now: int) -> bool:
         """Whether its heartbeats have been missing for longer than chance explains."""
@@ -123,6 +141,15 @@
         """All that is known, ends included."""
         return tuple(each.record for each in self.listed.values())
 
+    def lasting(self, now: int) -> tuple[WorkerRecord, ...]:
+        """All that is known but for those that are about to be forgotten: what another one may lack."""
+        last = EXPIRY_HEARTBEATS * self.heartbeat
+        return tuple(
+            each.record
+            for each in self.listed.values()
+            if each.record.state is WorkerState.GONE or now - each.heard_at < last
+        )
+
     def ages(self, now: int) -> dict[str, int]:
         """Microseconds since each worker that has not ended was heard."""
         return {
@@ -147,7 +174,15 @@
         }
 
 
+def _mark(record: WorkerRecord) -> int:
+    """Names what routers have to know of a record; 0 once it has ended, as ends are forgotten at different
+    times by different processes."""
+    if record.state is WorkerState.GONE:
+        return 0
+    content = _encoder.encode(msgspec.structs.replace(record, **_UNSEEN))
+    return int.from_bytes(blake2b(content, digest_size=MARK_BYTES).digest())
+
+
 def _differs(before: WorkerRecord, after: WorkerRecord) -> bool:
     """Whether a router has to know of it: not of each `seq`, nor of each millisecond of warming up."""
-    unseen = {"seq": 0, "cold_left_ms": 0}
-    return msgspec.structs.replace(before, **unseen) != msgspec.structs.replace(after, **unseen)
+    return msgspec.structs.replace(before, **_UNSEEN) != msgspec.structs.replace(after, **_UNSEEN)
--- a/hazelbend/system/agreement.py
+++ b/hazelbend/system/agreement.py
@@ -205,9 +205,15 @@
         age = None if self.confirmed_at is None else max(clock() - self.confirmed_at, 0)
         return m.Pong(0, self.config.version, age)
 
+    def _link_opened(self, address: str) -> None:
+        self.engine.link_opened(address, clock())
+        asyncio.get_running_loop().call_soon(self.pump)
+
     def send(self, address: str, frame: bytes) -> None:
         """To the control process at this address, if it can be reached."""
         link = self._links.get(address)
         if link is None:
-            link = self._links[address] = FrameLink(address, lambda frame: None)
+            link = self._links[address] = FrameLink(
+                address, lambda frame: None, lambda: self._link_opened(address)
+            )
         link.send(frame)
--- a/hazelbend/transport/aiohttp_client.py
+++ b/hazelbend/transport/aiohttp_client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import functools
+import select
 from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
@@ -28,8 +29,7 @@
 
 
 class StaleConnectionError(Exception):
-    """Something came on this kept connection since its last answer was over, or waits on it to be sent; not a
-    byte was written on it."""
+    """This kept connection is not fit for another request; not a byte was written on it."""
 
 
 class RequestWriting:
@@ -101,10 +101,11 @@
     async def send(self, conn: Connection) -> aiohttp.ClientResponse:
         """Check, complete the head, and write; raises WithdrawnError or StaleConnectionError before the
         first byte."""
-        if conn.protocol is not None and (conn.protocol.should_close or _has_unsent(conn.protocol)):
-            # What came would be taken for the answer to this request; what has not gone out would hold it up.
+        if conn.protocol is not None and not _is_fit(conn.protocol):
             conn.close()
-            raise StaleConnectionError
+            if self.writing is None or self.writing.reused_connection:
+                raise StaleConnectionError
+            raise aiohttp.ClientConnectionError("a new connection ended before anything was written on it")
         if self.writing is not None:
             left = self.writing.before_first_byte()
             if left is None:
@@ -115,9 +116,25 @@
         return await super().send(conn)
 
 
-def _has_unsent(protocol: ResponseHandler) -> bool:
-    """Whether bytes of an earlier request wait, as the other side does not read."""
-    return protocol.transport is not None and protocol.transport.get_write_buffer_size() > 0
+def _is_fit(protocol: ResponseHandler) -> bool:
+    """Whether a request may be written on this connection now. Not where something has come on it, be it only
+    its end, that the loop has not read yet: it would be taken for the answer, or the request be lost without
+    anybody knowing whether it ran. Nor where bytes of an earlier request wait, as the other side does not
+    read: this one would wait behind them, after its last check."""
+    transport = protocol.transport
+    if transport is None or transport.is_closing() or protocol.should_close:
+        return False
+    if transport.get_write_buffer_size() > 0:
+        return False
+    sock = transport.get_extra_info("socket")
+    return sock is None or not _has_arrived(sock.fileno())
+
+
+def _has_arrived(descriptor: int) -> bool:
+    """Whether bytes, a FIN or an error lie at this socket, unread."""
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    return bool(poller.poll(0))
 
 
 class StrictResponseHandler(ResponseHandler):
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -15,7 +15,7 @@
 from hazelbend.control.outputs import ControlPlan, ReadDone
 from hazelbend.control.peers import PeerTable
 from hazelbend.control.phase_planner import PhaseOrder
-from hazelbend.control.workers import WorkerRecord, WorkerState
+from hazelbend.control.workers import WorkerRecord, WorkerRegistry, WorkerState
 from hazelbend.fleet.memory import Memory, founded_by_operator
 from hazelbend.fleet.messages import AppendEntries, Message, Stamp
 from hazelbend.fleet.voters import next_voters
@@ -366,3 +366,40 @@
     voters = ("a@10.0.1.1:7", "x@10.0.2.1:7")
     assert table.candidates(voters, set(), 1 * S) == []
     assert table.candidates(voters, {"x@10.0.2.1:7"}, 1 * S) == ["y@10.0.2.1:7"]
+
+
+# --- what is known of workers comes together ---
+
+
+def test_workers_that_one_control_process_has_missed_are_known_to_it_within_two_seconds():
+    """The news is lost on its way, and the worker's later heartbeats say nothing new."""
+    fleet = started(3)
+    taker, misses = fleet.alive[0], fleet.alive[1]
+    apart(fleet, [misses.address])
+    ready = msgspec.structs.replace(DRAINING, state=WorkerState.READY)
+    taker.engine.worker_heard(ready, fleet.now)
+    taker.engine.worker_heard(msgspec.structs.replace(DRAINING, seq=3), fleet.now)
+    fleet._flush(taker)
+    fleet.run(300 * MS)
+    fleet.heal()
+    assert "i-1" not in misses.engine.registry.listed
+    assert fleet.until(lambda: "i-1" in misses.engine.registry.listed, 2 * S)
+    assert misses.engine.registry.listed["i-1"].record.state is WorkerState.DRAINING
+    assert len({each.engine.registry.digest for each in fleet.alive}) == 1
+
+
+def test_the_digest_of_workers_is_that_of_what_routers_must_know():
+    one, other = WorkerRegistry(S), WorkerRegistry(S)
+    records = [msgspec.structs.replace(DRAINING, instance=f"i-{n}", address=f"h:{n}") for n in range(4)]
+    for record in records:
+        one.merge(record, 0)
+    for record in reversed(records):
+        other.merge(msgspec.structs.replace(record, seq=9, cold_left_ms=5), 0)
+    assert one.digest == other.digest != 0
+    other.merge(msgspec.structs.replace(records[0], state=WorkerState.GONE, seq=10), 0)
+    assert one.digest != other.digest
+    one.merge(msgspec.structs.replace(records[0], state=WorkerState.GONE, seq=10), 0)
+    assert one.digest == other.digest
+    for registry in (one, other):
+        registry.expire(1_000 * S)
+    assert (one.digest, other.digest) == (0, 0)
--- a/tests/test_worker_calls.py
+++ b/tests/test_worker_calls.py
@@ -9,6 +9,7 @@
 import contextlib
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import pytest
@@ -165,6 +166,56 @@
         assert [b"q2" in each for each in heard] == [False, True] and worker.connections == 1
 
 
+@pytest.mark.parametrize("ending", ["reset", "close"])
+async def test_an_end_that_the_kernel_holds_as_a_connection_is_reused_is_seen_before_the_first_byte(
+    client, ending, monkeypatch
+):
+    """The worker ends the connection in the very turn in which the call is written; the loop has not read it.
+    Not a byte is lost: the call goes out on another connection."""
+    ends, usual = [], aiohttp_client.CheckedRequest.send
+
+    async def send(request, connection):
+        if ends:
+            ends.pop()()
+            time.sleep(0.02)  # the kernel has it; the loop does not run
+        return await usual(request, connection)
+
+    async def script(connection: Connection, number: int) -> None:
+        await connection.request()
+        await connection.send(answer_to(number))
+        if number == 1:
+            ends.append(getattr(connection, ending))
+        await asyncio.sleep(SOON)
+
+    monkeypatch.setattr(aiohttp_client.CheckedRequest, "send", send)
+    async with worker_that(script) as worker:
+        assert await whole(client, call(worker, 1)) == b"ok"
+        await asyncio.sleep(0.02)
+        assert await whole(client, call(worker, 2)) == b"ok" and worker.connections == 2
+
+
+async def test_a_new_connection_that_is_reset_at_once_is_not_sent(client, monkeypatch):
+    """As where a worker has more connections than it allows."""
+    ends, usual = [], aiohttp_client.CheckedRequest.send
+
+    async def send(request, connection):
+        while not ends:
+            await asyncio.sleep(0.001)
+        ends.pop()()
+        time.sleep(0.02)
+        return await usual(request, connection)
+
+    async def script(connection: Connection, number: int) -> None:
+        ends.append(connection.reset)
+        await asyncio.sleep(SOON)
+
+    monkeypatch.setattr(aiohttp_client.CheckedRequest, "send", send)
+    async with worker_that(script) as worker:
+        with pytest.raises(NotSentError) as caught:
+            await client.send(call(worker, 1), lambda: 1_000_000)
+        assert not caught.value.withdrawn
+
+
 async def test_a_client_that_sends_again_by_itself_would_be_found(monkeypatch):
     """The planted defect of the test before: the library's own retry runs one call twice."""
     usual = aiohttp_client.open_session
