One breadth-first search for both models

Cause: the model of control processes had written the search of fleet_search.py again (found by duplicates). Change: benchmarks/breadth_first.py serves both.

--- a/benchmarks/control/model.py
+++ b/benchmarks/control/model.py
@@ -31,6 +31,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from benchmarks import breadth_first
 from benchmarks.control.defects import DEFECTS, planted
 from hazelbend.control.config_machine import ChangeResult, ConfigMachine, change_entry
 from hazelbend.control.engine import TIMING
@@ -73,6 +74,10 @@
     def _make(memory: Memory) -> Record:
         return Record(memory, ConfigMachine(), TIMING, 1, 0)
 
+    def broken(self) -> str:
+        """The check that fails here, or nothing."""
+        return self.wrong
+
     # --- identity of a state ---
 
     def key(self) -> tuple[object, ...]:
@@ -271,7 +276,7 @@
                     self._decided(done.ticket - 1, done.result)
             record.done.clear()
             record.reads.clear()
-        self.wrong = self.wrong or self._broken()
+        self.wrong = self.wrong or self._check()
         return self
 
     def _decided(self, number: int, result: ChangeResult) -> None:
@@ -284,7 +289,7 @@
         if outcomes.count(ChangeResult.ACCEPTED) > 1:
             self.wrong = "both changes are acknowledged"
 
-    def _broken(self) -> str:
+    def _check(self) -> str:
         for record in self.records:
             if record.role is Role.LEADER:
                 self.leaders |= {(record.memory.term, record.me)}
@@ -363,36 +368,8 @@
 
 
 def search(left: Left, most: int) -> dict[str, object]:
-    """Breadth first, so that the steps to a fault are the fewest."""
-    first = World(left)
-    steps: dict[tuple[object, ...], tuple[tuple[object, ...] | None, str]] = {first.key(): (None, "")}
-    layer, depth = [first], 0
-    while layer and len(steps) < most:
-        depth += 1
-        below = []
-        for world in layer:
-            here = world.key()
-            for told, after in world.next():
-                key = after.key()
-                if after.wrong:
-                    path = _path(steps, here) + [told]
-                    return {"states": len(steps), "depth": depth, "broken": after.wrong, "steps": path}
-                if key not in steps:
-                    steps[key] = (here, told)
-                    below.append(after)
-        layer = below
-    return {"states": len(steps), "depth": depth, "closed": not layer, "broken": ""}
-
-
-def _path(
-    steps: dict[tuple[object, ...], tuple[tuple[object, ...] | None, str]], key: tuple[object, ...]
-) -> list[str]:
-    path: list[str] = []
-    at: tuple[object, ...] | None = key
-    while at is not None:
-        at, told = steps[at]
-        path.append(told)
-    return path[-2::-1]
+    """All states within these bounds."""
+    return breadth_first.search(World(left), most)
 
 
 def main() -> int:
--- a/benchmarks/fleet_search.py
+++ b/benchmarks/fleet_search.py
@@ -9,7 +9,7 @@
 term; what two have committed is the same; a leader holds all that is committed.
 
 The bounds are on how often each may happen in a run. The last line is one JSON object with the number of
-states, and `whole` if there are no more; the exit status is 1 if an invariant breaks, with the fewest steps
+states, and `closed` if there are no more; the exit status is 1 if an invariant breaks, with the fewest steps
 that lead there.
 """
 
@@ -22,6 +22,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from benchmarks import breadth_first
 from benchmarks.fleet_defects import Hopeful, Rash
 from hazelbend.fleet.leases import Leases, Limits, Open, encode
 from hazelbend.fleet.memory import Memory
@@ -152,30 +153,8 @@
 
 
 def search(defect: str, left: Left, most: int) -> dict[str, object]:
-    """Breadth first, so that the steps to a fault are the fewest."""
-    first = World(defect, left)
-    seen: dict[tuple[object, ...], tuple[tuple[object, ...] | None, str]] = {first.key(): (None, "")}
-    layer, depth = [first], 0
-    while layer and len(seen) < most:
-        depth += 1
-        below = []
-        for world in layer:
-            here = world.key()
-            for told, after in world.next():
-                key = after.key()
-                if key in seen:
-                    continue
-                seen[key] = (here, told)
-                if why := after.broken():
-                    steps = []
-                    at: tuple[object, ...] | None = key
-                    while at is not None:
-                        at, told = seen[at]
-                        steps.append(told)
-                    return {"states": len(seen), "depth": depth, "broken": why, "steps": steps[-2::-1]}
-                below.append(after)
-        layer = below
-    return {"states": len(seen), "depth": depth, "whole": not layer, "broken": ""}
+    """All states within these bounds."""
+    return breadth_first.search(World(defect, left), most)
 
 
 def main() -> int:
