--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -132,8 +132,10 @@
     assert (conf.stomp, conf.snmp, conf.console, conf.srv, conf.waiting, conf.fleet) == (None,) * 6
     assert {path.name for path in (ROOT / "deploy").iterdir()} == {
         "balancer.toml", "stomp.toml", "snmp.toml", "console.toml", "srv.toml", "waiting.toml",
-        "fleet.toml", "sites", "system.toml",
+        "fleet.toml", "sites", "days", "system.toml",
     }  # fmt: skip
+    # Days of the router fleet for the bench, which no program reads.
+    assert {path.suffix for path in (ROOT / "deploy" / "days").iterdir()} == {".toml", ".md"}
     # Sites to be played on the bench, which the program does not read; what the kit lays beside them stays
     # there.
     assert {path.name for path in (ROOT / "deploy" / "sites").glob("*/*")} <= {
