Digests of workers are compared among counted control processes alone

Change: only counted ones compare, with counted ones. Test: an observer that has forgotten a worker is not asked (failed before).

--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -327,7 +327,9 @@
         peer = self.peers.get(sender)
         if peer is not None:
             peer.routers, peer.switching = news.routers, news.switching
-            peer.differs = peer.differs + 1 if news.digest != self.registry.digest else 0
+            # Those that do not count are told no ages, so they forget workers earlier.
+            same = not peer.counted or not self.plan.counted or news.digest == self.registry.digest
+            peer.differs = 0 if same else peer.differs + 1
             if peer.differs >= DIFFERS_LONG:  # more than news on their way: some were lost
                 peer.differs = 0
                 self._volatile.out.append((sender, m.WorkersWanted()))
--- a/tests/test_control_faults.py
+++ b/tests/test_control_faults.py
@@ -403,3 +403,22 @@
     for registry in (one, other):
         registry.expire(1_000 * S)
     assert (one.digest, other.digest) == (0, 0)
+
+
+def test_one_that_does_not_count_is_not_asked_for_the_workers_that_it_has_forgotten():
+    fleet = Fleet(3, 4, 1, loss=0.0, observers=1)
+    assert fleet.until(lambda: whole(fleet, 3), 8 * S)
+    fleet.alive[0].engine.worker_heard(msgspec.structs.replace(DRAINING, state=WorkerState.READY), fleet.now)
+    asked: list[str] = []
+    usual = fleet._send
+
+    def send(sender: str, to: str, body: m.Body) -> None:
+        if isinstance(body, m.WorkersWanted):
+            asked.append(to)
+        usual(sender, to, body)
+
+    fleet._send = send
+    for _ in range(25):
+        fleet.run(1 * S)
+        fleet.alive[0].engine.registry.hear("i-1", fleet.now)
+    assert asked == []
