The record's head tells of one step, confirmation and foreign epochs as they are

Change: words only, and an unused method of PeerTable gone. Measured: tests of replication, control faults and layers pass.

--- a/hazelbend/control/peers.py
+++ b/hazelbend/control/peers.py
@@ -47,9 +47,6 @@
         self._table = {each: Peer() for each in seeds if each != address}
         self._known_alive: dict[str, int] = {}  # voters, by identity: when each was surely there
 
-    def __getitem__(self, address: str) -> Peer:
-        return self._table[address]
-
     def get(self, address: str) -> Peer | None:
         """The process at this address, if it is known."""
         return self._table.get(address)
--- a/hazelbend/fleet/record.py
+++ b/hazelbend/fleet/record.py
@@ -3,29 +3,33 @@
 
 State table (`Role`):
 
-    FOLLOWER  --no leader for an election's time, own vote in the voters--> PRE_CANDIDATE
-    PRE_CANDIDATE    --a majority would vote (pre-vote)-->                         CANDIDATE, term + 1
-    CANDIDATE --a majority voted-->                                         LEADER, adds an empty entry
-    any       --a message of a higher term-->                               FOLLOWER of that term
-    LEADER    --no majority heard for an election's time (check-quorum)-->  FOLLOWER
-    LEADER    --an entry without itself among the voters is committed-->    FOLLOWER
+    FOLLOWER      --no leader for an election's time, own vote in the voters--> PRE_CANDIDATE
+    PRE_CANDIDATE --a majority would vote (pre-vote)-->                         CANDIDATE, term + 1
+    CANDIDATE     --a majority voted-->                                         LEADER, adds an empty entry
+    any           --a message of a higher term-->                               FOLLOWER of that term
+    LEADER        --no majority heard for two election times (check-quorum)-->  FOLLOWER
+    LEADER        --an entry without itself among the voters is committed-->    FOLLOWER
 
 Who votes. An identity is one memory: a process that starts without its memory takes a new identity, which no
 voter's name is, so it never votes, or counts, as what it was. It comes back by the record: it is added as a
 new voter and the old name is removed, one voter at a time, each only when the one before is committed and an
-entry of the leader's own term is (Ongaro's correction of 2015). With a store, the memory is written before
+entry of the leader's own term is (Ongaro's correction of 2015), and while a majority of the list in force
+confirms the leader. One whose memory is known to be erased is replaced in one step, as of the old list only
+the others can still vote. With a store, the memory is written before
 any message that rests on it leaves: the driver saves what `unsaved` and `promise_changed` name, then sends
 `out`.
 
 Epochs. When a majority's memory is lost at once nothing can be committed any more. `found` starts a new epoch
-with one voter, by an operator's word; whoever hears of a higher epoch forgets the lower one's record.
+with one voter. Whoever hears of a higher epoch forgets the lower one's record if it holds no operation, or if
+an operator has founded the higher one; else it keeps its own and notes `foreign_epoch`.
 
 Invariants, checked by the tests after every step:
     election      at most one leader in a term of an epoch
     matching      entries of one index and term are the same, and so are all before them
     completeness  what is committed stands in the log of every later leader
     machine       no two members apply different entries at one index
-    single        of two voter lists in a row in a log, one has at most one more, or one less, than the other
+    single        of two voter lists in a row in a log, one has at most one more, or one less, than the other,
+                  or one in place of an erased one
 
 Times are microseconds of this process's monotonic clock; nobody compares two processes' times.
 """
