Workers that fail, hang, reject or lag are asked less, and others asked instead

Cause: nothing remembered that a worker fails, so that one that fails at once had the shortest queue and was chosen again; an error on a route that may run again was passed on; a worker that hung was waited for until the request's time was over. Caches: each router knew only first reads of others, so that what it believed a worker had dropped was not what had been unused for longest. All reads are told; a maker of tokens that keeps the parts is preferred by four requests; reading again costs twice its time instead of 10 us a token; 0.85 of a memory is believed to keep shared parts. Statistics behind GET /metrics, one log line a worker set back.

--- a/hazelbend/control/load_table.py
+++ b/hazelbend/control/load_table.py
@@ -34,13 +34,26 @@
     tokens: int
 
 
+class Outcomes(msgspec.Struct, frozen=True, array_like=True):
+    """How a router's sends to one worker have ended since it told last."""
+
+    instance: str
+    zone: str  # the router's
+    served: int = 0
+    failed: int = 0
+    rejected: int = 0  # although the worker had room
+    late: int = 0  # served, but far later than expected
+
+
 class RouterLoad(msgspec.Struct, frozen=True, tag=True):
-    """A router's unfinished work by worker, whole; `seq` rises. `cached`: parts that are new since then."""
+    """A router's unfinished work by worker, whole; `seq` rises. `cached`, `outcomes`: what is new
+    since then."""
 
     router: str
     seq: int
     loads: dict[str, Load]
     cached: tuple[CachedPart, ...] = ()
+    outcomes: tuple[Outcomes, ...] = ()
 
 
 class LoadNews(msgspec.Struct, frozen=True, tag=True):
@@ -54,6 +67,7 @@
     loads: dict[str, Load]
     cached: tuple[CachedPart, ...] = ()
     whole: bool = False
+    outcomes: tuple[Outcomes, ...] = ()
 
 
 class CacheTable:
--- a/hazelbend/forwarding/flow.py
+++ b/hazelbend/forwarding/flow.py
@@ -10,9 +10,11 @@
 from hazelbend.forwarding.ports import ClientRequest, Headers, NotSentError, WorkerAnswer, WorkerCall
 from hazelbend.placement.engine import Choice, Placement, Send
 from hazelbend.placement.prompt import Prompt
+from hazelbend.placement.reliability import SendEnd, Stakes
 from hazelbend.placement.routes import Route, RouteTable
 
 LEAST_LEFT = 30_000  # microseconds below which nothing is sent any more
+REJECTION_PART = 0.1  # of a route's target, that a rejection is worth
 MOST_TRIES = 6  # workers that one try may turn to for a stage, those that were not reached included
 
 
@@ -43,10 +45,20 @@
     sends: int = 0  # that may have arrived at a worker, beyond the reading of the prompt
     reads: int = 0
     may_have_run: int = 0  # of the sends
+    failures: int = 0  # of sends and reads
     handle: Handle | None = None
     begun: bool = False  # the head of the answer has gone to the client
     events: EventSplitter | None = None
 
+    @property
+    def stakes(self) -> Stakes:
+        """A run that fails costs the time in which another one may end, or all there was if it may not be
+        repeated; a rejection costs a way there and back, and a part of the retry budget; what comes late
+        costs a target's time."""
+        target = self.route.target_ms * 1_000.0
+        failure = target if self.route.is_idempotent else max(target, self.route.timeout_ms * 1_000.0)
+        return Stakes(failure, REJECTION_PART * target, target)
+
     def call(self, choice: Choice, extra: Headers) -> WorkerCall:
         """This request as a call to the worker that was chosen, and to no other at its address."""
         record = choice.worker.record
@@ -85,7 +97,23 @@
         if answer.held is not None and not worker.record.phase:
             worker.running.reported(max(answer.held - worker.running.own, 0), now)
 
+    def tell_of(self, flow: Flow, send: Send, end: SendEnd, now: int) -> None:
+        """A send has ended. Of a request that has failed elsewhere before it may be at fault itself."""
+        if end is not SendEnd.FAILED or not flow.failures:
+            self.placement.tells_of(send, end, now)
+        flow.failures += end is SendEnd.FAILED
+
     def not_reached(self, choice: Choice, error: NotSentError, now: int) -> None:
         """A call was not sent: a sign against the worker, unless it was withdrawn by our own check."""
         if not error.withdrawn:
             choice.worker.failed(now)
+
+
+def end_of(answer: WorkerAnswer) -> SendEnd | None:
+    """What the head of an answer tells of its worker; None: nothing, as a request whose time is over in the
+    worker's hands may have had too little of it, and one that asked for another instance is not its own."""
+    if answer.status in (421, 504):
+        return None
+    if answer.not_executed:
+        return SendEnd.REJECTED
+    return SendEnd.FAILED if answer.status >= 500 else SendEnd.SERVED
--- a/hazelbend/forwarding/forwarder.py
+++ b/hazelbend/forwarding/forwarder.py
@@ -12,7 +12,8 @@
 from collections.abc import AsyncIterator, Callable
 
 from hazelbend.forwarding.event_stream import EVENT_END, EventSplitter
-from hazelbend.forwarding.flow import LEAST_LEFT, MOST_TRIES, FleetState, Flow
+from hazelbend.forwarding.flow import LEAST_LEFT, MOST_TRIES, FleetState, Flow, end_of
+from hazelbend.forwarding.patience import Patience, WorkerSilentError, patience_with
 from hazelbend.forwarding.ports import (
     BrokenError,
     ClientReply,
@@ -25,8 +26,10 @@
 from hazelbend.forwarding.prefill import PromptReader
 from hazelbend.placement.engine import Choice, Send
 from hazelbend.placement.prompt import read_prompt
+from hazelbend.placement.reliability import SendEnd
 from hazelbend.placement.retry_budget import RetryBudget
 from hazelbend.placement.routes import Route, RouteTable
+from hazelbend.placement.statistics import Refusal
 
 MARGIN = 8_000  # microseconds of the client's time that are kept for the way back
 MOST_SENDS = 3  # arrivals at workers that one try may cause
@@ -62,6 +65,7 @@
         table = self._state.table or await self._wait_for_table(request)
         route = table.find(request.host, request.path) if table is not None else None
         if table is None or (route is None and not self._state.is_current()):
+            self._count(Refusal.NO_CONFIGURATION)
             await self._refuse(reply, RETRY_AFTER_STARTING_S)
             return
         if route is None:
@@ -75,6 +79,7 @@
             async with asyncio.timeout(max(left, 0) / 1e6):
                 await self._run(flow, reply)
         except TimeoutError:
+            self._count(Refusal.OUT_OF_TIME)
             if flow.begun:
                 reply.abort()
             elif flow.may_have_run or flow.sends:
@@ -124,6 +129,7 @@
         await self._give_up(flow, reply)
 
     async def _give_up(self, flow: Flow, reply: ClientReply) -> None:
+        self._count(Refusal.FAILED if flow.may_have_run else Refusal.NO_WORKER)
         if flow.begun:
             reply.abort()
         elif flow.may_have_run:
@@ -146,9 +152,9 @@
     def _choose(self, flow: Flow) -> Choice | None:
         placement, now = self._state.placement, self._clock()
         if not flow.has_phases:
-            return placement.choose(flow.service, now, flow.tried)
+            return placement.choose(flow.service, now, flow.tried, flow.stakes)
         source = flow.handle.reader if flow.handle is not None else None
-        return placement.choose_runner(flow.service, flow.prompt, source, now, flow.tried)
+        return placement.choose_runner(flow.service, flow.prompt, source, now, flow.tried, flow.stakes)
 
     async def _attempt(self, flow: Flow, choice: Choice, reply: ClientReply) -> bool:
         """One attempt. True: the client has its answer."""
@@ -161,33 +167,50 @@
         if flow.events is not None and flow.events.last_id:
             extra += (("Last-Event-Id", flow.events.last_id),)
         sends = flow.sends
+        end: SendEnd | None = None
         try:
             call = flow.call(choice, extra)
-            answer = await self._client.send(call, lambda: self._may_write(flow, choice))
-            try:
-                self._state.heard(send, answer, self._clock())
-                return await self._pass_on(flow, send, answer, reply)
-            finally:
-                answer.close()
+            async with Patience(patience_with(choice), lambda: self._may_give_up(flow)) as patience:
+                answer = await self._client.send(call, lambda: self._may_write(flow, choice))
+                try:
+                    self._state.heard(send, answer, self._clock())
+                    end = end_of(answer)
+                    return await self._pass_on(flow, send, answer, reply, patience)
+                finally:
+                    answer.close()
         except NotSentError as error:
             flow.sends = sends
             self._state.not_reached(choice, error, self._clock())
             return False
-        except BrokenError:
+        except (BrokenError, WorkerSilentError):
+            end = SendEnd.FAILED
             flow.may_have_run += 1
+            self._state.placement.statistics.repeats += self._may_run_again(flow)
             flow.handle = None
             return False
         finally:
+            if end is not None:
+                self._state.tell_of(flow, send, end, self._clock())
             placement.ended(send)
 
-    async def _pass_on(self, flow: Flow, send: Send, answer: WorkerAnswer, reply: ClientReply) -> bool:
+    def _may_give_up(self, flow: Flow) -> bool:
+        """Whether a worker that says nothing can be left for another one."""
+        return self._may_repeat(flow) and self._budget(flow.service).has_room(
+            self._clock(), self._state.routers
+        )
+
+    async def _pass_on(
+        self, flow: Flow, send: Send, answer: WorkerAnswer, reply: ClientReply, patience: Patience
+    ) -> bool:
         if answer.not_executed:
             return False
+        if answer.status >= 500 and self._may_give_up(flow):
+            raise BrokenError("the worker has failed, and another one may run it")
         if flow.handle is not None:
             self._state.placement.moved(send, flow.prompt)
             flow.handle = None  # taken
         if flow.route.is_stream and 200 <= answer.status < 300 and _is_genuine(answer):
-            await self._stream(flow, send, answer, reply)
+            await self._stream(flow, send, answer, reply, patience)
         elif flow.begun:
             raise BrokenError  # a resumed run that failed: nothing of it is for the client
         elif 200 <= answer.status < 300 and not _is_genuine(answer):
@@ -195,19 +218,26 @@
         elif answer.status in PROMISES:
             raise BrokenError  # it promises what the worker has not said: that the request has not run
         else:
+            patience.sign_came()
             body = await answer.body()
             await reply.answer(answer.status, answer.headers, body)
         if answer.status < 500:
             self._state.placement.served(send, self._clock())
         return True
 
-    async def _stream(self, flow: Flow, send: Send, answer: WorkerAnswer, reply: ClientReply) -> None:
+    async def _stream(
+        self, flow: Flow, send: Send, answer: WorkerAnswer, reply: ClientReply, patience: Patience
+    ) -> None:
+        def first_event() -> None:
+            patience.sign_came()
+            self._first_event(send)
+
         if not flow.begun:
             flow.begun = True
             await reply.begin(answer.status, answer.headers)
         if not flow.route.resume:
             last = b""
-            async for chunk in _after_first(answer.chunks(), lambda: self._first_event(send)):
+            async for chunk in _after_first(answer.chunks(), first_event):
                 await reply.write(chunk)
                 last = (last + chunk)[-len(EVENT_END) :]
             if last and last != EVENT_END:
@@ -216,7 +246,7 @@
             if flow.events is None:
                 flow.events = EventSplitter()
             flow.events.restart()
-            async for chunk in _after_first(answer.chunks(), lambda: self._first_event(send)):
+            async for chunk in _after_first(answer.chunks(), first_event):
                 if whole := flow.events.feed(chunk):
                     await reply.write(whole)
             if flow.events.has_rest:
@@ -244,14 +274,21 @@
         return flow.deadline - self._clock()
 
     def _may_send_again(self, flow: Flow) -> bool:
-        if flow.sends >= MOST_SENDS:
+        if flow.sends >= MOST_SENDS or (flow.may_have_run and not self._may_run_again(flow)):
             return False
-        if flow.may_have_run:
-            again = flow.route.is_idempotent and flow.may_have_run < flow.route.retries
-            if not again or (flow.begun and flow.events is None):
-                return False
         return self._spend(flow)
 
+    @staticmethod
+    def _may_run_again(flow: Flow, runs: int = 0) -> bool:
+        """Whether one more run does no harm; `runs`: beside those that are known to have been."""
+        if flow.begun and flow.events is None:
+            return False
+        return flow.route.is_idempotent and flow.may_have_run + runs < flow.route.retries
+
+    def _may_repeat(self, flow: Flow) -> bool:
+        """Whether the send that is under way may be followed by another, though it may have run."""
+        return flow.sends < MOST_SENDS and self._may_run_again(flow, 1) and self._left(flow) >= LEAST_LEFT
+
     def _spend(self, flow: Flow) -> bool:
         return self._budget(flow.service).spend(self._clock(), self._state.routers)
 
@@ -261,6 +298,9 @@
             budget = self._budgets[service] = self._new_budget()
         return budget
 
+    def _count(self, reason: Refusal) -> None:
+        self._state.placement.statistics.refusals[reason] += 1
+
     # --- answers of our own ---
 
     async def _refuse(self, reply: ClientReply, after: float) -> None:
--- a/hazelbend/forwarding/prefill.py
+++ b/hazelbend/forwarding/prefill.py
@@ -8,9 +8,11 @@
 
 import msgspec
 
-from hazelbend.forwarding.flow import MOST_TRIES, FleetState, Flow, Handle
+from hazelbend.forwarding.flow import MOST_TRIES, FleetState, Flow, Handle, end_of
+from hazelbend.forwarding.patience import Patience, WorkerSilentError, patience_with
 from hazelbend.forwarding.ports import BrokenError, NotSentError, WorkerClient
 from hazelbend.placement.engine import Choice, Stage
+from hazelbend.placement.reliability import SendEnd
 from hazelbend.placement.retry_budget import RetryBudget
 
 MOST_READS = 2  # calls that have a request's prompt read apart
@@ -54,7 +56,7 @@
                 return  # a read that is rejected counts as one send more
             if flow.reads and not self._may_read_again(flow, budget):
                 return
-            pair = placement.choose_pair(flow.service, flow.prompt, self._clock(), tried)
+            pair = placement.choose_pair(flow.service, flow.prompt, self._clock(), tried, flow.stakes)
             if pair is None or pair.reader is None:
                 return
             tried.add(pair.reader.worker.record.instance)
@@ -71,28 +73,38 @@
         reads = flow.reads
         rank = str(rank_of_read(choice.tokens))
         call = flow.call(choice, (("Phase", Stage.PREFILL.value), ("Priority", rank)))
+        end: SendEnd | None = None
         try:
-            answer = await self._client.send(call, lambda: self._may_write(flow, choice))
-            try:
-                self._state.heard(send, answer, self._clock())
-                if answer.status != 200:
+            async with Patience(patience_with(choice), lambda: self._may_give_up(flow)):
+                answer = await self._client.send(call, lambda: self._may_write(flow, choice))
+                try:
+                    self._state.heard(send, answer, self._clock())
                     if answer.not_executed:
                         self._budget(flow.service).charge(self._clock())
-                    return None
-                result = _results.decode(await answer.body())
-                placement.read(send, self._clock())
-                return Handle(choice.worker.record, result.handle)
-            finally:
-                answer.close()
+                    end = end_of(answer)
+                    if answer.status != 200:
+                        return None
+                    result = _results.decode(await answer.body())
+                    placement.read(send, self._clock())
+                    return Handle(choice.worker.record, result.handle)
+                finally:
+                    answer.close()
         except NotSentError as error:
             flow.reads = reads
             self._state.not_reached(choice, error, self._clock())
             return None
-        except (BrokenError, msgspec.DecodeError):
+        except (BrokenError, msgspec.DecodeError, WorkerSilentError):
+            end = SendEnd.FAILED
             return None
         finally:
+            if end is not None:
+                self._state.tell_of(flow, send, end, self._clock())
             placement.ended(send)
 
+    def _may_give_up(self, flow: Flow) -> bool:
+        """Whether another worker can be asked to read the prompt, or the one that makes the tokens can."""
+        return self._budget(flow.service).has_room(self._clock(), self._state.routers)
+
     def _may_write(self, flow: Flow, choice: Choice) -> int | None:
         left = self._state.time_to_write(flow, choice, self._clock())
         if left is not None:
--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -9,19 +9,22 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
 
-from hazelbend.control.load_table import CachedPart, Load
+from hazelbend.control.load_table import CachedPart, Load, Outcomes
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.decisions.formulas import key_rank
 from hazelbend.decisions.records import Mean
 from hazelbend.placement.estimates import UNIT, Estimate, WorkerEstimate
 from hazelbend.placement.prompt import Part, Prompt
 from hazelbend.placement.read_model import ReadModel
+from hazelbend.placement.reliability import SendEnd, Stakes
 from hazelbend.placement.routes import Engine, Service
+from hazelbend.placement.statistics import Statistics
 
 FIRST_PACE = UNIT / 0.03  # microseconds to read a unit, until runs have told
 FIRST_OVERHEAD = 22_000  # microseconds of a call to read, whatever it reads, until runs have told
@@ -35,6 +38,7 @@
 PRESENT_FIRST = 0.5  # the part of homes that have it, until runs have told
 LEAST_SHARED = 2 * UNIT  # tokens that must be shared for a run to tell of that
 OVERDUE, OVERDUE_TIMES = 600_000, 2.0  # microseconds, and times the expected, after which silence is suspect
+LATE, LATE_TIMES = 150_000, 3.0  # microseconds, and times the expected, from which a first sign is late
 MOST_READ = 0.9  # of a prompt that counts as read before its worker has said so
 HOME_BONUS = 4_000  # microseconds: of workers that are alike, all routers take the same
 READ_BESIDE = 0.5  # of the time of a read at a worker that makes tokens, that it costs others there
@@ -42,9 +46,15 @@
 CROSS_ZONE = 3_000  # microseconds that a worker of another zone is further away
 CROSS_ZONE_MOVE = 2.0  # times as long, a move between zones
 MOVE_PRICE = 40.0  # microseconds that a megabyte of moved memory is worth
-AGAIN_PRICE = 10.0  # microseconds that a token is worth which some other worker keeps, read again
+AGAIN_TIMES = 2.0  # times its reading, that a part costs which another worker keeps: others wait too
+KEEPER_JOBS = 4.0  # requests more that a maker of tokens may have which keeps the parts already
+HOME_JOBS = 0.5  # and one to which all routers send what no maker of tokens keeps
 SILENT_PENALTY = 60_000_000  # microseconds: one that has gone silent is the last choice
-KEPT_SHARED = 0.7  # of a worker's memory that is believed to keep shared parts
+MOST_TOLD = 20  # ends of one kind that one word of another router counts as
+KEPT_SHARED = 0.85  # of a worker's memory that is believed to keep shared parts
+
+
+NO_STAKES = Stakes()
 
 
 class Stage(Enum):
@@ -61,7 +71,8 @@
 
     worker: WorkerEstimate
     tokens: int  # to be read there
-    delay: float  # microseconds
+    delay: float  # microseconds, with what it costs beside time
+    expected: float = 0.0  # microseconds to the first sign of the worker, if it is well
 
 
 @dataclass(slots=True, frozen=True)
@@ -85,6 +96,12 @@
     whole: float  # units of its whole prompt
     guessed: float  # units of shared parts that its worker may have had, without anybody having told
     pace: float  # microseconds a unit that were expected there
+    expected: float = 0.0  # microseconds to its first sign
+    sign_at: int | None = None  # when its first sign came: its prompt was read, or its first event was there
+
+    def is_late(self, sign_at: int) -> bool:
+        """Whether a first sign at this time is far later than expected."""
+        return sign_at - self.sent_at > LATE + LATE_TIMES * self.expected
 
     def remaining(self, now: int) -> float:
         """Units that are still to be read, as far as the worker reads in the order of arrival."""
@@ -105,7 +122,10 @@
         self.workers: dict[str, WorkerEstimate] = {}  # by instance
         self.services: dict[str, Service] = {}
         self.switching: set[str] = set()  # instances that are changing their part
-        self.newly_cached: list[CachedPart] = []  # not told to other routers yet
+        self.newly_cached: list[CachedPart] = []  # or used anew, not told to other routers yet
+        self._outcomes: dict[str, Counter[SendEnd]] = {}  # by instance, not told to other routers yet
+        self.statistics = Statistics()
+        self.suspicion_changed: Callable[[WorkerRecord, bool], None] = lambda record, suspect: None
         self.load_changed: Callable[[], None] = lambda: None  # own work has changed
 
     # --- what is known of workers ---
@@ -144,6 +164,7 @@
             over = each.expired or each.record.state is WorkerState.GONE
             if over and not each.busy:
                 del self.workers[instance]
+                self.statistics.forget(instance)
 
     def reported(self, loads: dict[str, Load], cached: tuple[CachedPart, ...], now: int) -> None:
         """What all other routers have under way, and what they had read."""
@@ -157,6 +178,44 @@
             if worker is not None:
                 worker.remember([Part(part.part, part.tokens)], self._memory(worker))
 
+    def told(self, outcomes: tuple[Outcomes, ...], now: int) -> None:
+        """How sends of other routers have ended."""
+        for each in outcomes:
+            worker = self.workers.get(each.instance)
+            if worker is None:
+                continue
+            counts = {
+                SendEnd.FAILED: each.failed,
+                SendEnd.REJECTED: each.rejected,
+                SendEnd.LATE: each.late,
+                SendEnd.SERVED: each.served,
+            }
+            for end, count in counts.items():
+                for _ in range(min(count, MOST_TOLD)):
+                    self._see(worker, end, each.zone == self._zone, now)
+
+    def _see(self, worker: WorkerEstimate, end: SendEnd, in_own_zone: bool, now: int) -> None:
+        worker.reliability.see(end, in_own_zone, now)
+        suspect = worker.reliability.is_suspect(now)
+        if suspect != worker.was_suspect:
+            worker.was_suspect = suspect
+            self.suspicion_changed(worker.record, suspect)
+
+    def take_outcomes(self) -> tuple[Outcomes, ...]:
+        """How own sends have ended since the last call, where others should know."""
+        outcomes, self._outcomes = self._outcomes, {}
+        return tuple(
+            Outcomes(
+                instance,
+                self._zone,
+                counts[SendEnd.SERVED],
+                counts[SendEnd.FAILED],
+                counts[SendEnd.REJECTED],
+                counts[SendEnd.LATE],
+            )
+            for instance, counts in outcomes.items()
+        )
+
     def own_loads(self, now: int) -> dict[str, Load]:
         """This router's unfinished work by worker."""
         return {
@@ -189,42 +248,56 @@
         ]
         return [each for each in listed if now >= each.shut_until] or listed
 
-    def choose(self, service: str, now: int, tried: set[str]) -> Choice | None:
+    def choose(self, service: str, now: int, tried: set[str], stakes: Stakes = NO_STAKES) -> Choice | None:
         """The worker of a service without phases that runs the request soonest."""
-        found = [
-            Choice(each, 0, each.running.delay(1.0, now) + self._distance(each, now))
-            for each in self.candidates(service, Stage.WHOLE, now, tried)
-        ]
+        found = []
+        for each in self.candidates(service, Stage.WHOLE, now, tried):
+            expected = each.running.delay(1.0, now)
+            delay = expected + self._distance(each, now) + each.reliability.cost(stakes, now)
+            found.append(Choice(each, 0, delay, expected))
         return min(found, key=lambda each: (each.delay, self._random.random()), default=None)
 
-    def choose_pair(self, service: str, prompt: Prompt, now: int, tried: set[str]) -> Pair | None:
+    def choose_pair(
+        self, service: str, prompt: Prompt, now: int, tried: set[str], stakes: Stakes = NO_STAKES
+    ) -> Pair | None:
         """The pair that is expected to bring the first event soonest."""
-        pairs = list(self._pairs(service, prompt, now, tried))
+        pairs = list(self._pairs(service, prompt, now, tried, stakes))
         return min(pairs, key=lambda each: (each.delay, self._random.random()), default=None)
 
     def choose_runner(
-        self, service: str, prompt: Prompt, source: WorkerRecord | None, now: int, tried: set[str]
+        self,
+        service: str,
+        prompt: Prompt,
+        source: WorkerRecord | None,
+        now: int,
+        tried: set[str],
+        stakes: Stakes = NO_STAKES,
     ) -> Choice | None:
         """The worker that makes the tokens: of a prompt that `source` keeps, or that it reads itself."""
         runners = self.candidates(service, Stage.DECODE, now, tried)
         runners = runners or self.candidates(service, Stage.WHOLE, now, tried)
         if source is not None:
-            return self._soonest_after(source, prompt, self._soonest_by_zone(runners, now))
+            by_zone = self._soonest_by_zone(runners, prompt, now, stakes)
+            return self._soonest_after(source, prompt, by_zone)
         kept = self._kept(service, prompt)
-        found = [self._alone(each, prompt, kept, now) for each in runners]
+        found = [self._alone(each, prompt, kept, now, stakes) for each in runners]
         return min(found, key=lambda each: (each.delay, self._random.random()), default=None)
 
-    def _pairs(self, service: str, prompt: Prompt, now: int, tried: set[str]) -> Iterator[Pair]:
+    def _pairs(
+        self, service: str, prompt: Prompt, now: int, tried: set[str], stakes: Stakes
+    ) -> Iterator[Pair]:
         kept = self._kept(service, prompt)
         runners = self.candidates(service, Stage.DECODE, now, tried)
         for each in runners:
-            alone = self._alone(each, prompt, kept, now)
+            alone = self._alone(each, prompt, kept, now, stakes)
             yield Pair(None, alone, alone.delay)
-        by_zone = self._soonest_by_zone(runners, now)
+        by_zone = self._soonest_by_zone(runners, prompt, now, stakes)
+        # A read that fails is asked elsewhere.
+        repeatable = Stakes(stakes.lateness, stakes.rejection, stakes.lateness)
         readers = self.candidates(service, Stage.PREFILL, now, tried)
         home = _home(readers, prompt.subject)
         for each in readers:
-            reader = self._reader(each, prompt, kept, home, now)
+            reader = self._reader(each, prompt, kept, home, now, repeatable)
             best = self._soonest_after(each.record, prompt, by_zone)
             if best is not None:
                 yield Pair(reader, best, self._together(reader, best, now))
@@ -238,7 +311,13 @@
         return delay
 
     def _reader(
-        self, worker: WorkerEstimate, prompt: Prompt, kept: int, home: WorkerEstimate | None, now: int
+        self,
+        worker: WorkerEstimate,
+        prompt: Prompt,
+        kept: int,
+        home: WorkerEstimate | None,
+        now: int,
+        stakes: Stakes,
     ) -> Choice:
         cached = worker.holds(prompt.shared)
         bonus = 0.0
@@ -246,10 +325,12 @@
             bonus = HOME_BONUS
             if not kept:
                 present = self._presence(worker.record.service).beside(PRESENT_FIRST, PRESENT_PRIOR)
-                cached = round(present * sum(part.tokens for part in prompt.shared))
+                cached = round(present * prompt.shared_tokens)
         tokens = max(prompt.tokens - cached, 0)
-        delay = self._read_delay(worker, tokens, now) + self._distance(worker, now) - bonus
-        return Choice(worker, tokens, delay + AGAIN_PRICE * max(kept - cached, 0))
+        expected = self._read_delay(worker, tokens, now)
+        delay = expected + self._distance(worker, now) - bonus + worker.reliability.cost(stakes, now)
+        again = self._again_price(worker.record.service) * max(kept - cached, 0)
+        return Choice(worker, tokens, delay + again, expected)
 
     def _read_delay(self, worker: WorkerEstimate, tokens: int, now: int) -> float:
         """Microseconds until a prompt is read of which so many tokens are not cached."""
@@ -259,52 +340,75 @@
         return model.overhead + (self._unread(worker, now) + tokens / UNIT) / worker.reading.rate
 
     def _model(self, record: WorkerRecord) -> ReadModel:
-        key = (record.service, record.phase)
+        return self._phase_model(record.service, record.phase)
+
+    def _phase_model(self, service: str, phase: str) -> ReadModel:
+        key = (service, phase)
         if key not in self._models:
-            times = 1.0 if record.phase == Stage.PREFILL.value else WHOLE_PACE
+            times = 1.0 if phase == Stage.PREFILL.value else WHOLE_PACE
             self._models[key] = ReadModel(FIRST_OVERHEAD, times * FIRST_PACE)
         return self._models[key]
 
+    def _again_price(self, service: str) -> float:
+        """Microseconds that a token is worth which is read though another worker keeps it."""
+        return AGAIN_TIMES * self._phase_model(service, Stage.PREFILL.value).pace / UNIT
+
     def _first_token(self, service: str) -> Mean:
         return self._first_tokens.setdefault(service, Mean())
 
     def _presence(self, service: str) -> Mean:
         return self._present.setdefault(service, Mean())
 
-    def _soonest_by_zone(self, runners: list[WorkerEstimate], now: int) -> dict[str, Choice]:
+    def _soonest_by_zone(
+        self, runners: list[WorkerEstimate], prompt: Prompt, now: int, stakes: Stakes
+    ) -> dict[str, Choice]:
         """Of each zone, the worker that makes the first token of a prompt soonest that was read elsewhere,
         the move left out: that depends on the zones alone."""
-        found: dict[str, Choice] = {}
+        by_zone: dict[str, list[WorkerEstimate]] = {}
+        for worker in runners:
+            by_zone.setdefault(worker.record.zone, []).append(worker)
+        return {zone: self._soonest(found, prompt, now, stakes) for zone, found in by_zone.items()}
+
+    def _soonest(self, runners: list[WorkerEstimate], prompt: Prompt, now: int, stakes: Stakes) -> Choice:
+        """Of these workers of one zone. One that keeps the shared parts is preferred by some requests: its
+        memory takes nothing but the rest, and the next prompt of the subject can be read there alone."""
+        overhead = self._first_token(runners[0].record.service).beside(FIRST_TOKEN, FIRST_TOKEN_PRIOR)
+        home = _home(runners, prompt.subject)
         self._random.shuffle(runners)  # among those that are alike, any
+        found = []
         for worker in runners:
-            overhead = self._first_token(worker.record.service).beside(FIRST_TOKEN, FIRST_TOKEN_PRIOR)
-            delay = overhead + worker.running.delay(1.0, now) + self._distance(worker, now)
-            known = found.get(worker.record.zone)
-            if known is None or delay < known.delay:
-                found[worker.record.zone] = Choice(worker, 0, delay)
-        return found
+            expected = overhead + worker.running.delay(1.0, now)
+            preferred = HOME_JOBS if worker is home else 0.0
+            if prompt.shared and worker.holds(prompt.shared) == prompt.shared_tokens:
+                preferred = KEEPER_JOBS
+            delay = expected + self._distance(worker, now) + worker.reliability.cost(stakes, now)
+            found.append(Choice(worker, 0, delay - preferred / worker.running.rate, expected))
+        return min(found, key=lambda each: each.delay)
 
     def _soonest_after(
         self, source: WorkerRecord, prompt: Prompt, by_zone: dict[str, Choice]
     ) -> Choice | None:
         """Of these, the one that makes the first token soonest of a prompt that `source` keeps."""
         moved = [
-            Choice(each.worker, 0, each.delay + self._move(each.worker, prompt, source))
+            Choice(each.worker, 0, each.delay + self._move(each.worker, prompt, source), each.expected)
             for each in by_zone.values()
         ]
         return min(moved, key=lambda each: each.delay, default=None)
 
-    def _alone(self, worker: WorkerEstimate, prompt: Prompt, kept: int, now: int) -> Choice:
+    def _alone(self, worker: WorkerEstimate, prompt: Prompt, kept: int, now: int, stakes: Stakes) -> Choice:
         """A worker that reads the prompt itself and makes its tokens."""
-        first_token = worker.running.delay(1.0, now) + self._distance(worker, now)
+        first_token = worker.running.delay(1.0, now)
         cached = worker.holds(prompt.shared)
         tokens = max(prompt.tokens - cached, 0)
         units = tokens / UNIT
         read = self._read_delay(worker, tokens, now)
         beside = READ_BESIDE * units / worker.reading.rate
         excess = max(self._unread(worker, now) + units - LONG_READ, 0.0)
-        delay = first_token + read + beside + LONG_READ_PRICE * excess
-        return Choice(worker, tokens, delay + AGAIN_PRICE * max(kept - cached, 0))
+        again = self._again_price(worker.record.service) * max(kept - cached, 0)
+        price = beside + LONG_READ_PRICE * excess + again
+        risk = worker.reliability.cost(stakes, now)
+        delay = first_token + read + self._distance(worker, now) + price + risk
+        return Choice(worker, tokens, delay, first_token + read)
 
     def _move(self, worker: WorkerEstimate, prompt: Prompt, source: WorkerRecord) -> float:
         engine = self._engine(worker.record.service)
@@ -352,14 +456,18 @@
         worker, units = choice.worker, choice.tokens / UNIT
         cached = prompt.tokens - choice.tokens
         guessed = bool(cached) and not worker.holds(prompt.shared)
-        shared = sum(part.tokens for part in prompt.shared) if guessed else 0
+        shared = prompt.shared_tokens if guessed else 0
         whole = prompt.tokens / UNIT
         ahead, pace = self._unread(worker, now), 1 / worker.reading.rate
-        send = Send(worker, units, runs, now, ahead, whole, shared / UNIT, pace)
+        expected = max(choice.expected, 0.0)
+        send = Send(worker, units, runs, now, ahead, whole, shared / UNIT, pace, expected)
         if units:
             self._reads.setdefault(worker.record.instance, {})[send] = None
             worker.reading.add(units)
-            self._remember(worker, prompt)
+            self._use_parts(worker, prompt)
+            counts = self.statistics.of(worker.record.instance)
+            counts.read_tokens += choice.tokens
+            counts.kept_tokens += prompt.tokens - choice.tokens
         if runs:
             worker.running.add(1.0)
         worker.unheard[id(send)] = now + OVERDUE + round(OVERDUE_TIMES * max(choice.delay, 0.0))
@@ -381,6 +489,20 @@
         """Its worker has answered, whatever it says."""
         send.worker.unheard.pop(id(send), None)
         send.worker.answered(now)
+        if not send.worker.record.phase:
+            send.sign_at = now
+
+    def tells_of(self, send: Send, end: SendEnd, now: int) -> None:
+        """Its end tells this of its worker. A worker that is full rejects without fault."""
+        worker = send.worker
+        if end is SendEnd.REJECTED and worker.running.expected(now) >= worker.record.capacity:
+            return
+        if end is SendEnd.SERVED and send.is_late(now if send.sign_at is None else send.sign_at):
+            end = SendEnd.LATE
+        self.statistics.of(worker.record.instance).ends[end] += 1
+        self._see(worker, end, True, now)
+        if end is not SendEnd.SERVED or worker.reliability.is_suspect(now):
+            self._outcomes.setdefault(worker.record.instance, Counter())[end] += 1
 
     def ended(self, send: Send) -> None:
         """It has its end."""
@@ -393,6 +515,8 @@
     def read(self, send: Send, now: int) -> None:
         """The prompt was read there: a sample of the rate."""
         worker, elapsed = send.worker, now - send.sent_at
+        send.sign_at = now
+        self.statistics.of(worker.record.instance).reads.add(elapsed, send.expected)
         model = self._model(worker.record)
         if send.ahead > CLEAR * (send.units + 1):
             return  # what lay before it is an estimate itself
@@ -407,6 +531,8 @@
 
     def first_event(self, send: Send, now: int) -> None:
         """Its first event has come, of a prompt that was read elsewhere."""
+        send.sign_at = now
+        self.statistics.of(send.worker.record.instance).first_events.add(now - send.sent_at, send.expected)
         mean = self._first_token(send.worker.record.service)
         mean.add(min(now - send.sent_at, 10 * FIRST_TOKEN), FIRST_TOKEN_MEMORY)
 
@@ -419,6 +545,13 @@
         worker = send.worker
         worker.running.sample(worker.running.most / max(now - send.sent_at, 1))
 
+    def _use_parts(self, worker: WorkerEstimate, prompt: Prompt) -> None:
+        """It reads the parts or has them. All routers hear of it, so that they know which ones it has not
+        used for longest, and will drop first."""
+        worker.remember(prompt.shared, self._memory(worker))
+        instance = worker.record.instance
+        self.newly_cached += [CachedPart(instance, part.id, part.tokens) for part in prompt.shared]
+
     def _remember(self, worker: WorkerEstimate, prompt: Prompt) -> None:
         instance = worker.record.instance
         for part in worker.remember(prompt.shared, self._memory(worker)):
--- a/hazelbend/placement/estimates.py
+++ b/hazelbend/placement/estimates.py
@@ -15,6 +15,7 @@
 from hazelbend.decisions.interface import WorkerEntry
 from hazelbend.decisions.records import Mean, Worker
 from hazelbend.placement.prompt import Part
+from hazelbend.placement.reliability import Reliability
 
 UNIT = 500  # tokens of reading that count as one job
 RATE_MEMORY = 30.0  # samples that a learnt rate rests on
@@ -75,6 +76,8 @@
     slowness: Mean = field(default_factory=Mean)  # of its reads, over what workers of its kind take
     cached: OrderedDict[str, int] = field(default_factory=OrderedDict)  # tokens by part, longest unused first
     cached_tokens: int = 0
+    reliability: Reliability = field(default_factory=Reliability)
+    was_suspect: bool = False  # as was last told to people
     shut_until: int = 0
     backoff: int = 0
     heard_at: int = 0  # when an own send was last answered
--- a/hazelbend/placement/prompt.py
+++ b/hazelbend/placement/prompt.py
@@ -26,6 +26,11 @@
         """The parts that other requests may have."""
         return self.parts[:-1]
 
+    @property
+    def shared_tokens(self) -> int:
+        """Of all parts that other requests may have."""
+        return sum(part.tokens for part in self.shared)
+
     @property
     def subject(self) -> str:
         """The last part that other requests may have; empty where there is none."""
--- /dev/null
+++ b/hazelbend/placement/reliability.py
@@ -0,0 +1,81 @@
+"""How far a worker is believed to fail or to reject what it is sent, and what that adds to its delay.
+
+Each worker has three estimates of the decision module (`hazelbend.decisions.soundness`): the chance that a
+run there fails (an error, a reset, no answer), the chance that it rejects a request although it has room, and
+the chance that its first sign comes far later than was expected. They are learnt from the ends of own sends
+and of those that other routers tell, and fade. The expected cost of a choice is its delay plus, for each
+chance, the chance times the time that such an end costs the request.
+No worker is taken out: where all of a service fail alike, the costs are alike, and where the others are full,
+one that fails in part is still chosen. Times are microseconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from hazelbend.decisions.soundness import Soundness
+
+OWN_ZONE_FIRST = (
+    2_000_000  # after an end seen in the own zone, what other zones tell of the worker is left out
+)
+SUSPECT_RISK = 0.1  # from which a worker's successes are told to other routers as well
+
+
+LATE_SLIP = 0.05  # part of its sends to which a worker that is well gives a late first sign, as queues form
+
+
+class SendEnd(Enum):
+    """How a send to a worker ended, as far as it tells of the worker."""
+
+    SERVED = "served"
+    FAILED = "failed"
+    REJECTED = "rejected"
+    LATE = "late"  # served, but its first sign came far later than expected
+
+
+@dataclass(slots=True, frozen=True)
+class Stakes:
+    """What an end other than success costs a request, in the time that it is worth."""
+
+    failure: float = 0.0
+    rejection: float = 0.0
+    lateness: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Reliability:
+    """Of one worker, as the routers of one zone see it."""
+
+    runs: Soundness = field(default_factory=Soundness)
+    admission: Soundness = field(default_factory=Soundness)
+    pace: Soundness = field(default_factory=lambda: Soundness(slip=LATE_SLIP))
+    own_zone_seen_at: int | None = None
+
+    def see(self, end: SendEnd, in_own_zone: bool, now: int) -> None:
+        """A send has ended. A worker may fail the callers of one zone alone, so what the own zone has met of
+        late goes before what others tell."""
+        if in_own_zone:
+            self.own_zone_seen_at = now
+        elif self.own_zone_seen_at is not None and now - self.own_zone_seen_at < OWN_ZONE_FIRST:
+            return
+        if end is SendEnd.REJECTED:
+            self.admission.see(True, now)
+            return
+        self.runs.see(end is SendEnd.FAILED, now)
+        self.admission.see(False, now)
+        if end is not SendEnd.FAILED:
+            self.pace.see(end is SendEnd.LATE, now)
+
+    def cost(self, stakes: Stakes, now: int) -> float:
+        """Microseconds that the risk of this worker is worth to a request."""
+        return (
+            stakes.failure * self.runs.risk(now)
+            + stakes.rejection * self.admission.risk(now)
+            + stakes.lateness * self.pace.risk(now)
+        )
+
+    def is_suspect(self, now: int) -> bool:
+        """Whether it has failed, rejected or lagged so much of late that its successes are news."""
+        risks = (self.runs.risk(now), self.admission.risk(now), self.pace.risk(now) - LATE_SLIP)
+        return max(risks) > SUSPECT_RISK
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -11,7 +11,7 @@
 
 from hazelbend.control import messages as m
 from hazelbend.control.load_table import LoadNews, LoadView, RouterLoad
-from hazelbend.control.workers import EXPIRY_HEARTBEATS
+from hazelbend.control.workers import EXPIRY_HEARTBEATS, WorkerRecord
 from hazelbend.forwarding.flow import FleetState
 from hazelbend.forwarding.forwarder import Forwarder
 from hazelbend.placement.engine import Placement
@@ -56,6 +56,7 @@
         self._others = LoadView()
         self._load_seq = clock()  # rises over restarts too
         self._placement.load_changed = self._load_changed
+        self._placement.suspicion_changed = _log_suspicion
 
     # --- its life ---
 
@@ -95,6 +96,10 @@
         return RetryBudget(settings.retry_ratio, settings.retry_slack, settings.retry_window)
 
     async def _ready(self, call: HttpCall) -> HttpAnswer:
+        if call.path == "/metrics":
+            from hazelbend.system import metrics  # it takes time that a start does not have
+
+            return HttpAnswer(200, metrics.render(self._placement.statistics), metrics.CONTENT_TYPE)
         if call.path != "/readyz":
             return HttpAnswer(404, b"no such call\n")
         if self._state.table is None or not self._listener.takes_clients:
@@ -145,6 +150,7 @@
         """See `watch.News`."""
         self._others.take(news)
         self._placement.reported(self._others.loads, news.cached, clock())
+        self._placement.told(news.outcomes, clock())
 
     def _load_changed(self) -> None:
         if self._load_timer is None:
@@ -156,4 +162,10 @@
         self._load_seq += 1
         cached, self._placement.newly_cached = tuple(self._placement.newly_cached), []
         loads = self._placement.own_loads(clock())
-        self._watches.send(RouterLoad(self._settings.node, self._load_seq, loads, cached))
+        outcomes = self._placement.take_outcomes()
+        self._watches.send(RouterLoad(self._settings.node, self._load_seq, loads, cached, outcomes))
+
+
+def _log_suspicion(record: WorkerRecord, suspect: bool) -> None:
+    text = "fails, rejects or lags: set behind the others" if suspect else "is well again"
+    log.info("router: worker %s of %s %s", record.instance, record.service, text)
--- a/hazelbend/system/watch_service.py
+++ b/hazelbend/system/watch_service.py
@@ -11,7 +11,7 @@
 
 from hazelbend.control import messages as m
 from hazelbend.control.config_machine import StoredConfig
-from hazelbend.control.load_table import CachedPart, CacheTable, LoadNews, LoadTable, RouterLoad
+from hazelbend.control.load_table import CachedPart, CacheTable, LoadNews, LoadTable, Outcomes, RouterLoad
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.system.agreement import Agreement
 from hazelbend.system.clock import clock
@@ -42,6 +42,7 @@
         self.loads = LoadTable()
         self._loads_changed = False
         self._cached: list[CachedPart] = []  # not told yet
+        self._outcomes: list[tuple[str, Outcomes]] = []  # by router, not told yet
         self._caches = CacheTable()
         self._soft_written = b""
         self._tasks: list[asyncio.Task[None]] = []
@@ -89,6 +90,7 @@
         if not self.loads.merge(load, clock()):
             return
         self._cached += load.cached
+        self._outcomes += [(load.router, each) for each in load.outcomes]
         self._caches.add(load.cached)
         self._loads_changed = True
         if connection in self._watchers:  # from the router itself: others may not watch this process
@@ -151,11 +153,13 @@
                 continue
             self._loads_changed = False
             cached, self._cached = tuple(self._cached), []
+            outcomes, self._outcomes = self._outcomes, []
             changed = self.loads.take_changed()
             for connection, watcher in list(self._watchers.items()):
                 if not watcher.loads:
                     continue
-                news = LoadNews(self.loads.others(watcher.router, changed), cached)
+                others = tuple(each for router, each in outcomes if router != watcher.router)
+                news = LoadNews(self.loads.others(watcher.router, changed), cached, outcomes=others)
                 if not connection.send(m.encode(news)):
                     connection.close()  # these changes are lost: it begins again with all there is
 
