The placement by concern, its constants in one policy; lateness and short patience reverted

Change: no lateness; patience is 1.5 s and eight times the expected; reading again is priced at 10 us a token as before; a preference decides among makers alone; risk counts beyond that of an unknown worker; one in twenty repeatable requests leaves it out and so finds one that is well again. placement/engine.py (540 lines) is policy, choices, knowledge, chooser and engine; a policy object is handed in.

--- a/hazelbend/control/load_table.py
+++ b/hazelbend/control/load_table.py
@@ -42,7 +42,6 @@
     served: int = 0
     failed: int = 0
     rejected: int = 0  # although the worker had room
-    late: int = 0  # served, but far later than expected
 
 
 class RouterLoad(msgspec.Struct, frozen=True, tag=True):
--- a/hazelbend/decisions/soundness.py
+++ b/hazelbend/decisions/soundness.py
@@ -28,7 +28,6 @@
     errors: float = 0.0  # results that are put down to failing
     served: float = 0.0
     seen_at: int = 0
-    slip: float = SLIP  # what a sound server errs in
 
     def now(self, now: int) -> tuple[float, float, float]:
         """The chance that it fails, and how many errors and successes still tell how often."""
@@ -38,13 +37,13 @@
     def risk(self, now: int) -> float:
         """The chance that its next try ends in an error."""
         failing, errors, served = self.now(now)
-        return failing * (1 + errors) / (2 + errors + served) + (1 - failing) * self.slip
+        return failing * (1 + errors) / (2 + errors + served) + (1 - failing) * SLIP
 
     def see(self, error: bool, now: int) -> None:
         """A try there has ended."""
         failing, errors, served = self.now(now)
         part = (1 + errors) / (2 + errors + served)
-        if_failing, if_sound = (part, self.slip) if error else (1 - part, 1 - self.slip)
+        if_failing, if_sound = (part, SLIP) if error else (1 - part, 1 - SLIP)
         failing = failing * if_failing / (failing * if_failing + (1 - failing) * if_sound)
         self.errors, self.served = errors + failing * error, served + failing * (not error)
         self.failing, self.seen_at = failing, now
--- a/hazelbend/forwarding/flow.py
+++ b/hazelbend/forwarding/flow.py
@@ -8,9 +8,10 @@
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.forwarding.event_stream import EventSplitter
 from hazelbend.forwarding.ports import ClientRequest, Headers, NotSentError, WorkerAnswer, WorkerCall
-from hazelbend.placement.engine import Choice, Placement, Send
+from hazelbend.placement.choices import Choice, Send
+from hazelbend.placement.engine import Placement
 from hazelbend.placement.prompt import Prompt
-from hazelbend.placement.reliability import SendEnd, Stakes
+from hazelbend.placement.reliability import NO_STAKES, SendEnd, Stakes
 from hazelbend.placement.routes import Route, RouteTable
 
 LEAST_LEFT = 30_000  # microseconds below which nothing is sent any more
@@ -47,14 +48,16 @@
     may_have_run: int = 0  # of the sends
     failures: int = 0  # of sends and reads
     handle: Handle | None = None
+    probes: bool = False  # it is sent where it is served soonest if all workers are well
     begun: bool = False  # the head of the answer has gone to the client
     events: EventSplitter | None = None
 
     @property
     def stakes(self) -> Stakes:
         """A run that fails costs the time in which another one may end, or all there was if it may not be
-        repeated; a rejection costs a way there and back, and a part of the retry budget; what comes late
-        costs a target's time."""
+        repeated; a rejection costs a way there and back, and a part of the retry budget."""
+        if self.probes:
+            return NO_STAKES
         target = self.route.target_ms * 1_000.0
         failure = target if self.route.is_idempotent else max(target, self.route.timeout_ms * 1_000.0)
         return Stakes(failure, REJECTION_PART * target, target)
--- a/hazelbend/forwarding/forwarder.py
+++ b/hazelbend/forwarding/forwarder.py
@@ -24,7 +24,7 @@
     WorkerClient,
 )
 from hazelbend.forwarding.prefill import PromptReader
-from hazelbend.placement.engine import Choice, Send
+from hazelbend.placement.choices import Choice, Send
 from hazelbend.placement.prompt import read_prompt
 from hazelbend.placement.reliability import SendEnd
 from hazelbend.placement.retry_budget import RetryBudget
@@ -36,6 +36,7 @@
 WORKER_WAIT = 700_000  # microseconds that a request waits for any worker of its service to be known
 TABLE_WAIT = 1_200_000  # and until a configuration is
 WORKER_LOOK = 0.02  # seconds
+PROBE_PART = 0.05  # of the requests that may be repeated: they find out whether a worker is well again
 RETRY_AFTER_S = 0.25  # where nothing better is known
 RETRY_AFTER_STARTING_S = 0.5
 PROMISES = frozenset({408, 421, 429, 503})  # statuses that say that a request has not run and never will
@@ -108,6 +109,7 @@
             service=service,
             has_phases=route.is_stream and self._state.placement.has_phases(service),
             prompt=read_prompt(request.token_usage, request.prefix_hash),
+            probes=route.is_idempotent and self._random.random() < PROBE_PART,
             deadline=request.arrived_at + patience - min(MARGIN, patience // 10),
         )
 
--- a/hazelbend/forwarding/patience.py
+++ b/hazelbend/forwarding/patience.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 from types import TracebackType
 
-from hazelbend.placement.engine import Choice
+from hazelbend.placement.choices import Choice
 
-LEAST_PATIENCE = 300_000  # microseconds that are always waited
-PATIENCE_TIMES = 4.0  # times the expected time to the first sign
+LEAST_PATIENCE = 1_500_000  # microseconds that are always waited: what is given up was in vain
+PATIENCE_TIMES = 8.0  # times the expected time to the first sign
 
 
 class WorkerSilentError(Exception):
--- a/hazelbend/forwarding/prefill.py
+++ b/hazelbend/forwarding/prefill.py
@@ -11,7 +11,7 @@
 from hazelbend.forwarding.flow import MOST_TRIES, FleetState, Flow, Handle, end_of
 from hazelbend.forwarding.patience import Patience, WorkerSilentError, patience_with
 from hazelbend.forwarding.ports import BrokenError, NotSentError, WorkerClient
-from hazelbend.placement.engine import Choice, Stage
+from hazelbend.placement.choices import Choice, Stage
 from hazelbend.placement.reliability import SendEnd
 from hazelbend.placement.retry_budget import RetryBudget
 
--- a/hazelbend/placement/estimates.py
+++ b/hazelbend/placement/estimates.py
@@ -17,7 +17,6 @@
 from hazelbend.placement.prompt import Part
 from hazelbend.placement.reliability import Reliability
 
-UNIT = 500  # tokens of reading that count as one job
 RATE_MEMORY = 30.0  # samples that a learnt rate rests on
 LEVEL_MEMORY = 10.0  # reports that the usual count of others' jobs rests on
 FIRST_BACKOFF, LAST_BACKOFF = 500_000, 4_000_000  # microseconds without sends after a failure to connect
--- /dev/null
+++ b/hazelbend/placement/policy.py
@@ -0,0 +1,61 @@
+"""All constants of the placement's decisions, in one place, with their units and where they come from.
+
+A policy is handed to `Placement` whole; there is no setting for any of it. Trials and tests hand over others:
+a field at its neutral value switches its mechanism off. Found "by trial" means: by plays of `docs/policy.md`.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+UNIT = 500  # tokens of reading that count as one job
+
+
+@dataclass(slots=True, frozen=True)
+class Policy:
+    """Times in microseconds."""
+
+    # First guesses, until runs have told. Of no deployment: each is replaced by what is seen.
+    first_pace: float = UNIT / 0.03  # to read a unit
+    first_overhead: float = 22_000  # of a call to read, whatever it reads
+    whole_pace: float = 2.2  # times as long, at a worker that makes tokens in between
+    first_run: float = 200_000  # that a request runs
+    first_token: float = 20_000  # from a send whose prompt is read to its first event
+    present_first: float = 0.5  # part of homes that keep what nobody has told of
+
+    # How much is learnt: samples that an estimate rests on, and that its first guess counts as.
+    slowness_memory: float = 20.0
+    slowness_prior: float = 4.0
+    first_token_memory: float = 30.0
+    first_token_prior: float = 4.0
+    present_memory: float = 20.0
+    present_prior: float = 3.0
+    clear: float = 0.25  # part of a sample's reading that may have been estimated to lie before it
+    least_shared: int = 2 * UNIT  # tokens that must be shared for a run to tell whether they were kept
+    most_read: float = 0.9  # of a prompt that counts as read before its worker has said so
+
+    # Prices: what a choice costs beside its own time, as time. By trial on the first two deployments.
+    home_bonus: float = 4_000  # of workers that are alike, all routers take the same
+    read_beside: float = 0.5  # of a read's time at a worker that makes tokens, that it costs others there
+    long_read: float = 6.0  # units before streams there pause
+    long_read_price: float = 20_000  # a unit beyond
+    cross_zone: float = 3_000  # that a worker of another zone is further away
+    cross_zone_move: float = 2.0  # times as long, a move between zones (PROTOCOL.md)
+    move_price: float = 40.0  # a megabyte of moved memory
+    again_price: float = 10.0  # a token that another worker keeps, read again; 0: none
+
+    # Caches. By trial on the third deployment.
+    kept_shared: float = 0.85  # of a worker's memory that is believed to keep shared parts
+    tells_all_reads: bool = True  # whether others hear of each read of a part, or of the first one alone
+    keeper_jobs: float = 4.0  # requests more that a maker of tokens may have which keeps the parts; 0: none
+    home_jobs: float = 0.5  # and one to which all routers send what no maker of tokens keeps; 0: none
+
+    # Workers that are not well.
+    silent_penalty: float = 60_000_000  # one that has gone silent is the last choice
+    overdue: int = 600_000  # after which silence is suspect,
+    overdue_times: float = 2.0  # and times the expected delay
+    risk_part: float = 1.0  # of what `Reliability` says that a choice costs; 0: nothing
+    most_told: int = 20  # ends of one kind that one word of another router counts as
+
+
+STANDARD = Policy()
--- a/hazelbend/placement/reliability.py
+++ b/hazelbend/placement/reliability.py
@@ -1,12 +1,13 @@
 """How far a worker is believed to fail or to reject what it is sent, and what that adds to its delay.
 
-Each worker has three estimates of the decision module (`hazelbend.decisions.soundness`): the chance that a
-run there fails (an error, a reset, no answer), the chance that it rejects a request although it has room, and
-the chance that its first sign comes far later than was expected. They are learnt from the ends of own sends
-and of those that other routers tell, and fade. The expected cost of a choice is its delay plus, for each
-chance, the chance times the time that such an end costs the request.
-No worker is taken out: where all of a service fail alike, the costs are alike, and where the others are full,
-one that fails in part is still chosen. Times are microseconds.
+Each worker has two estimates of the decision module (`hazelbend.decisions.soundness`): the chance that a run
+there fails (an error, a reset), and the chance that it rejects a request although it has room. They are
+learnt from the ends of own sends and of those that other routers tell, and fade. The expected cost of a
+choice is its delay plus, for each chance, the chance times the time that such an end costs the request. What
+is not known of a worker is not held against it, and a part of the requests that may be repeated leaves these
+costs out, so that one that is well again is found. No worker is taken out: where all of a service fail alike,
+the costs are alike, and where the others are full, one that fails in part is still chosen. Times are
+microseconds.
 """
 
 from __future__ import annotations
@@ -22,16 +23,12 @@
 SUSPECT_RISK = 0.1  # from which a worker's successes are told to other routers as well
 
 
-LATE_SLIP = 0.05  # part of its sends to which a worker that is well gives a late first sign, as queues form
-
-
 class SendEnd(Enum):
     """How a send to a worker ended, as far as it tells of the worker."""
 
     SERVED = "served"
     FAILED = "failed"
     REJECTED = "rejected"
-    LATE = "late"  # served, but its first sign came far later than expected
 
 
 @dataclass(slots=True, frozen=True)
@@ -40,7 +37,10 @@
 
     failure: float = 0.0
     rejection: float = 0.0
-    lateness: float = 0.0
+    repeat: float = 0.0  # a failure after which another worker is asked
+
+
+NO_STAKES = Stakes()
 
 
 @dataclass(slots=True, eq=False)
@@ -49,7 +49,6 @@
 
     runs: Soundness = field(default_factory=Soundness)
     admission: Soundness = field(default_factory=Soundness)
-    pace: Soundness = field(default_factory=lambda: Soundness(slip=LATE_SLIP))
     own_zone_seen_at: int | None = None
 
     def see(self, end: SendEnd, in_own_zone: bool, now: int) -> None:
@@ -64,18 +63,17 @@
             return
         self.runs.see(end is SendEnd.FAILED, now)
         self.admission.see(False, now)
-        if end is not SendEnd.FAILED:
-            self.pace.see(end is SendEnd.LATE, now)
 
     def cost(self, stakes: Stakes, now: int) -> float:
         """Microseconds that the risk of this worker is worth to a request."""
-        return (
-            stakes.failure * self.runs.risk(now)
-            + stakes.rejection * self.admission.risk(now)
-            + stakes.lateness * self.pace.risk(now)
-        )
+        return stakes.failure * _excess(self.runs, now) + stakes.rejection * _excess(self.admission, now)
 
     def is_suspect(self, now: int) -> bool:
-        """Whether it has failed, rejected or lagged so much of late that its successes are news."""
-        risks = (self.runs.risk(now), self.admission.risk(now), self.pace.risk(now) - LATE_SLIP)
-        return max(risks) > SUSPECT_RISK
+        """Whether it has failed or rejected so much of late that its successes are news."""
+        return max(_excess(self.runs, now), _excess(self.admission, now)) > SUSPECT_RISK
+
+
+def _excess(believed: Soundness, now: int) -> float:
+    """The risk beyond that of a worker of which nothing is known: else requests would crowd at the few
+    workers that a router happens to have tried of late."""
+    return max(believed.risk(now) - Soundness().risk(now), 0.0)
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -137,7 +137,7 @@
         """See `watch.News`."""
         self._watches.learn(news.controls)
         self._state.routers = max(self._state.routers, news.routers)
-        self._placement.switching = set(news.switching)
+        self._placement.is_switching(set(news.switching))
         self._placement.heard(news.silent, EXPIRY_HEARTBEATS * self._settings.heartbeat)
         self._load_changed()  # told again now and then, as words may be lost
 
