--- a/hazelbend/forwarding/patience.py
+++ b/hazelbend/forwarding/patience.py
@@ -13,7 +13,7 @@
 from hazelbend.placement.choices import Choice
 
 LEAST_PATIENCE = 1_500_000  # microseconds that are always waited: what is given up was in vain
-PATIENCE_TIMES = 8.0  # times the expected time to the first sign
+PATIENCE_TIMES = 6.0  # times the expected time to the first sign
 
 
 class WorkerSilentError(Exception):
--- a/hazelbend/placement/chooser.py
+++ b/hazelbend/placement/chooser.py
@@ -58,7 +58,7 @@
         runners = self._known.candidates(service, Stage.DECODE, now, tried)
         runners = runners or self._known.candidates(service, Stage.WHOLE, now, tried)
         if source is not None:
-            by_zone = self._soonest_by_zone(runners, prompt, now, stakes)
+            by_zone = self._soonest_by_zone(runners, now, stakes)
             return self._soonest_after(source, prompt, by_zone)
         kept = self._known.kept(service, prompt)
         found = [self._alone(each, prompt, kept, now, stakes) for each in runners]
@@ -72,7 +72,7 @@
         for each in runners:
             alone = self._alone(each, prompt, kept, now, stakes)
             yield Pair(None, alone, alone.delay)
-        by_zone = self._soonest_by_zone(runners, prompt, now, stakes)
+        by_zone = self._soonest_by_zone(runners, now, stakes)
         # A read that fails is asked elsewhere.
         repeatable = Stakes(stakes.repeat, stakes.rejection, stakes.repeat)
         readers = self._known.candidates(service, Stage.PREFILL, now, tried)
@@ -114,33 +114,21 @@
         delay = expected + self._distance(worker, now) - bonus + self._risk(worker, stakes, now)
         return Choice(worker, tokens, delay + self._policy.again_price * max(kept - cached, 0), expected)
 
-    def _soonest_by_zone(
-        self, runners: list[WorkerEstimate], prompt: Prompt, now: int, stakes: Stakes
-    ) -> dict[str, Choice]:
+    def _soonest_by_zone(self, runners: list[WorkerEstimate], now: int, stakes: Stakes) -> dict[str, Choice]:
         """Of each zone, the worker that makes the first token of a prompt soonest that was read elsewhere,
         the move left out: that depends on the zones alone."""
-        by_zone: dict[str, list[WorkerEstimate]] = {}
-        for worker in runners:
-            by_zone.setdefault(worker.record.zone, []).append(worker)
-        return {zone: self._soonest(found, prompt, now, stakes) for zone, found in by_zone.items()}
-
-    def _soonest(self, runners: list[WorkerEstimate], prompt: Prompt, now: int, stakes: Stakes) -> Choice:
-        """Of these workers of one zone. One that keeps the shared parts is preferred by some requests: its
-        memory takes nothing but the rest, and the next prompt of the subject can be read there alone."""
-        overhead = self._known.first_token(runners[0].record.service).beside(
-            self._policy.first_token, self._policy.first_token_prior
-        )
-        home = _home(runners, prompt.subject)
+        found: dict[str, Choice] = {}
         self._random.shuffle(runners)  # among those that are alike, any
-        found = []
+        policy = self._policy
         for worker in runners:
+            first_token = self._known.first_token(worker.record.service)
+            overhead = first_token.beside(policy.first_token, policy.first_token_prior)
             expected = overhead + worker.running.delay(1.0, now)
-            preferred = self._policy.home_jobs if worker is home else 0.0
-            if prompt.shared and worker.holds(prompt.shared) == prompt.shared_tokens:
-                preferred = self._policy.keeper_jobs
             delay = expected + self._distance(worker, now) + self._risk(worker, stakes, now)
-            found.append((delay - preferred / worker.running.rate, Choice(worker, 0, delay, expected)))
-        return min(found, key=lambda each: each[0])[1]
+            known = found.get(worker.record.zone)
+            if known is None or delay < known.delay:
+                found[worker.record.zone] = Choice(worker, 0, delay, expected)
+        return found
 
     def _soonest_after(
         self, source: WorkerRecord, prompt: Prompt, by_zone: dict[str, Choice]
--- a/hazelbend/placement/policy.py
+++ b/hazelbend/placement/policy.py
@@ -44,11 +44,9 @@
     move_price: float = 40.0  # a megabyte of moved memory
     again_price: float = 10.0  # a token that another worker keeps, read again; 0: none
 
-    # Caches. By trial on the third deployment.
-    kept_shared: float = 0.85  # of a worker's memory that is believed to keep shared parts
+    # Caches.
+    kept_shared: float = 0.7  # of a worker's memory that is believed to keep shared parts
     tells_all_reads: bool = True  # whether others hear of each read of a part, or of the first one alone
-    keeper_jobs: float = 4.0  # requests more that a maker of tokens may have which keeps the parts; 0: none
-    home_jobs: float = 0.5  # and one to which all routers send what no maker of tokens keeps; 0: none
 
     # Workers that are not well.
     silent_penalty: float = 60_000_000  # one that has gone silent is the last choice
