Reading again is priced by how busy readers are, not by one figure for all

Change: work of a time w delays those who come after it by w * use / (1 - use); use is the part of readers that are busy, learnt from the reports (at most four times its own time). One constant less that rests on a deployment.

--- a/hazelbend/placement/chooser.py
+++ b/hazelbend/placement/chooser.py
@@ -112,7 +112,8 @@
         tokens = max(prompt.tokens - cached, 0)
         expected = self._known.read_delay(worker, tokens, now)
         delay = expected + self._distance(worker, now) - bonus + self._risk(worker, stakes, now)
-        return Choice(worker, tokens, delay + self._policy.again_price * max(kept - cached, 0), expected)
+        again = self._known.again_price(worker.record.service) * max(kept - cached, 0)
+        return Choice(worker, tokens, delay + again, expected)
 
     def _soonest_by_zone(self, runners: list[WorkerEstimate], now: int, stakes: Stakes) -> dict[str, Choice]:
         """Of each zone, the worker that makes the first token of a prompt soonest that was read elsewhere,
@@ -149,9 +150,8 @@
         read = self._known.read_delay(worker, tokens, now)
         beside = self._policy.read_beside * units / worker.reading.rate
         excess = max(self._known.unread(worker, now) + units - self._policy.long_read, 0.0)
-        price = (
-            beside + self._policy.long_read_price * excess + self._policy.again_price * max(kept - cached, 0)
-        )
+        again = self._known.again_price(worker.record.service) * max(kept - cached, 0)
+        price = beside + self._policy.long_read_price * excess + again
         risk = self._risk(worker, stakes, now)
         delay = first_token + read + self._distance(worker, now) + price + risk
         return Choice(worker, tokens, delay, first_token + read)
--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -108,6 +108,7 @@
             load = loads.get(instance, nothing)
             each.reading.reported(round(load.tokens / UNIT), now)
             each.running.reported(load.jobs, now)
+        self._known.see_readers()
         for part in cached:
             worker = self.workers.get(part.instance)
             if worker is not None:
--- a/hazelbend/placement/knowledge.py
+++ b/hazelbend/placement/knowledge.py
@@ -20,6 +20,7 @@
         self._models: dict[tuple[str, str], ReadModel] = {}  # by service and phase
         self._first_tokens: dict[str, Mean] = {}  # by service: from a send with its prompt read to its event
         self._present: dict[str, Mean] = {}  # by service: whether homes have what nobody has told of
+        self._busy: dict[str, Mean] = {}  # by service: the part of its readers that have something to read
         self.reads: dict[str, dict[Send, None]] = {}  # own reads under way, by instance
         self.workers: dict[str, WorkerEstimate] = {}  # by instance
         self.services: dict[str, Service] = {}
@@ -41,9 +42,12 @@
 
     def model(self, record: WorkerRecord) -> ReadModel:
         """How long workers of this kind take to read."""
-        key = (record.service, record.phase)
+        return self._phase_model(record.service, record.phase)
+
+    def _phase_model(self, service: str, phase: str) -> ReadModel:
+        key = (service, phase)
         if key not in self._models:
-            times = 1.0 if record.phase == Stage.PREFILL.value else self._policy.whole_pace
+            times = 1.0 if phase == Stage.PREFILL.value else self._policy.whole_pace
             self._models[key] = ReadModel(self._policy.first_overhead, times * self._policy.first_pace)
         return self._models[key]
 
@@ -79,6 +83,27 @@
             default=0,
         )
 
+    def see_readers(self) -> None:
+        """How many readers of each service have something to read, by the reports that have just come."""
+        readers: dict[str, list[bool]] = {}
+        for each in self.workers.values():
+            if each.record.phase == Stage.PREFILL.value and each.takes_work:
+                busy = each.reading.own > 0 or each.reading.counts.others > 0
+                readers.setdefault(each.record.service, []).append(busy)
+        for service, busy_ones in readers.items():
+            mean = self._busy.setdefault(service, Mean())
+            mean.add(sum(busy_ones) / len(busy_ones), self._policy.busy_memory)
+
+    def again_price(self, service: str) -> float:
+        """Microseconds that a token costs others which is read though another worker keeps it: work of a time
+        w delays those who come after it by w * use / (1 - use), as in a queue with one server."""
+        mean = self._busy.get(service, Mean())
+        use = mean.beside(self._policy.busy_first, self._policy.busy_prior)
+        crowding = self._policy.most_crowding
+        if use < 1.0:
+            crowding = min(use / (1.0 - use), crowding)
+        return crowding * self._phase_model(service, Stage.PREFILL.value).pace / UNIT
+
     def has_phases(self, service: str) -> bool:
         """Whether workers of the service read prompts and make tokens apart."""
         return any(
--- a/hazelbend/placement/policy.py
+++ b/hazelbend/placement/policy.py
@@ -42,7 +42,10 @@
     cross_zone: float = 3_000  # that a worker of another zone is further away
     cross_zone_move: float = 2.0  # times as long, a move between zones (PROTOCOL.md)
     move_price: float = 40.0  # a megabyte of moved memory
-    again_price: float = 10.0  # a token that another worker keeps, read again; 0: none
+    most_crowding: float = 4.0  # most times its own time that work costs those who come after it; 0: none
+    busy_first: float = 0.3  # part of readers that are busy, until reports have told
+    busy_memory: float = 60.0  # reports that this rests on
+    busy_prior: float = 10.0
 
     # Caches.
     kept_shared: float = 0.7  # of a worker's memory that is believed to keep shared parts
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -10,6 +10,7 @@
 from hazelbend.control.load_table import CachedPart, Load
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.placement.engine import Placement
+from hazelbend.placement.policy import STANDARD, UNIT
 from hazelbend.placement.prompt import Part, read_prompt
 from hazelbend.placement.read_model import ReadModel
 from hazelbend.placement.retry_budget import RetryBudget
@@ -281,3 +282,18 @@
     placement.heard({"i-5": 3 * S, "i-6": 3 * S}, 10 * S)
     placement.heard({"i-6": 4 * S}, 10 * S)
     assert not placement.workers["i-5"].silent and placement.workers["i-6"].silent
+
+
+def test_reading_again_costs_the_more_the_busier_the_readers_are(placement):
+    """Given readers that are busy most of the time, then work costs those who come after it more than its own
+    time; given readers that are idle most of the time, then less."""
+    known = placement._known
+    idle = known.again_price("llm")
+    for _ in range(200):
+        placement.reported({"i-1": Load(1, 2_000), "i-2": Load(1, 2_000)}, (), 0)
+    busy = known.again_price("llm")
+    for _ in range(200):
+        placement.reported({}, (), 0)
+    calm = known.again_price("llm")
+    pace = known.model(placement.workers["i-1"].record).pace / UNIT
+    assert calm < idle < pace < busy <= STANDARD.most_crowding * pace
