A worker with nothing against it costs no reckoning of its risk

Change: a worker that has neither failed nor rejected costs nothing at once, which is what the reckoning gives (test); an unknown worker's risk is reckoned once.

--- a/hazelbend/placement/reliability.py
+++ b/hazelbend/placement/reliability.py
@@ -20,6 +20,7 @@
 OWN_ZONE_FIRST = (
     2_000_000  # after an end seen in the own zone, what other zones tell of the worker is left out
 )
+UNKNOWN_RISK = Soundness().risk(0)  # of a worker of which nothing is known
 SUSPECT_RISK = 0.1  # from which a worker's successes are told to other routers as well
 
 
@@ -50,6 +51,7 @@
     runs: Soundness = field(default_factory=Soundness)
     admission: Soundness = field(default_factory=Soundness)
     own_zone_seen_at: int | None = None
+    is_blameless: bool = True  # it has neither failed nor rejected: there is nothing to be reckoned
 
     def see(self, end: SendEnd, in_own_zone: bool, now: int) -> None:
         """A send has ended. A worker may fail the callers of one zone alone, so what the own zone has met of
@@ -58,6 +60,7 @@
             self.own_zone_seen_at = now
         elif self.own_zone_seen_at is not None and now - self.own_zone_seen_at < OWN_ZONE_FIRST:
             return
+        self.is_blameless &= end is SendEnd.SERVED
         if end is SendEnd.REJECTED:
             self.admission.see(True, now)
             return
@@ -66,14 +69,18 @@
 
     def cost(self, stakes: Stakes, now: int) -> float:
         """Microseconds that the risk of this worker is worth to a request."""
+        if self.is_blameless:
+            return 0.0
         return stakes.failure * _excess(self.runs, now) + stakes.rejection * _excess(self.admission, now)
 
     def is_suspect(self, now: int) -> bool:
         """Whether it has failed or rejected so much of late that its successes are news."""
+        if self.is_blameless:
+            return False
         return max(_excess(self.runs, now), _excess(self.admission, now)) > SUSPECT_RISK
 
 
 def _excess(believed: Soundness, now: int) -> float:
     """The risk beyond that of a worker of which nothing is known: else requests would crowd at the few
     workers that a router happens to have tried of late."""
-    return max(believed.risk(now) - Soundness().risk(now), 0.0)
+    return max(believed.risk(now) - UNKNOWN_RISK, 0.0)
--- a/tests/test_reliability.py
+++ b/tests/test_reliability.py
@@ -13,7 +13,7 @@
 from hazelbend.forwarding.ports import BrokenError
 from hazelbend.placement.engine import Placement
 from hazelbend.placement.prompt import read_prompt
-from hazelbend.placement.reliability import OWN_ZONE_FIRST, SendEnd, Stakes
+from hazelbend.placement.reliability import OWN_ZONE_FIRST, Reliability, SendEnd, Stakes
 from hazelbend.placement.retry_budget import RetryBudget
 from hazelbend.placement.statistics import RatioHistogram
 from hazelbend.system import metrics
@@ -288,3 +288,17 @@
     counts = dict(histogram.cumulative())
     assert (counts[0.25], counts[1.0], counts[1.5], counts[10.0], counts[float("inf")]) == (1, 2, 3, 3, 4)
     assert histogram.total == pytest.approx(52.3)
+
+
+def test_the_short_way_for_a_worker_that_has_only_served_gives_what_the_long_one_does():
+    """Guards the time of a choice: most workers of a large fleet have nothing against them."""
+    served, long_way = Reliability(), Reliability(is_blameless=False)
+    for at in range(50):
+        for each in (served, long_way):
+            each.see(SendEnd.SERVED, True, at * S)
+            each.is_blameless = each is served
+        now = at * S + S // 2
+        assert served.cost(ONCE_ONLY, now) == long_way.cost(ONCE_ONLY, now) == 0.0
+        assert not served.is_suspect(now) and not long_way.is_suspect(now)
+    served.see(SendEnd.FAILED, True, 50 * S)
+    assert served.cost(ONCE_ONLY, 50 * S) > 0.0 and served.is_suspect(50 * S)
