The price of reading again is reckoned once a choice

Change: the price is the same for all workers of a choice and is handed down; blameless workers are passed over before any call.

--- a/hazelbend/placement/chooser.py
+++ b/hazelbend/placement/chooser.py
@@ -60,17 +60,18 @@
         if source is not None:
             by_zone = self._soonest_by_zone(runners, now, stakes)
             return self._soonest_after(source, prompt, by_zone)
-        kept = self._known.kept(service, prompt)
-        found = [self._alone(each, prompt, kept, now, stakes) for each in runners]
+        kept, again = self._known.kept(service, prompt), self._known.again_price(service)
+        found = [self._alone(each, prompt, kept, again, now, stakes) for each in runners]
         return min(found, key=lambda each: (each.delay, self._random.random()), default=None)
 
     def _pairs(
         self, service: str, prompt: Prompt, now: int, tried: set[str], stakes: Stakes
     ) -> Iterator[Pair]:
         kept = self._known.kept(service, prompt)
+        again = self._known.again_price(service)
         runners = self._known.candidates(service, Stage.DECODE, now, tried)
         for each in runners:
-            alone = self._alone(each, prompt, kept, now, stakes)
+            alone = self._alone(each, prompt, kept, again, now, stakes)
             yield Pair(None, alone, alone.delay)
         by_zone = self._soonest_by_zone(runners, now, stakes)
         # A read that fails is asked elsewhere.
@@ -78,7 +79,7 @@
         readers = self._known.candidates(service, Stage.PREFILL, now, tried)
         home = _home(readers, prompt.subject)
         for each in readers:
-            reader = self._reader(each, prompt, kept, home, now, repeatable)
+            reader = self._reader(each, prompt, kept, again, home, now, repeatable)
             best = self._soonest_after(each.record, prompt, by_zone)
             if best is not None:
                 yield Pair(reader, best, self._together(reader, best, now))
@@ -96,6 +97,7 @@
         worker: WorkerEstimate,
         prompt: Prompt,
         kept: int,
+        again: float,
         home: WorkerEstimate | None,
         now: int,
         stakes: Stakes,
@@ -112,8 +114,7 @@
         tokens = max(prompt.tokens - cached, 0)
         expected = self._known.read_delay(worker, tokens, now)
         delay = expected + self._distance(worker, now) - bonus + self._risk(worker, stakes, now)
-        again = self._known.again_price(worker.record.service) * max(kept - cached, 0)
-        return Choice(worker, tokens, delay + again, expected)
+        return Choice(worker, tokens, delay + again * max(kept - cached, 0), expected)
 
     def _soonest_by_zone(self, runners: list[WorkerEstimate], now: int, stakes: Stakes) -> dict[str, Choice]:
         """Of each zone, the worker that makes the first token of a prompt soonest that was read elsewhere,
@@ -141,7 +142,15 @@
         ]
         return min(moved, key=lambda each: each.delay, default=None)
 
-    def _alone(self, worker: WorkerEstimate, prompt: Prompt, kept: int, now: int, stakes: Stakes) -> Choice:
+    def _alone(
+        self,
+        worker: WorkerEstimate,
+        prompt: Prompt,
+        kept: int,
+        again: float,
+        now: int,
+        stakes: Stakes,
+    ) -> Choice:
         """A worker that reads the prompt itself and makes its tokens."""
         first_token = worker.running.delay(1.0, now)
         cached = worker.holds(prompt.shared)
@@ -150,8 +159,7 @@
         read = self._known.read_delay(worker, tokens, now)
         beside = self._policy.read_beside * units / worker.reading.rate
         excess = max(self._known.unread(worker, now) + units - self._policy.long_read, 0.0)
-        again = self._known.again_price(worker.record.service) * max(kept - cached, 0)
-        price = beside + self._policy.long_read_price * excess + again
+        price = beside + self._policy.long_read_price * excess + again * max(kept - cached, 0)
         risk = self._risk(worker, stakes, now)
         delay = first_token + read + self._distance(worker, now) + price + risk
         return Choice(worker, tokens, delay, first_token + read)
@@ -173,6 +181,8 @@
         return worker.silent or worker.is_overdue(now)
 
     def _risk(self, worker: WorkerEstimate, stakes: Stakes, now: int) -> float:
+        if worker.reliability.is_blameless:
+            return 0.0
         return self._policy.risk_part * worker.reliability.cost(stakes, now)
 
 
