--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -167,5 +167,5 @@
 
 
 def _log_suspicion(record: WorkerRecord, suspect: bool) -> None:
-    text = "fails, rejects or lags: set behind the others" if suspect else "is well again"
+    text = "fails or rejects: set behind the others" if suspect else "is well again"
     log.info("router: worker %s of %s %s", record.instance, record.service, text)
