Control: a process restores its workers before it listens

Cause: the sockets were opened before the soft state was read, in a thread. A late heartbeat of a worker that had ended, or a router's subscription, in between met a registry without the record of its end. Change: the order of the two steps.

--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -56,9 +56,9 @@
     async def start(self) -> None:
         """Restore the saved state, then start serving."""
         await self._node.restore()
+        await self._soft_state.restore()
         await self._frame_server.listen(*split_address(self._settings.control_peer_address))
         await self._api_server.listen(*split_address(self._settings.control_address))
-        await self._soft_state.restore()
         self._publisher.start()
         self._soft_state.start()
         self._phase_orders.start()
