--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -285,10 +285,19 @@
             case m.WorkerAges():
                 self._workers.handle_ages(sender, body, now)
             case m.WorkerSyncRequest():
-                self.send_worker_snapshot(sender, now)
+                self._send_worker_snapshot(sender, now)
 
-    def send_worker_snapshot(self, address: str, now: int) -> None:
-        """Send all worker records to a peer that may have missed earlier updates."""
+    def handle_link_opened(self, address: str, now: int) -> None:
+        """Introduce this process over a new link, and send all workers: earlier updates may have been lost.
+
+        A peer ignores all messages on a connection before the first hello.
+        """
+        for peer_address, hello in self._hellos(now):
+            if peer_address == address:
+                self._outbox.send(address, hello)
+        self._send_worker_snapshot(address, now)
+
+    def _send_worker_snapshot(self, address: str, now: int) -> None:
         self._workers.send_snapshot(address, now)
 
     def add_seed_addresses(self, addresses: tuple[str, ...], now: int) -> None:
@@ -306,15 +315,19 @@
 
     def _send_hellos(self, now: int) -> None:
         self._next_hello_at = now + HELLO_PERIOD_US
+        for address, hello in self._hellos(now):
+            self._outbox.send(address, hello)
+
+    def _hellos(self, now: int) -> list[tuple[str, m.PeerHello]]:
+        """One hello for each known control process, with its address."""
         counts_for_quorum = self.settings.counts_for_quorum
         leader = self.raft.leader if counts_for_quorum else ""
-        for address, hello in self.peers.hellos(now, counts_for_quorum=counts_for_quorum, leader=leader):
-            self._outbox.send(address, hello)
+        return self.peers.hellos(now, counts_for_quorum=counts_for_quorum, leader=leader)
 
     def _handle_hello(self, sender: str, hello: m.PeerHello, now: int) -> None:
         # A peer that was not alive may have restarted without its records, or was partitioned.
         if self.peers.handle_hello(sender, hello, now):
-            self.send_worker_snapshot(sender, now)
+            self._send_worker_snapshot(sender, now)
 
     def _next_request_id(self) -> int:
         self._last_request_id += 1
--- a/hazelbend/system/control_node.py
+++ b/hazelbend/system/control_node.py
@@ -221,9 +221,9 @@
         link.send(frame)
 
     def _link_opened(self, address: str) -> None:
-        """Send all workers, since earlier messages to this address may have been lost."""
-        self.engine.send_worker_snapshot(address, clock())
-        asyncio.get_running_loop().call_soon(self.advance)
+        """Send a hello and all workers before any frame that waited for the link."""
+        self.engine.handle_link_opened(address, clock())
+        self._send_immediate(self.engine.take_immediate_output())
 
 
 def _ignore_frame(content: bytes) -> None:
--- a/tests/system/test_control_node.py
+++ b/tests/system/test_control_node.py
@@ -7,9 +7,11 @@
 import json
 from collections.abc import Awaitable, Callable
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from hazelbend.control import messages as m
 from hazelbend.control.settings import ControlSettings
 from hazelbend.control.workers import WorkerRecord, WorkerState, WorkerStateChange
 from hazelbend.system import control_api, control_node, control_status, state_persister
@@ -73,6 +75,21 @@
     return response, loop.time() - started_at
 
 
+class Link:
+    """Records the frames to a control process. `on_open` reports that the link is connected."""
+
+    def __init__(self, address: str, on_frame: object, on_open: Callable[[], None]) -> None:
+        self.address = address
+        self.on_open = on_open
+        self.sent: list[m.Body] = []
+
+    def send(self, frame: bytes) -> None:
+        self.sent.append(m.decode(frame))
+
+    def reconnect(self) -> None:
+        pass
+
+
 Scenario = Callable[[ControlNode, ControlApi, Store], Awaitable[None]]
 
 
@@ -178,6 +195,34 @@
     assert line.startswith("control: store: worker i-2: ignored, undecodable")
 
 
+def test_link_that_opens_is_sent_a_hello_and_then_all_workers(play, monkeypatch):
+    """Guards against a snapshot before the hello, which the peer ignores: a process that was killed for less
+    than a second then lacks the end of a worker until it asks for all records (review/3).
+    """
+    links: list[Link] = []
+
+    def link(*arguments: Any) -> Link:
+        links.append(Link(*arguments))
+        return links[-1]
+
+    monkeypatch.setattr(control_node, "FrameLink", link)
+
+    async def scenario(node: ControlNode, api: ControlApi, store: Store) -> None:
+        await api.handle(DEREGISTER)
+        node.engine.add_seed_addresses(
+            ("127.0.0.2:7000",), round(SECOND_US * asyncio.get_running_loop().time())
+        )
+        await asyncio.sleep(1)
+        [other] = [each for each in links if each.address == "127.0.0.2:7000"]
+        other.sent.clear()
+        other.on_open()
+        hello, update = other.sent
+        assert isinstance(hello, m.PeerHello) and hello.identity == node.engine.identity
+        assert isinstance(update, m.WorkerUpdate) and [each.instance for each in update.records] == ["i-1"]
+
+    play(scenario)
+
+
 def test_refused_writes_and_their_end_are_logged_once_each(play, monkeypatch):
     log = Log()
     monkeypatch.setattr(control_node, "log", log)
