Router: the end of a worker is remembered, so that an older record does not bring it back

Cause: a router dropped a worker that was gone together with its record. The new test fails without it.

--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -13,6 +13,7 @@
 from hazelbend.control.load_table import CachedPrefix, Load, Outcomes
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.placement.choices import Attempt, Choice
+from hazelbend.placement.ended_workers import EndedWorkers
 from hazelbend.placement.estimates import QueueEstimate, WorkerEstimate
 from hazelbend.placement.fleet_view import FleetView
 from hazelbend.placement.policy import DEFAULT_POLICY, PREFILL_UNIT_TOKENS, Policy
@@ -46,6 +47,7 @@
         self._policy = policy
         self._fleet = FleetView(policy)
         self._unreported_outcomes: dict[str, Counter[AttemptOutcome]] = {}  # by instance
+        self._ended = EndedWorkers()
         self.selector = WorkerSelector(self._fleet, zone, policy, random.Random(seed))
         self.statistics = Statistics()
         self.newly_cached: list[CachedPrefix] = []
@@ -81,10 +83,12 @@
     # --- updates from control processes ---
 
     def merge(self, record: WorkerRecord) -> None:
-        """Apply a worker record, unless it is older than the known one."""
+        """Apply a worker record, unless it is older than the known one or the worker has ended."""
         known = self.workers.get(record.instance)
+        if record.state is WorkerState.GONE:
+            self._ended.add(record.instance)
         if known is None:
-            if record.state is not WorkerState.GONE:
+            if record.instance not in self._ended:
                 self.workers[record.instance] = self._new_estimate(record)
         elif record.rank > known.record.rank:
             if record.phase != known.record.phase:  # the rates of the old phase are no longer valid
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -9,6 +9,7 @@
 
 from hazelbend.control.load_table import CachedPrefix, Load
 from hazelbend.control.workers import WorkerRecord, WorkerState
+from hazelbend.placement.ended_workers import MAX_ENDED_WORKERS, EndedWorkers
 from hazelbend.placement.engine import PlacementEngine
 from hazelbend.placement.policy import DEFAULT_POLICY, PREFILL_UNIT_TOKENS
 from hazelbend.placement.prefill_model import PrefillTimeModel
@@ -236,6 +237,24 @@
     assert send.worker.prefill.own_jobs == 0
 
 
+def test_older_record_does_not_bring_an_ended_worker_back(placement):
+    """Guards against a control process that was partitioned or has restarted, and still lists the worker."""
+    placement.merge(worker(1, "prefill", seq=2, state=WorkerState.GONE))
+    placement.update_heartbeat_ages({}, 10.0 * S)
+    unknown = worker(99, "prefill", seq=1)
+    placement.merge(worker(99, "prefill", seq=3, state=WorkerState.GONE))
+    for record in (worker(1, "prefill", seq=1), unknown):
+        placement.merge(record)
+        assert record.instance not in placement.workers
+
+
+def test_number_of_remembered_ended_workers_is_bounded():
+    ended = EndedWorkers()
+    for number in range(MAX_ENDED_WORKERS + 1):
+        ended.add(f"i-{number}")
+    assert "i-0" not in ended and "i-1" in ended and f"i-{MAX_ENDED_WORKERS}" in ended
+
+
 def test_draining_or_phase_changing_worker_is_not_chosen(placement):
     placement.merge(worker(1, "prefill", seq=2, state=WorkerState.DRAINING))
     assert placement.selector.choose_pair("llm", LONG, 0, set()).prefill.worker.record.instance == "i-2"
