Control: a forced new cluster is acknowledged only once its epoch is stored

Callers saw: nothing yet; a kill right after the answer to `refound` would have lost the epoch that it named. Cause: the answer was given before the save that it had started. Found while listing every acknowledgement that memory alone holds: configurations wait for the log, workers' announcements do since, this one did not. Change: the answer waits for the outcome of the new epoch's first entry, which is durable output; 503 where the store refuses it. The new test fails without it.

--- a/hazelbend/control/cluster_membership.py
+++ b/hazelbend/control/cluster_membership.py
@@ -44,7 +44,9 @@
             self._raft.force_new_cluster(epoch, now)
 
     def force_new_cluster(self, now: int) -> int:
-        """Start a new cluster from this process's state by order of an operator; returns its epoch.
+        """Start a new cluster from this process's state by order of an operator.
+
+        Returns the id of the proposal that is decided once the new epoch is stored.
 
         Raises:
             LeaderKnownError: a leader is known, so no majority is lost.
@@ -58,8 +60,9 @@
         known_epoch = persistent.epoch + (persistent.current_term >> TERM_BITS) + 1
         epoch = next_epoch(known_epoch, self._unix_seconds(), self._raft.identity)
         self._raft.force_new_cluster(epoch, now)
-        self._raft.propose(encode_force_new_cluster(snapshot), now)
-        return epoch
+        proposal_id = self._raft.propose(encode_force_new_cluster(snapshot), now)
+        assert proposal_id is not None, "a node that has just become the leader takes a proposal"
+        return proposal_id
 
     def reconcile_voters(self, now: int) -> None:
         """On the leader, propose one step towards a voter list of alive quorum processes."""
--- a/hazelbend/control/config_calls.py
+++ b/hazelbend/control/config_calls.py
@@ -24,8 +24,10 @@
     def put(self, base: int, version: int, body: bytes, now: int) -> int | None:
         """Propose a validated configuration; see `ControlEngine.put_config`."""
         proposal_id = self._raft.propose(encode_config_change(base, version, body), now)
-        if proposal_id is None:
-            return None
+        return None if proposal_id is None else self.track_proposal(proposal_id)
+
+    def track_proposal(self, proposal_id: int) -> int:
+        """Report the outcome of this proposal as a `PutOutcome`; returns its request id."""
         request_id = self._next_request_id()
         self._puts[proposal_id] = request_id
         return request_id
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -200,12 +200,12 @@
     def force_new_cluster(self, now: int) -> int:
         """Start a new cluster from this process's state after the permanent loss of a majority.
 
-        Returns the new epoch.
+        Returns the request id of the outcome to wait for: the new epoch counts once it is stored.
 
         Raises:
             LeaderKnownError: a leader is known, so no majority is lost.
         """
-        return self._membership.force_new_cluster(now)
+        return self._config_calls.track_proposal(self._membership.force_new_cluster(now))
 
     # --- calls of workers ---
 
--- a/hazelbend/control/outputs.py
+++ b/hazelbend/control/outputs.py
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True, frozen=True)
 class PutOutcome:
-    """The outcome of a put. `result` is None if it is unknown whether the change was accepted."""
+    """The outcome of a put, or of a forced new cluster. `result` is None if it is unknown."""
 
     request_id: int
     result: ChangeResult | None
--- a/hazelbend/system/control_api.py
+++ b/hazelbend/system/control_api.py
@@ -72,7 +72,7 @@
             case ("GET", "/status"):
                 return self._status()
             case ("POST", "/refound"):
-                return self._force_new_cluster()
+                return await self._force_new_cluster()
         return await self._dispatch_worker_call(request)
 
     async def _dispatch_worker_call(self, request: HttpRequest) -> HttpResponse:
@@ -159,13 +159,17 @@
         status = control_status(self._node.engine, self._node.config.version, clock())
         return HttpResponse(200, msgspec.json.encode(status) + b"\n", JSON)
 
-    def _force_new_cluster(self) -> HttpResponse:
+    async def _force_new_cluster(self) -> HttpResponse:
+        engine = self._node.engine
         try:
-            epoch = self._node.engine.force_new_cluster(clock())
+            request_id = engine.force_new_cluster(clock())
         except ValueError as error:
             return HttpResponse(409, f"{error}\n".encode())
+        epoch = engine.raft.persistent.epoch
         log.warning("control: an operator has forced a new cluster, epoch %d", epoch)
-        self._node.advance()
+        outcome = await self._node.wait_for_outcome(request_id)
+        if not isinstance(outcome, PutOutcome) or outcome.result is not ChangeResult.ACCEPTED:
+            return HttpResponse(503, b"epoch %d has begun, but is not stored yet; see the status\n" % epoch)
         return HttpResponse(200, b'{"epoch":%d}' % epoch, JSON)
 
 
--- a/tests/system/test_control_node.py
+++ b/tests/system/test_control_node.py
@@ -29,6 +29,7 @@
 PUT = HttpRequest("POST", "/config/put", {}, CONFIGURATION)
 GET = HttpRequest("GET", "/config/get", {}, b"")
 DEREGISTER = HttpRequest("POST", "/instances/i-1/deregister", {}, b"{}")
+REFOUND = HttpRequest("POST", "/refound", {}, b"")
 AT_ONCE_S = 0.05
 
 
@@ -223,6 +224,27 @@
     play(scenario)
 
 
+def test_forced_new_cluster_is_acknowledged_only_after_it_is_stored(play):
+    """Guards against an epoch that an operator was told and that a kill right after it loses."""
+
+    async def scenario(node: ControlNode, api: ControlApi, store: Store) -> None:
+        node.engine.raft.leader = ""
+        store.is_writable.clear()
+        call = asyncio.ensure_future(timed_call(api, REFOUND))
+        await asyncio.sleep(OUTCOME_TIMEOUT_S / 2)
+        assert not call.done()
+        store.is_writable.set()
+        response, _ = await call
+        assert response.status == 200
+        assert json.loads(response.body) == {"epoch": node.engine.raft.persistent.epoch}
+        node.engine.raft.leader = ""
+        store.is_full = True
+        response, _ = await timed_call(api, REFOUND)
+        assert response.status == 503
+
+    play(scenario)
+
+
 def test_refused_writes_and_their_end_are_logged_once_each(play, monkeypatch):
     log = Log()
     monkeypatch.setattr(control_node, "log", log)
