Leases: a new epoch is acknowledged only once it is stored

Leases and quotas themselves were answered after their save already (`LeaseNodeDriver._save`). Change: the answer waits for the save, for 2 s at the most; without it the operator is told that the epoch is started, but not stored.

--- a/hazelbend/dispatcher/lease_node_driver.py
+++ b/hazelbend/dispatcher/lease_node_driver.py
@@ -31,6 +31,10 @@
     """A new epoch is refused, because the fleet has a leader."""
 
 
+class EpochNotStoredError(ValueError):
+    """A new epoch was started, but a restart of this member may lose it."""
+
+
 class LeaseNodeDriver:
     """The lease node of one dispatcher and its I/O. `clock` is in microseconds and monotonic."""
 
@@ -129,20 +133,33 @@
             return await self.links.submit_to_leader(address, operation, COMMIT_TIMEOUT_S)
         return reply.response
 
-    def start_new_epoch(self, force: bool) -> str:
-        """Start a new epoch for an operator, and return its number. `force`: even if the fleet has a leader.
+    async def start_new_epoch(self, force: bool) -> str:
+        """Start a new epoch for an operator, and return its number once it is stored.
+
+        `force`: even if the fleet has a leader.
 
         Raises:
-            ValueError: the epoch is refused; the text gives the reason.
+            ValueError: the epoch is refused, or not stored; the text gives the reason.
         """
         leader = self.node.leader
         if leader and not force:
             raise LeaderExistsError(f"{leader} leads: nothing is lost")
-        epoch = self.node.start_new_epoch(time.time(), self._clock())
+        node = self.node
+        epoch = node.start_new_epoch(time.time(), self._clock())
         log.warning("fleet: an operator has started epoch %d on this member", epoch)
         self.pump()
+        is_stored = await self._wait_for_save()
+        if not is_stored or self.node is not node:
+            raise EpochNotStoredError(f"epoch {epoch} is started, but not stored: look at this member's log")
         return str(epoch)
 
+    async def _wait_for_save(self) -> bool:
+        """Wait until the changes so far are saved, or their write has failed; returns False on a timeout."""
+        if self._saving is None:
+            return True
+        ended, _ = await asyncio.wait([self._saving], timeout=COMMIT_TIMEOUT_S)
+        return bool(ended)
+
     def view(self) -> FleetView:
         """Return the state of the fleet as this dispatcher knows it."""
         return self.node.view(self._clock())
--- a/hazelbend/transport/peer/fleet_listener.py
+++ b/hazelbend/transport/peer/fleet_listener.py
@@ -35,7 +35,7 @@
         self,
         receive: Callable[[PeerMessage], None],
         submit: Callable[[Operation], Awaitable[Reply]],
-        start_new_epoch: Callable[[bool], str],
+        start_new_epoch: Callable[[bool], Awaitable[str]],
         view: Callable[[], FleetView],
     ) -> None:
         """`start_new_epoch` takes whether to start it even if there is a leader. It returns the new epoch, or
@@ -80,7 +80,7 @@
             case ("POST", "/fleet/ask"):
                 return _msgpack_response(await self._submit(fleet_codec.decode_operation(body)))
             case ("POST", "/fleet/found"):
-                return web.Response(text=self._start_new_epoch(body == fleet_codec.FORCE_NEW_EPOCH))
+                return web.Response(text=await self._start_new_epoch(body == fleet_codec.FORCE_NEW_EPOCH))
             case ("GET", "/fleet/view"):
                 return _msgpack_response(self._view())
         return web.Response(status=404, text="no such call\n")
--- a/tests/dispatcher/test_fleet_site.py
+++ b/tests/dispatcher/test_fleet_site.py
@@ -255,7 +255,7 @@
         async with running_app(tmp_path, stomp="") as (app, _):
             [part] = app.extensions.values()
             task, leases = part.snapshot, part.node.leases
-            part.driver.start_new_epoch(False)
+            await part.driver.start_new_epoch(False)
 
             async def wait_until(condition):
                 async with asyncio.timeout(60):
