--- a/example/fleet/run.py
+++ b/example/fleet/run.py
@@ -23,9 +23,13 @@
 FIRST_PEER_PORT = 17660  # of control processes, for each other and for routers
 PEER_PORT_COUNT = 16
 FIRST_WORKER_PORT = 18200
-MACHINES = ("127.0.0.2", "127.0.0.3", "127.0.0.4")
+NETWORK = "127.0.0"
+MACHINE_HOSTS = (2, 3, 4)  # last parts of their addresses
+MACHINES = tuple(f"{NETWORK}.{host}" for host in MACHINE_HOSTS)
 WORKER_IP = "127.0.0.9"
+ROLES = ("control", "router")
 WORKER_PHASES = ("prefill", "prefill", "decode", "decode", "decode")
+HEARTBEAT_MS = 300
 START_TIMEOUT_S = 20.0
 RETRY_DELAY_S = 0.05
 HTTP_OK = 200
@@ -45,7 +49,7 @@
 bootstrap: {bootstrap}
 countsForQuorum: true
 dataDir: "{data}"
-heartbeatMs: 300
+heartbeatMs: {heartbeat_ms}
 faultTolerance: {{machines: 1}}
 """
 
@@ -55,8 +59,20 @@
 class ExampleFleet:
     """Processes of three machines, and fake workers in this process."""
 
-    def __init__(self, folder: Path, output: int | None = None) -> None:
-        """`folder` holds settings and data; `output` is the standard output and error of the processes."""
+    def __init__(
+        self,
+        folder: Path,
+        output: int | None = None,
+        network: str = NETWORK,
+        heartbeat_ms: int = HEARTBEAT_MS,
+    ) -> None:
+        """`folder` holds settings and data; `output` is the standard output and error of the processes.
+
+        `network`: the first three parts of all addresses. `heartbeat_ms`: the period of workers' heartbeats
+        that the control processes expect.
+        """
+        self._heartbeat_ms = heartbeat_ms
+        self.machines = tuple(f"{network}.{host}" for host in MACHINE_HOSTS)
         self._folder = folder
         self._output = output
         self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}  # by role and IP
@@ -64,22 +80,34 @@
 
     async def start(self) -> None:
         """Start everything, put a first configuration, and wait until all routers are ready."""
-        for machine_number, ip in enumerate(MACHINES, 1):
-            for role in ("control", "router"):
-                await self.start_process(machine_number, ip, role, bootstrap=True)
+        await self.start_processes()
         for index, phase in enumerate(WORKER_PHASES):
             await self._start_worker(FIRST_WORKER_PORT + index, phase)
-        await self.put_configuration(0, CONFIGURATION)
-        for ip in MACHINES:
+        await self.configure(CONFIGURATION)
+
+    async def start_processes(self) -> None:
+        """Start the processes of all machines for the first time."""
+        for machine_number, ip in enumerate(self.machines, 1):
+            for role in ROLES:
+                await self.start_process(machine_number, ip, role, bootstrap=True)
+
+    async def configure(self, configuration: dict[str, object]) -> None:
+        """Put the first configuration, and wait until all routers are ready."""
+        await self.put_configuration(0, configuration)
+        for ip in self.machines:
             await self._wait_until_ready(ip)
 
     async def _start_worker(self, port: int, phase: str) -> None:
-        control_addresses = tuple(f"{ip}:{CONTROL_PORT}" for ip in MACHINES)
-        settings = FakeModelWorkerSettings("llm", WORKER_IP, port, "z1", phase, control_addresses)
+        settings = FakeModelWorkerSettings("llm", WORKER_IP, port, "z1", phase, self.control_addresses)
         worker = FakeModelWorker(settings)
         await worker.start()
         self.workers.append(worker)
 
+    @property
+    def control_addresses(self) -> tuple[str, ...]:
+        """The addresses of the control processes, for workers and operators."""
+        return tuple(f"{ip}:{CONTROL_PORT}" for ip in self.machines)
+
     async def start_process(self, number: int, ip: str, role: str, *, bootstrap: bool = False) -> None:
         """Start one process of the machine with this number and IP."""
         settings_path = self._folder / f"{role}-{number}.yaml"
@@ -93,9 +121,10 @@
             control=CONTROL_PORT,
             first=FIRST_PEER_PORT,
             last=FIRST_PEER_PORT + PEER_PORT_COUNT - 1,
-            seeds=", ".join(f'"{machine}:{CONTROL_PORT}"' for machine in MACHINES),
+            seeds=", ".join(f'"{machine}:{CONTROL_PORT}"' for machine in self.machines),
             bootstrap=str(bootstrap).lower(),
             data=self._folder / f"data-{number}",
+            heartbeat_ms=self._heartbeat_ms,
         )
         settings_path.write_text(text)
         self.processes[role, ip] = await asyncio.create_subprocess_exec(
@@ -114,7 +143,7 @@
         headers = {"Base-Version": str(base_version)}
         async with asyncio.timeout(START_TIMEOUT_S), aiohttp.ClientSession() as session:
             while True:
-                for ip in MACHINES:
+                for ip in self.machines:
                     url = f"http://{ip}:{CONTROL_PORT}/config/put"
                     try:
                         async with session.post(url, data=body, headers=headers) as response:
