--- a/tests/system/test_control_node.py
+++ b/tests/system/test_control_node.py
@@ -91,6 +91,16 @@
         pass
 
 
+async def call_during_stall(api: ControlApi, store: Store, request: HttpRequest) -> HttpResponse:
+    """Return the response to a request that the store's disk delays. There must be none before its end."""
+    store.is_writable.clear()
+    call = asyncio.ensure_future(timed_call(api, request))
+    await asyncio.sleep(OUTCOME_TIMEOUT_S / 2)
+    assert not call.done()
+    store.is_writable.set()
+    return (await call)[0]
+
+
 Scenario = Callable[[ControlNode, ControlApi, Store], Awaitable[None]]
 
 
@@ -167,12 +177,7 @@
     """Guards against an acknowledgement that a kill of all processes right after it loses (review/2)."""
 
     async def scenario(node: ControlNode, api: ControlApi, store: Store) -> None:
-        store.is_writable.clear()
-        call = asyncio.ensure_future(timed_call(api, DEREGISTER))
-        await asyncio.sleep(OUTCOME_TIMEOUT_S / 2)
-        assert not call.done()
-        store.is_writable.set()
-        response, _ = await call
+        response = await call_during_stall(api, store, DEREGISTER)
         assert response.status == 200
         store.is_full = True
         response, _ = await timed_call(api, HttpRequest("POST", "/instances/i-2/deregister", {}, b"{}"))
@@ -229,12 +234,7 @@
 
     async def scenario(node: ControlNode, api: ControlApi, store: Store) -> None:
         node.engine.raft.leader = ""
-        store.is_writable.clear()
-        call = asyncio.ensure_future(timed_call(api, REFOUND))
-        await asyncio.sleep(OUTCOME_TIMEOUT_S / 2)
-        assert not call.done()
-        store.is_writable.set()
-        response, _ = await call
+        response = await call_during_stall(api, store, REFOUND)
         assert response.status == 200
         assert json.loads(response.body) == {"epoch": node.engine.raft.persistent.epoch}
         node.engine.raft.leader = ""
