--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -565,7 +565,7 @@
 
 def test_failing_history_shrinks_to_few_faults_deterministically():
     with planted_defect("wiped_voter_votes"):
-        seed, all_faults = first_failing_history(range(20, 80))
+        seed, all_faults = first_failing_history(range(60))
         violation, fewest = shrink(seed)
         assert 1 <= len(fewest) <= 3 and len(fewest) <= len(all_faults)
         assert shrink(seed) == (violation, fewest)
