Control: a process that has started takes no heartbeat before it knows which workers ended

Cause: an acknowledged end is stored by a majority, which need not include that process, and its peers send their records only once they have connected to it again, 0.05 to 0.4 s after its start. Change: heartbeats get 503 until the process has the records of so many voters that each majority contains one of them, its own stored ones included; deregistrations are taken. Peers notice a restart by the incarnation in the hello. A process that reaches too few takes heartbeats after `contactMs`, when it is out of touch. Simulation: the fault `late_heartbeat`, the check that a process which started after an acknowledged end does not take the worker for a ready one, two planted defects.

--- a/benchmarks/control/defects.py
+++ b/benchmarks/control/defects.py
@@ -16,12 +16,19 @@
 from hazelbend.consensus import replicator
 from hazelbend.consensus.persistent_state import PersistentState
 from hazelbend.consensus.raft import RaftNode, ReadIndexOutcome
-from hazelbend.control import announcements, cluster_membership, config_state_machine, outputs
+from hazelbend.control import (
+    announcements,
+    cluster_membership,
+    config_state_machine,
+    outputs,
+    worker_recovery,
+)
 from hazelbend.control.announcements import Announcements
 from hazelbend.control.config_state_machine import ChangeResult, ConfigStateMachine, StoredConfig
 from hazelbend.control.engine import ControlEngine
 from hazelbend.control.messages import WorkerUpdate, WorkerUpdateAck
 from hazelbend.control.peers import PeerTable
+from hazelbend.control.worker_recovery import WorkerRecovery
 from hazelbend.control.worker_sync import WorkerSync
 from hazelbend.control.workers import WorkerRecord, WorkerRegistry, WorkerState
 
@@ -247,6 +254,16 @@
     return [(WorkerSync, "restore", restore)]
 
 
+def _take_heartbeats_before_recovery() -> list[Patch]:
+    """A process that has started takes heartbeats at once."""
+    return [(WorkerRecovery, "takes_heartbeats", lambda self, now: True)]
+
+
+def _recover_from_own_records() -> list[Patch]:
+    """A process that has started is content with the records that it has stored itself."""
+    return [(worker_recovery, "meets_majorities", bool)]
+
+
 def _order_without_waiting_for_lease() -> list[Patch]:
     """A new leader sends orders before the lease of its predecessor has expired."""
 
@@ -276,6 +293,8 @@
     "announcement_before_save": _acknowledge_announcement_before_save,
     "announcement_in_memory": _keep_announcements_in_memory,
     "restart_without_ended_workers": _restore_without_ended_workers,
+    "heartbeats_before_recovery": _take_heartbeats_before_recovery,
+    "recovery_from_own_records": _recover_from_own_records,
     "no_lease_before_orders": _order_without_waiting_for_lease,
 }
 
@@ -300,6 +319,8 @@
         "announcement_before_save",
         "announcement_in_memory",
         "restart_without_ended_workers",
+        "heartbeats_before_recovery",
+        "recovery_from_own_records",
     ),
     # A drain is acknowledged too early, or orders of two leaders are too close.
     5: ("number_alone", "drain_by_one", "no_lease_before_orders"),
--- a/benchmarks/control/faults.py
+++ b/benchmarks/control/faults.py
@@ -13,10 +13,11 @@
 from dataclasses import dataclass
 
 from benchmarks.control.fleet import DEFAULT_SYNC_US, Fleet, Machine
-from benchmarks.control.leaving_workers import LeavingWorkers
+from benchmarks.control.leaving_workers import LEAVE_PERIOD_US, LeavingWorkers
 from benchmarks.control.network import MS, S
 from benchmarks.control.observers import DrainingWorkers
 from benchmarks.control.operators import Operators
+from hazelbend.control.workers import WorkerRecord
 
 RESYNC_US = 4 * S  # from the restart of a machine until it counts as available
 RNG_SALT = 0x2000000  # separates these random numbers from those of the other components
@@ -27,6 +28,7 @@
 LARGE_BODY_BYTES = 20_000  # random bytes, in hex, which do not compress to less
 BUSY_US = 4 * S  # duration of changes at short intervals, during the loss of a machine
 BUSY_GAPS_US = (5 * MS, 20 * MS, 50 * MS, 90 * MS, 150 * MS)  # between two changes
+RECONNECT_US = 400 * MS  # from the start of a process, until its peers have connected to it at the latest
 SHORT_RESTART_US = 200 * MS  # from a kill to the start, too short for the peers to miss a hello
 HUGE_BODY_BYTES = 1_400_000  # random bytes: 2.8 MB in hex, 1.4 MB compressed
 
@@ -54,7 +56,7 @@
                       "long_cut", "slow_link", "slow_disk", "stale_answers", "sync_errors")  # fmt: skip
     WHOLE_FLEET = ("kill_all", "wipe_after_ack", "power_after_ack", "clocks", "seeds", "late_frames",
                    "lost_answers", "storm", "huge_bodies", "busy_leader", "doubled_calls",
-                   "power_after_worker_ack", "kill_after_worker_ack")  # fmt: skip
+                   "power_after_worker_ack", "kill_after_worker_ack", "late_heartbeat")  # fmt: skip
     BEYOND_TOLERANCE = ("halves", "overlap", "behind")
     KINDS = SINGLE_MACHINE + WHOLE_FLEET + BEYOND_TOLERANCE
 
@@ -227,13 +229,16 @@
             fleet.kill(address)
             fleet.start(address)
 
+        def hold_answers() -> None:
+            fleet.network.hold(address, fleet.now + 25 * MS, fleet.now + 1_105 * MS)
+
         def isolate_and_drain() -> None:
             fleet.network.isolate([address], fleet.machines)
             self.workers.drain(self._random, address)
 
         restart()
+        fleet.call_later(695 * MS, hold_answers)
         fleet.call_later(700 * MS, lambda: self.workers.drain(self._random, address))
-        fleet.network.hold(address, fleet.now + 720 * MS, fleet.now + 1_800 * MS)
         fleet.call_later(730 * MS, restart)
         fleet.call_later(1_795 * MS, isolate_and_drain)
         fleet.call_later(2 * S + duration, fleet.heal)
@@ -301,7 +306,28 @@
 
     def _after_worker_ack(self, inject_losses: Callable[[], None]) -> None:
         delay = self._random.randint(0, 3 * MS)
-        self.leaving.on_ack = lambda: self.fleet.call_later(delay, inject_losses)
+        self.leaving.on_ack = lambda last_heartbeat: self.fleet.call_later(delay, inject_losses)
+
+    def _late_heartbeat(self, victim: Machine, duration: int) -> None:
+        """One process is down while a deregistration is acknowledged. It starts again, and the worker's last
+        heartbeat arrives there, partly before its peers have connected to it.
+        """
+        fleet = self.fleet
+        address = victim.address
+        connected_after = self._random.randint(0, RECONNECT_US)
+        late_us = self._random.randint(0, 2 * RECONNECT_US)
+
+        def start(last_heartbeat: WorkerRecord) -> None:
+            if victim.engine is not None or victim.removed:
+                return
+            fleet.start(address)
+            fleet.network.hold(address, fleet.now + connected_after, fleet.now + connected_after)
+            fleet.call_later(late_us, lambda: self.leaving.deliver_late_heartbeat(address, last_heartbeat))
+
+        fleet.kill(address)
+        self.leaving.on_ack = start
+        self._lost_until[address] = fleet.now + LEAVE_PERIOD_US + RESYNC_US + 1 * S
+        fleet.call_later(2 * LEAVE_PERIOD_US, lambda: fleet.start(address))
 
     def _clocks(self, victim: Machine, duration: int) -> None:
         """The wall clocks jump backward or forward."""
--- a/benchmarks/control/fleet.py
+++ b/benchmarks/control/fleet.py
@@ -19,10 +19,12 @@
 from hazelbend.control import outputs
 from hazelbend.control.config_state_machine import ChangeResult, StoredConfig
 from hazelbend.control.settings import ControlSettings
+from hazelbend.control.worker_recovery import HeartbeatRejectedError
 from hazelbend.control.workers import WorkerRecord, WorkerStateChange
 
 HEARTBEAT_US = 1_200 * MS
 DEFAULT_SYNC_US = 1 * MS
+CONTACT_US = 3 * S  # without a disturbance, until machines count as in touch
 SOFT_STATE_PERIOD_US = 1_500 * MS  # as in `system.soft_state_saver`
 SAVED_DESPITE_ERROR_FRACTION = 0.5  # of the saves with a sync error: their state is stored nevertheless
 
@@ -171,6 +173,7 @@
             tolerance=self.tolerance,
             heartbeat_us=HEARTBEAT_US,
             lease_us=3 * S,
+            contact_us=CONTACT_US,
         )
         stored = machine.disk.persistent
         persistent = None
@@ -486,7 +489,11 @@
         if machine.engine is None or self.now < machine.frozen_until:
             on_result(False)
             return
-        request_id = call(machine.engine)
+        try:
+            request_id = call(machine.engine)
+        except HeartbeatRejectedError:
+            on_result(False)
+            return
         if request_id is None:
             on_result(True)
         else:
--- a/benchmarks/control/history.py
+++ b/benchmarks/control/history.py
@@ -6,11 +6,10 @@
 from dataclasses import dataclass
 
 from benchmarks.control.faults import Fault, FaultInjector
-from benchmarks.control.fleet import Fleet, InvariantViolationError, has_formed
+from benchmarks.control.fleet import CONTACT_US, Fleet, InvariantViolationError, has_formed
 from benchmarks.control.leaving_workers import LeavingWorkers
 from benchmarks.control.network import MS, S
 from benchmarks.control.observers import (
-    CONTACT_US,
     DrainingWorkers,
     LeaderMonitor,
     OrderMonitor,
--- a/benchmarks/control/leaving_workers.py
+++ b/benchmarks/control/leaving_workers.py
@@ -1,7 +1,8 @@
 """Workers of a simulated fleet that deregister first and serve on, and whose last heartbeat arrives late.
 
 A router that is in touch must not consider such a worker ready any more once its deregistration was
-acknowledged, whatever restarts in between.
+acknowledged, whatever restarts in between. A control process that has started after the acknowledgement must
+not take the late heartbeat as that of a ready worker.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 
 import msgspec
 
-from benchmarks.control.fleet import Fleet
+from benchmarks.control.fleet import CONTACT_US, Fleet, InvariantViolationError
 from benchmarks.control.network import MS, S
 from hazelbend.control.workers import WorkerRecord, WorkerState
 
@@ -30,7 +31,7 @@
 
     fleet: Fleet
     ended_at: dict[str, int] = field(default_factory=dict)  # time of the acknowledgement by instance
-    on_ack: Callable[[], None] | None = None  # called once, at the next acknowledgement
+    on_ack: Callable[[WorkerRecord], None] | None = None  # called once, with the worker's last heartbeat
     _count: int = 0
     _has_ended: bool = False
     _random: random.Random = field(init=False)
@@ -73,10 +74,12 @@
                 return
             self.ended_at[instance] = self.fleet.now
             late_us = self._random.randint(*LATE_HEARTBEAT_RANGE_US)
-            self.fleet.call_later(late_us, lambda: self._send_heartbeat(last_heartbeat))
+            self.fleet.call_later(
+                late_us, lambda: self.deliver_late_heartbeat(self._any_machine(), last_heartbeat)
+            )
             on_ack, self.on_ack = self.on_ack, None
             if on_ack is not None:
-                on_ack()
+                on_ack(last_heartbeat)
 
         def retry() -> None:
             if instance not in self.ended_at and attempts > 1:
@@ -85,5 +88,30 @@
         self.fleet.send_deregistration(self._any_machine(), instance, on_result)
         self.fleet.call_later(RETRY_DELAY_US, retry)
 
+    def deliver_late_heartbeat(self, address: str, record: WorkerRecord) -> None:
+        """Deliver the heartbeat of a worker whose end was acknowledged to this machine.
+
+        Raises:
+            InvariantViolationError: the machine's process takes the worker for a ready one, although it has
+                started after the acknowledgement and reaches other processes.
+        """
+
+        def on_result(acknowledged: bool) -> None:
+            machine = self.fleet.machines[address]
+            if not acknowledged or machine.started_at < self.ended_at[record.instance]:
+                return
+            is_out_of_touch = (
+                self.fleet.now - machine.started_at >= CONTACT_US
+                and not machine.engine.worker_recovery.is_complete
+            )
+            worker = machine.engine.registry.tracked.get(record.instance)
+            if worker is None or worker.record.state is WorkerState.GONE or is_out_of_touch:
+                return
+            raise InvariantViolationError(
+                f"{address} takes a late heartbeat of {record.instance}, which has ended"
+            )
+
+        self.fleet.send_heartbeat(address, record, on_result)
+
     def _any_machine(self) -> str:
         return self._random.choice(sorted(self.fleet.machines))
--- a/benchmarks/control/observers.py
+++ b/benchmarks/control/observers.py
@@ -20,7 +20,6 @@
 
 RNG_SALT = 0x4000000
 CONFIG_APPLY_US = 2 * S  # after which each router has an acknowledged configuration or counts as outdated
-CONTACT_US = 3 * S  # without a disturbance, until routers count as in touch
 DRAIN_APPLY_US = 2 * S  # after which no router sends to a worker whose drain was acknowledged
 LEASE_US = 3 * S
 RESUME_GRACE_US = 300 * MS  # tolerated for an order that a pause of its sender or a broken link delayed
--- a/features/workers.feature
+++ b/features/workers.feature
@@ -24,6 +24,7 @@
   Scenario: Heartbeats restore the list of workers after all control processes were killed
     When worker i-1 reports at machine 2 that it is ready
     And all machines are killed and restart after 1 second
+    And 1 second passes
     And worker i-1 reports at machine 1 that it is ready
     And 1 second passes
     Then all machines list i-1 as ready
--- a/hazelbend/consensus/voters.py
+++ b/hazelbend/consensus/voters.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from hazelbend.consensus.identity import address_of
 
@@ -57,3 +57,33 @@
     same_address = (candidate for candidate in candidates if address_of(candidate) == address_of(replaced))
     successor = next(same_address, candidates[0])
     return tuple(sorted({*voters, successor} - {replaced}))
+
+
+def includes_majorities(holders: Mapping[str, tuple[str, ...]]) -> bool:
+    """Whether these processes include a majority of the voters. `holders`: voter lists by identity.
+
+    During a membership change the holders may know different voter lists. A majority is required of each
+    list that a holder knows and in which that holder is a voter.
+    """
+    lists = _voter_lists(holders)
+    return bool(lists) and all(_count(holders, voters) >= _majority(voters) for voters in lists)
+
+
+def meets_majorities(holders: Mapping[str, tuple[str, ...]]) -> bool:
+    """Whether each majority of the voters contains one of these processes, for the same voter lists as in
+    `includes_majorities`. Half of an even number of voters suffices for that.
+    """
+    lists = _voter_lists(holders)
+    return bool(lists) and all(_count(holders, voters) > len(voters) - _majority(voters) for voters in lists)
+
+
+def _voter_lists(holders: Mapping[str, tuple[str, ...]]) -> set[tuple[str, ...]]:
+    return {voters for identity, voters in holders.items() if identity in voters}
+
+
+def _majority(voters: tuple[str, ...]) -> int:
+    return len(voters) // 2 + 1
+
+
+def _count(holders: Mapping[str, tuple[str, ...]], voters: tuple[str, ...]) -> int:
+    return len(holders.keys() & set(voters))
--- a/hazelbend/control/announcements.py
+++ b/hazelbend/control/announcements.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, field
 
+from hazelbend.consensus.voters import includes_majorities
 from hazelbend.control.messages import WorkerUpdate, WorkerUpdateAck
 from hazelbend.control.workers import WorkerRecord
 
@@ -29,14 +30,8 @@
     holders: dict[str, tuple[str, ...]] = field(default_factory=dict)
 
     def is_durable(self, tolerance: int) -> bool:
-        """Whether a majority of the voters, and more than `tolerance` processes, hold the announcement.
-
-        During a membership change the holders may know different voter lists. A majority is required of each
-        list that a holder knows and in which that holder is a voter.
-        """
-        voter_lists = {voters for identity, voters in self.holders.items() if identity in voters}
-        majorities = [2 * len(self.holders.keys() & set(voters)) > len(voters) for voters in voter_lists]
-        return bool(voter_lists) and all(majorities) and len(self.holders) > tolerance
+        """Whether a majority of the voters, and more than `tolerance` processes, hold the announcement."""
+        return includes_majorities(self.holders) and len(self.holders) > tolerance
 
 
 class Announcements:
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -31,6 +31,7 @@
 from hazelbend.control.peers import PeerTable
 from hazelbend.control.phase_planner import PhaseOrder, PhasePlanner
 from hazelbend.control.settings import ControlSettings
+from hazelbend.control.worker_recovery import WorkerRecovery
 from hazelbend.control.worker_sync import WorkerSync
 from hazelbend.control.workers import WorkerRecord, WorkerRegistry
 
@@ -69,10 +70,19 @@
         self.peak_router_count = 1  # most routers subscribed to the fleet at one time: they share budgets
         self._outbox = Outbox()
         self._config_calls = ConfigCalls(self.raft, self.config_state, self._next_request_id)
-        self._workers = WorkerSync(self.raft, settings, self.peers, self._outbox, self._next_request_id)
+        self.worker_recovery = WorkerRecovery(
+            self.raft.identity,
+            self.raft.incarnation,
+            gives_up_at=now + settings.contact_us,
+            has_stored_state=persistent is not None,
+        )
+        self._workers = WorkerSync(
+            self.raft, settings, self.peers, self._outbox, self._next_request_id, self.worker_recovery
+        )
         self._membership = ClusterMembership(self.raft, self.config_state, self.peers, settings, unix_seconds)
         self._order_authority = OrderAuthority(self.raft, settings.lease_us, now)
         self._next_hello_at = now
+        self._has_sent_hellos = False
         self._next_ages_at = now
         self._next_voters_check_at = now
         self._last_request_id = 0  # unique within this incarnation
@@ -213,11 +223,17 @@
         """Handle a worker's heartbeat; returns the request id of the outcome to wait for.
 
         Returns None if there is no outcome to wait for.
+
+        Raises:
+            HeartbeatRejectedError: this process has started and does not yet know which workers have ended.
         """
         return self._workers.handle_heartbeat(record, now)
 
     def handle_deregistration(self, instance: str, now: int) -> int | None:
-        """Handle a worker's deregistration; returns the same as `handle_heartbeat`."""
+        """Handle a worker's deregistration; returns the request id of the outcome to wait for.
+
+        It is taken at any time, because an end is final.
+        """
         return self._workers.handle_deregistration(instance, now)
 
     def reaches_quorum_peers(self, now: int) -> bool:
@@ -257,10 +273,12 @@
     def tick(self, now: int) -> None:
         """Run everything that is due: consensus, hellos, heartbeat ages, voter checks, call timeouts."""
         self._membership.bootstrap_if_first(now)
+        self.worker_recovery.update(self.raft.voters)
         if now >= self.raft.next_tick_at:
             self.raft.tick(now)
         if now >= self._next_hello_at:
             self._send_hellos(now)
+            self._request_missing_snapshots(now)
         if now >= self._next_ages_at:
             self._next_ages_at = now + AGES_PERIOD_US
             self._workers.send_ages(tuple(self.subscribed_routers), self.planner.switching, now)
@@ -297,6 +315,12 @@
                 self._outbox.send(address, hello)
         self._send_worker_snapshot(address, now)
 
+    def _request_missing_snapshots(self, now: int) -> None:
+        """Peers send a snapshot at the first hello of this run, so it is requested only at later ones."""
+        if self._has_sent_hellos:
+            self._workers.request_snapshots(now)
+        self._has_sent_hellos = True
+
     def _send_worker_snapshot(self, address: str, now: int) -> None:
         self._workers.send_snapshot(address, now)
 
@@ -325,7 +349,7 @@
         return self.peers.hellos(now, counts_for_quorum=counts_for_quorum, leader=leader)
 
     def _handle_hello(self, sender: str, hello: m.PeerHello, now: int) -> None:
-        # A peer that was not alive may have restarted without its records, or was partitioned.
+        # A peer that has restarted may lack records, and one that was partitioned has missed updates.
         if self.peers.handle_hello(sender, hello, now):
             self._send_worker_snapshot(sender, now)
 
--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -35,6 +35,14 @@
     messages: tuple[RaftMessage, ...]
 
 
+class SnapshotSource(msgspec.Struct, frozen=True):
+    """Identifies the sender of a snapshot of all worker records; see `worker_recovery`."""
+
+    identity: str
+    voters: tuple[str, ...]  # the voter list that the sender knows
+    receiver_incarnation: int  # the run of the receiver of which the sender had a hello before the snapshot
+
+
 class WorkerUpdate(msgspec.Struct, frozen=True, tag="WorkerNews"):
     """Changed worker records. If `request_id` is above 0, the sender waits for a `WorkerUpdateAck`."""
 
@@ -43,6 +51,8 @@
     ages: dict[str, int] = {}  # microseconds since each worker's last heartbeat
     # Of the sender; request ids are unique within one incarnation.
     incarnation: int = msgspec.field(default=0, name="life")
+    # In a snapshot of all records that a recovery may count. Left out otherwise.
+    source: SnapshotSource | msgspec.UnsetType = msgspec.UNSET
 
 
 class WorkerUpdateAck(msgspec.Struct, frozen=True, tag="WorkerNewsTaken"):
--- a/hazelbend/control/peers.py
+++ b/hazelbend/control/peers.py
@@ -111,9 +111,12 @@
         return hellos
 
     def handle_hello(self, sender: str, hello: PeerHello, now: int) -> bool:
-        """Handle a hello. Returns True if its sender was not alive before, so it may have missed messages."""
-        is_new = sender not in self.alive(now)
+        """Handle a hello. Returns True if its sender may have missed messages: it was not alive before, or
+        has restarted.
+        """
         peer = self._peers.setdefault(sender, Peer())
+        has_restarted = _incarnation(peer.stamp) != _incarnation(hello.stamp)
+        may_lack_messages = has_restarted or sender not in self.alive(now)
         peer.identity = hello.identity
         peer.counts_for_quorum = hello.counts_for_quorum
         peer.leaving = hello.leaving
@@ -127,7 +130,7 @@
             peer.verified_identity = hello.identity
             peer.verified_at = echo.time_us
         self.add_addresses(hello.control_addresses, now)
-        return is_new
+        return may_lack_messages
 
     # --- voters ---
 
@@ -211,3 +214,7 @@
     def _is_seed_majority_alive(self, now: int) -> bool:
         alive = {address for address, peer in self.alive(now).items() if peer.identity} | {self.address}
         return 2 * len(alive & set(self.seeds)) > len(self.seeds)
+
+
+def _incarnation(stamp: Timestamp | None) -> int | None:
+    return None if stamp is None else stamp.incarnation
--- a/hazelbend/control/settings.py
+++ b/hazelbend/control/settings.py
@@ -16,3 +16,4 @@
     tolerance: int  # number of quorum processes that may be lost at the same time
     heartbeat_us: int  # between two heartbeats of a worker
     lease_us: int = 0  # minimum time between orders of two leaders
+    contact_us: int = 3_000_000  # without a majority for so long, a process counts as out of touch
--- a/hazelbend/control/worker_sync.py
+++ b/hazelbend/control/worker_sync.py
@@ -8,12 +8,15 @@
 
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from hazelbend.consensus.raft import RaftNode
 from hazelbend.control import messages as m
 from hazelbend.control.announcements import AnnouncementOutcome, Announcements
 from hazelbend.control.outputs import Outbox
 from hazelbend.control.peers import PeerTable
 from hazelbend.control.settings import ControlSettings
+from hazelbend.control.worker_recovery import HeartbeatRejectedError, WorkerRecovery
 from hazelbend.control.workers import (
     RESTORED_HEARTBEATS,
     SILENT_HEARTBEATS,
@@ -35,8 +38,10 @@
         peers: PeerTable,
         outbox: Outbox,
         next_request_id: Callable[[], int],
+        recovery: WorkerRecovery,
     ) -> None:
         self.registry = WorkerRegistry(settings.heartbeat_us)
+        self.recovery = recovery
         self._raft = raft
         self._settings = settings
         self._peers = peers
@@ -55,6 +60,11 @@
 
     def handle_heartbeat(self, record: WorkerRecord, now: int) -> int | None:
         """See `ControlEngine.handle_heartbeat`."""
+        if not self.recovery.takes_heartbeats(now):
+            raise HeartbeatRejectedError
+        return self._announce(record, now)
+
+    def _announce(self, record: WorkerRecord, now: int) -> int | None:
         known = self.registry.tracked.get(record.instance)
         self._forward(self.registry.merge(record, now))
         if record.state is WorkerState.READY:
@@ -72,7 +82,7 @@
         tombstone = self.registry.tombstone(instance)
         if tombstone is None:
             tombstone = WorkerRecord(instance, "", "", "", WorkerState.GONE, 0)
-        return self.handle_heartbeat(tombstone, now)
+        return self._announce(tombstone, now)
 
     def expire_calls(self, now: int) -> None:
         """Fail all calls that have timed out."""
@@ -99,8 +109,20 @@
 
     def send_snapshot(self, address: str, now: int) -> None:
         """Send all worker records to a peer that may have missed earlier updates."""
-        update = m.WorkerUpdate(0, self.registry.unexpired_records(now), self.registry.ages(now))
-        self._outbox.send(address, update)
+        peer = self._peers.get(address)
+        source: m.SnapshotSource | msgspec.UnsetType = msgspec.UNSET
+        if peer is not None and peer.stamp is not None:
+            source = self.recovery.source_for(peer.stamp.incarnation, self._raft.voters)
+        records = self.registry.unexpired_records(now)
+        self._outbox.send(address, m.WorkerUpdate(0, records, self.registry.ages(now), source=source))
+
+    def request_snapshots(self, now: int) -> None:
+        """Request all records of each peer whose snapshot this process needs and lacks."""
+        if not self.recovery.is_requesting(now):
+            return
+        for address, peer in self._peers.alive(now).items():
+            if not self.recovery.has_snapshot_of(peer.identity):
+                self._outbox.send(address, m.WorkerSyncRequest())
 
     def send_ages(self, routers: tuple[str, ...], switching: tuple[str, ...], now: int) -> None:
         """Send peers the ages of workers with a heartbeat since the last call, and this registry's digest."""
@@ -114,6 +136,8 @@
         for record in update.records:
             last_heartbeat_at = now - update.ages.get(record.instance, 0)
             self._forward(self.registry.merge(record, last_heartbeat_at))
+        if update.source is not msgspec.UNSET:
+            self.recovery.handle_snapshot(update.source, self._raft.voters)
         if update.request_id:
             self._acknowledge_once_saved(sender, update)
 
--- a/hazelbend/system/control_api.py
+++ b/hazelbend/system/control_api.py
@@ -14,6 +14,7 @@
 from hazelbend.control.config_state_machine import ChangeResult, decompress_body
 from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
 from hazelbend.control.outputs import CallOutcome, PutOutcome, ReadOutcome
+from hazelbend.control.worker_recovery import HeartbeatRejectedError
 from hazelbend.protocol.control_calls import parse_heartbeat
 from hazelbend.system.clock import clock
 from hazelbend.system.control_node import ControlNode
@@ -27,6 +28,7 @@
 JSON = "application/json"
 
 NOT_FOUND = HttpResponse(404, b"no such call\n")
+WORKERS_NOT_RECOVERED = HttpResponse(503, b"just started: not all workers that have ended are known\n")
 CONFIG_CONFLICT = HttpResponse(412, b"another version is current\n")
 CONFIG_VERSION_NOT_NEWER = HttpResponse(400, b"version: not above the current one\n")
 CONFIG_BASE_TOO_OLD = HttpResponse(503, b"too old to know whether it was taken; read the configuration\n")
@@ -91,7 +93,10 @@
         except ValueError as error:
             raise CallRejectedError(HttpResponse(400, f"{error}\n".encode())) from None
         now = clock()
-        request_id = self._node.engine.handle_heartbeat(record, now)
+        try:
+            request_id = self._node.engine.handle_heartbeat(record, now)
+        except HeartbeatRejectedError:
+            raise CallRejectedError(WORKERS_NOT_RECOVERED) from None
         if request_id is None and not self._node.engine.reaches_quorum_peers(now):
             self._node.advance()
             return HttpResponse(503, b"no other control process can be reached from here\n")
--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -119,4 +119,5 @@
         tolerance=settings.tolerated_losses,
         heartbeat_us=settings.heartbeat_us,
         lease_us=settings.lease_us,
+        contact_us=settings.contact_us,
     )
--- a/hazelbend/system/control_event_log.py
+++ b/hazelbend/system/control_event_log.py
@@ -24,15 +24,33 @@
         self._quorum_lost_at: int | None = None
         self._conflicting_epoch = 0
         self._catching_up: set[str] = set()
+        self._recovery_started_at: int | None = None
+        self._is_recovering = True
 
     def observe(self, engine: ControlEngine, now: int) -> None:
         """Log all changes since the previous call."""
+        self._observe_worker_recovery(engine, now)
         self._observe_leader(engine)
         self._observe_voters(engine)
         self._observe_quorum(engine, now)
         self._observe_transfers(engine)
         self._observe_conflicting_epoch(engine)
 
+    def _observe_worker_recovery(self, engine: ControlEngine, now: int) -> None:
+        if not self._is_recovering:
+            return
+        if self._recovery_started_at is None:
+            self._recovery_started_at = now
+        recovery = engine.worker_recovery
+        seconds = (now - self._recovery_started_at) / SECOND_US
+        if recovery.is_complete:
+            log.info("control: workers recovered in %.3f s, sources: %d", seconds, recovery.source_count)
+        elif recovery.takes_heartbeats(now):
+            log.warning(
+                "control: no majority within %.1f s: heartbeats are taken without its workers", seconds
+            )
+        self._is_recovering = not recovery.takes_heartbeats(now)
+
     def _observe_leader(self, engine: ControlEngine) -> None:
         term = engine.raft.persistent.current_term
         if self._led_term and not engine.raft.is_leader:
--- a/hazelbend/system/settings.py
+++ b/hazelbend/system/settings.py
@@ -63,6 +63,7 @@
     retry_slack = fields.Float(data_key="retrySlack", load_default=10)
     lease_ms = fields.Float(data_key="leaseMs", load_default=3_000)
     config_apply_ms = fields.Float(data_key="configApplyMs", load_default=2_000)
+    contact_ms = fields.Float(data_key="contactMs", load_default=3_000, validate=validate.Range(min=0))
 
 
 class _SettingsSchema(_Table):
@@ -119,6 +120,7 @@
     retry_slack: float
     lease_us: int  # of phase orders
     config_apply_us: int  # time in which an acknowledged configuration comes into force everywhere
+    contact_us: int  # without contact to a majority for so long, a machine counts as out of touch
 
     @property
     def control_peer_address(self) -> str:
@@ -189,4 +191,5 @@
         retry_slack=bounds["retry_slack"],
         lease_us=round(bounds["lease_ms"] * MILLISECOND_US),
         config_apply_us=round(bounds["config_apply_ms"] * MILLISECOND_US),
+        contact_us=round(bounds["contact_ms"] * MILLISECOND_US),
     )
--- a/tests/control/test_control_faults.py
+++ b/tests/control/test_control_faults.py
@@ -164,6 +164,11 @@
     fleet.run(1 * S)
     fleet.kill(address)
     fleet.start(address)
+    results: list[bool] = []
+    fleet.send_heartbeat(address, READY, results.append)
+    assert results == [False]  # not taken before the process has the records of a majority
+    assert fleet.machines[address].engine.registry.tracked[READY.instance].record.state is WorkerState.GONE
+    fleet.run(1 * S)
     acknowledge(fleet.send_heartbeat, address, READY)
     assert fleet.machines[address].engine.registry.tracked[READY.instance].record.state is WorkerState.GONE
 
--- a/tests/golden/golden_kit.py
+++ b/tests/golden/golden_kit.py
@@ -406,6 +406,16 @@
         **{f"Agreement: {name}": {"type": "Agreement", "messages": [m]} for name, m in LOG_MESSAGES.items()},
         "WorkerNews": WORKER_NEWS | {"ages": {"w-1": 150, "w-2": 2000000}, "life": 99},
         "WorkerNews, least": {"type": "WorkerNews", "number": 0, "records": []},
+        "WorkerNews, snapshot": WORKER_NEWS
+        | {
+            "number": 0,
+            "ages": {"w-1": 150},
+            "source": {
+                "identity": N2,
+                "voters": [N1, N2, N3],
+                "receiver_incarnation": 99,
+            },
+        },
         "WorkerNewsTaken": {
             "type": "WorkerNewsTaken",
             "number": 4,
--- a/tests/system/test_control_node.py
+++ b/tests/system/test_control_node.py
@@ -12,11 +12,13 @@
 import pytest
 
 from hazelbend.control import messages as m
+from hazelbend.control.engine import ControlEngine
 from hazelbend.control.settings import ControlSettings
 from hazelbend.control.workers import WorkerRecord, WorkerState, WorkerStateChange
-from hazelbend.system import control_api, control_node, control_status, state_persister
+from hazelbend.system import control_api, control_event_log, control_node, control_status, state_persister
 from hazelbend.system.clock import SECOND_US
 from hazelbend.system.control_api import ControlApi
+from hazelbend.system.control_event_log import ControlEventLog
 from hazelbend.system.control_node import OUTCOME_TIMEOUT_S, SAVE_RETRY_DELAY_S, ControlNode
 from hazelbend.system.state_persister import worker_row
 from hazelbend.transport.background_work import FailureRegistry
@@ -28,6 +30,8 @@
 CONFIGURATION = Path("example/fleet/configuration.json").read_bytes()
 PUT = HttpRequest("POST", "/config/put", {}, CONFIGURATION)
 GET = HttpRequest("GET", "/config/get", {}, b"")
+HEARTBEAT_BODY = b'{"backend":"s","addr":"10.9.0.1:80","zone":"z","seq":1}'
+HEARTBEAT = HttpRequest("POST", "/instances/i-1/heartbeat", {}, HEARTBEAT_BODY)
 DEREGISTER = HttpRequest("POST", "/instances/i-1/deregister", {}, b"{}")
 REFOUND = HttpRequest("POST", "/refound", {}, b"")
 AT_ONCE_S = 0.05
@@ -54,13 +58,14 @@
 
 
 class Log:
-    """Records the lines at level warning or error."""
+    """Records the lines at level warning or error, and in `info_lines` the others."""
 
     def __init__(self) -> None:
         self.lines: list[str] = []
+        self.info_lines: list[str] = []
 
     def info(self, text: str, *values: object) -> None:
-        pass
+        self.info_lines.append(text % values)
 
     def warning(self, text: str, *values: object) -> None:
         self.lines.append(text % values)
@@ -201,6 +206,43 @@
     assert line.startswith("control: store: worker i-2: ignored, undecodable")
 
 
+def test_heartbeat_gets_503_until_the_process_knows_which_workers_have_ended(play, monkeypatch):
+    """Guards against a late heartbeat that a process which has just started takes for a new worker's."""
+    log = Log()
+    monkeypatch.setattr(control_event_log, "log", log)
+
+    async def scenario(node: ControlNode, api: ControlApi, store: Store) -> None:
+        await node.restore()
+        response, _ = await timed_call(api, HEARTBEAT)
+        assert (response.status, response.body) == (503, control_api.WORKERS_NOT_RECOVERED.body)
+        assert not node.engine.registry.tracked
+        node.advance()
+        await asyncio.sleep(AT_ONCE_S)
+        response, _ = await timed_call(api, HEARTBEAT)
+        assert response.status == 200
+        assert set(node.engine.registry.tracked) == {"i-1"}
+
+    play(scenario)
+    assert [line for line in log.info_lines if "recovered" in line] == [
+        "control: workers recovered in 0.000 s, sources: 1"
+    ]
+
+
+def test_recovery_without_a_majority_is_given_up_with_a_warning(play, monkeypatch):
+    log = Log()
+    monkeypatch.setattr(control_event_log, "log", log)
+
+    async def scenario(node: ControlNode, api: ControlApi, store: Store) -> None:
+        event_log = ControlEventLog()
+        engine = ControlEngine("a", node.engine.settings, 1, 0, lambda: 0.0)
+        for now in (0, engine.settings.contact_us - 1, engine.settings.contact_us, SECOND_US * 60):
+            event_log.observe(engine, now)
+
+    play(scenario)
+    [line] = [line for line in log.lines if "majority within" in line]
+    assert line == "control: no majority within 3.0 s: heartbeats are taken without its workers"
+
+
 def test_link_that_opens_is_sent_a_hello_and_then_all_workers(play, monkeypatch):
     """Guards against a snapshot before the hello, which the peer ignores: a process that was killed for less
     than a second then lacks the end of a worker until it asks for all records (review/3).
