Control: a process that has started reports no ready worker to routers before its recovery

A router that had restarted too and reached only this process sent it requests. Change: routers get ready workers once the recovery has ended, all at once; records of workers that drain or have ended as before. The two new tests fail without the filter.

--- a/benchmarks/control/defects.py
+++ b/benchmarks/control/defects.py
@@ -256,7 +256,7 @@
 
 def _take_heartbeats_before_recovery() -> list[Patch]:
     """A process that has started takes heartbeats at once."""
-    return [(WorkerRecovery, "takes_heartbeats", lambda self, now: True)]
+    return [(WorkerRecovery, "has_ended", lambda self, now: True)]
 
 
 def _recover_from_own_records() -> list[Patch]:
--- a/benchmarks/control/observers.py
+++ b/benchmarks/control/observers.py
@@ -112,7 +112,7 @@
             wait = machine.frozen_until - self.fleet.now
             self.fleet.call_later(wait, lambda: self._send_initial_state(machine, subscription))
             return
-        records = list(engine.registry.records())
+        records = list(engine.records_for_routers())
         self.fleet.call_later(self._delay(), lambda: self._receive_workers(records))
         self._send_version(machine, machine.published_version)
         self._ping(machine.address, subscription)
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -244,6 +244,10 @@
         is_only_one = self.settings.counts_for_quorum and not self.peers.quorum_peer_count
         return bool(self.peers.alive_quorum_peers(now)) or is_only_one
 
+    def records_for_routers(self) -> tuple[WorkerRecord, ...]:
+        """The worker records for a router that subscribes now; later changes are in the output."""
+        return self._workers.records_for_routers()
+
     def restore_workers(self, records: Iterable[WorkerRecord], now: int) -> None:
         """Track the workers that were known before a restart, also those that had ended."""
         self._workers.restore(records, now)
@@ -273,7 +277,7 @@
     def tick(self, now: int) -> None:
         """Run everything that is due: consensus, hellos, heartbeat ages, voter checks, call timeouts."""
         self._membership.bootstrap_if_first(now)
-        self.worker_recovery.update(self.raft.voters)
+        self._workers.advance_recovery(now)
         if now >= self.raft.next_tick_at:
             self.raft.tick(now)
         if now >= self._next_hello_at:
--- a/hazelbend/control/worker_recovery.py
+++ b/hazelbend/control/worker_recovery.py
@@ -2,8 +2,9 @@
 
 An acknowledged end is stored by a majority of the voters (see `announcements`), but not necessarily by a
 process that was down at that time. A heartbeat that was sent before the end may arrive later, and only the
-record of the end shows that it is outdated. So a process takes no heartbeats until it has the worker
-records of so many voters that each majority contains one of them. Its own stored records count.
+record of the end shows that it is outdated. The soft state that it restores may be outdated too. So a
+process takes no heartbeats, and reports no ready workers to routers, until it has the worker records of so
+many voters that each majority contains one of them. Its own stored records count.
 
 Sans-I/O; times are microseconds of this process's monotonic clock.
 """
@@ -24,7 +25,7 @@
     """Collects the sources of the snapshots that have arrived since the start of this process."""
 
     def __init__(self, identity: str, incarnation: int, gives_up_at: int, *, has_stored_state: bool) -> None:
-        """`gives_up_at`: when heartbeats are taken although no majority could be reached.
+        """`gives_up_at`: when the recovery ends although no majority could be reached.
 
         `has_stored_state`: whether this process has restored the state of its identity. Without it, its
         records are not those that it has acknowledged, and do not count.
@@ -37,17 +38,13 @@
         self._has_stored_state = has_stored_state
         self._voters_by_source: dict[str, tuple[str, ...]] = {}
 
-    def takes_heartbeats(self, now: int) -> bool:
+    def has_ended(self, now: int) -> bool:
         """Whether the recovery is complete, or has been given up.
 
         A process that reaches no majority is not in touch, and its workers may reach no other process.
         """
         return self.is_complete or now >= self._gives_up_at
 
-    def is_requesting(self, now: int) -> bool:
-        """Whether snapshots of more processes are needed."""
-        return not self.takes_heartbeats(now)
-
     def has_snapshot_of(self, identity: str) -> bool:
         """Whether the records of this process have arrived."""
         return identity in self._voters_by_source
@@ -63,12 +60,10 @@
             return msgspec.UNSET
         return SnapshotSource(self._identity, voters, receiver_incarnation)
 
-    def handle_snapshot(self, source: SnapshotSource, own_voters: tuple[str, ...]) -> None:
+    def handle_snapshot(self, source: SnapshotSource) -> None:
         """Record that the records of this source are merged. A snapshot for an earlier run is ignored."""
-        if self.is_complete or source.receiver_incarnation != self._incarnation:
-            return
-        self._voters_by_source[source.identity] = source.voters
-        self.update(own_voters)
+        if source.receiver_incarnation == self._incarnation:
+            self._voters_by_source[source.identity] = source.voters
 
     def update(self, own_voters: tuple[str, ...]) -> None:
         """Complete the recovery if the sources suffice, with the voter list that this process knows now."""
--- a/hazelbend/control/worker_sync.py
+++ b/hazelbend/control/worker_sync.py
@@ -48,6 +48,7 @@
         self._outbox = outbox
         self._next_request_id = next_request_id
         self._announcements = Announcements(raft.incarnation, settings.tolerance)
+        self._reports_ready_workers = False  # to routers
         # To be sent once the records are stored: the address of the process that announced them, and the ack.
         self._unsent_acks: list[tuple[str, m.WorkerUpdateAck]] = []
 
@@ -60,7 +61,7 @@
 
     def handle_heartbeat(self, record: WorkerRecord, now: int) -> int | None:
         """See `ControlEngine.handle_heartbeat`."""
-        if not self.recovery.takes_heartbeats(now):
+        if not self.recovery.has_ended(now):
             raise HeartbeatRejectedError
         return self._announce(record, now)
 
@@ -107,6 +108,28 @@
         for record in records:
             self._forward(self.registry.merge(record, last_heartbeat_at))
 
+    def advance_recovery(self, now: int) -> None:
+        """Check whether the recovery has ended. Once it has, report the ready workers to routers."""
+        self.recovery.update(self._raft.voters)
+        if self._reports_ready_workers or not self.recovery.has_ended(now):
+            return
+        self._reports_ready_workers = True
+        records = self.registry.records()
+        self._outbox.report_workers([record for record in records if record.state is WorkerState.READY])
+
+    def records_for_routers(self) -> tuple[WorkerRecord, ...]:
+        """The records for a router that subscribes now: without ready workers until the recovery has ended,
+        because one that was restored may have ended meanwhile.
+        """
+        return tuple(self._reportable(self.registry.records()))
+
+    def _reportable(self, records: Iterable[WorkerRecord]) -> list[WorkerRecord]:
+        return [
+            record
+            for record in records
+            if self._reports_ready_workers or record.state is not WorkerState.READY
+        ]
+
     def send_snapshot(self, address: str, now: int) -> None:
         """Send all worker records to a peer that may have missed earlier updates."""
         peer = self._peers.get(address)
@@ -118,7 +141,7 @@
 
     def request_snapshots(self, now: int) -> None:
         """Request all records of each peer whose snapshot this process needs and lacks."""
-        if not self.recovery.is_requesting(now):
+        if self.recovery.has_ended(now):
             return
         for address, peer in self._peers.alive(now).items():
             if not self.recovery.has_snapshot_of(peer.identity):
@@ -137,7 +160,8 @@
             last_heartbeat_at = now - update.ages.get(record.instance, 0)
             self._forward(self.registry.merge(record, last_heartbeat_at))
         if update.source is not msgspec.UNSET:
-            self.recovery.handle_snapshot(update.source, self._raft.voters)
+            self.recovery.handle_snapshot(update.source)
+            self.advance_recovery(now)
         if update.request_id:
             self._acknowledge_once_saved(sender, update)
 
@@ -195,5 +219,5 @@
         """Send changed records to routers and to all peers, which may not have them either."""
         if not records:
             return
-        self._outbox.report_workers(records)
+        self._outbox.report_workers(self._reportable(records))
         self._outbox.broadcast(self._peers.addresses, m.WorkerUpdate(0, tuple(records)))
--- a/hazelbend/system/control_event_log.py
+++ b/hazelbend/system/control_event_log.py
@@ -45,11 +45,11 @@
         seconds = (now - self._recovery_started_at) / SECOND_US
         if recovery.is_complete:
             log.info("control: workers recovered in %.3f s, sources: %d", seconds, recovery.source_count)
-        elif recovery.takes_heartbeats(now):
+        elif recovery.has_ended(now):
             log.warning(
                 "control: no majority within %.1f s: heartbeats are taken without its workers", seconds
             )
-        self._is_recovering = not recovery.takes_heartbeats(now)
+        self._is_recovering = not recovery.has_ended(now)
 
     def _observe_leader(self, engine: ControlEngine) -> None:
         term = engine.raft.persistent.current_term
--- a/hazelbend/system/update_publisher.py
+++ b/hazelbend/system/update_publisher.py
@@ -109,7 +109,7 @@
         engine = self._node.engine
         config = self._node.config
         loads = self.loads.all_other_loads(request.router) if request.loads else {}
-        bodies: list[m.Body] = [m.WorkerUpdate(0, engine.registry.records())]
+        bodies: list[m.Body] = [m.WorkerUpdate(0, engine.records_for_routers())]
         if config.version > request.version:
             bodies.append(m.ConfigUpdate(config.version, config.body))
         bodies.append(engine.fleet_status(clock()))
--- a/tests/control/test_worker_recovery.py
+++ b/tests/control/test_worker_recovery.py
@@ -89,6 +89,41 @@
     assert reported == [WorkerState.GONE]
 
 
+def test_restored_worker_is_not_reported_as_ready_before_the_recovery():
+    """Guards against soft state from before the end of a worker, which a process that was down meanwhile told
+    a router that subscribed to it first.
+    """
+    fleet = formed_fleet()
+    restarted, other = (machine.address for machine in fleet.alive[:2])
+    fleet.kill(restarted)
+    deregister(fleet, other)
+    start_unreachable(fleet, restarted)
+    assert state_at(fleet, restarted) is WorkerState.READY
+    reported = []
+    for _ in range(60):
+        reported += fleet.machines[restarted].engine.records_for_routers()
+        fleet.run(10 * MS)
+    assert {record.state for record in reported} == {WorkerState.GONE}
+
+
+def test_ready_workers_are_reported_to_routers_at_the_end_of_the_recovery():
+    fleet = formed_fleet()
+    restarted = fleet.alive[0].address
+    fleet.kill(restarted)
+    start_unreachable(fleet, restarted)
+    engine = fleet.machines[restarted].engine
+    assert engine.records_for_routers() == ()
+    reported = []
+    fleet.on_workers_changed.append(
+        lambda machine, records: reported.extend(records if machine.address == restarted else ())
+    )
+    fleet.run(RECONNECT_US - 10 * MS)
+    assert reported == []
+    fleet.run(20 * MS)
+    assert reported == [READY]
+    assert engine.records_for_routers() == (READY,)
+
+
 def test_deregistration_is_taken_during_the_recovery():
     fleet = formed_fleet()
     restarted = fleet.alive[0].address
@@ -174,31 +209,37 @@
     process = recovery(has_stored_state=True)
     process.update(VOTERS)
     assert not process.is_complete
-    process.handle_snapshot(source("b"), VOTERS)
+    process.handle_snapshot(source("b"))
+    process.update(VOTERS)
     assert process.is_complete
 
 
 def test_process_without_stored_state_needs_two_others_of_three_voters():
     process = recovery(has_stored_state=False)
-    process.handle_snapshot(source("b"), VOTERS)
+    process.handle_snapshot(source("b"))
+    process.update(VOTERS)
     assert not process.is_complete
-    process.handle_snapshot(source("c"), VOTERS)
+    process.handle_snapshot(source("c"))
+    process.update(VOTERS)
     assert process.is_complete
 
 
 def test_snapshot_for_an_earlier_run_of_the_process_does_not_count():
     process = recovery(has_stored_state=True)
     older = msgspec.structs.replace(source("b"), receiver_incarnation=INCARNATION - 1)
-    process.handle_snapshot(older, VOTERS)
+    process.handle_snapshot(older)
+    process.update(VOTERS)
     assert not process.is_complete and not process.has_snapshot_of("b")
 
 
 def test_each_voter_list_that_a_source_knows_must_be_met():
     """A voter was replaced while this process was down: only one source is in the new list."""
     process = recovery(has_stored_state=True)
-    process.handle_snapshot(source("b", ("b", "c", "d")), VOTERS)
+    process.handle_snapshot(source("b", ("b", "c", "d")))
+    process.update(VOTERS)
     assert not process.is_complete
-    process.handle_snapshot(source("d", ("b", "c", "d")), VOTERS)
+    process.handle_snapshot(source("d", ("b", "c", "d")))
+    process.update(VOTERS)
     assert process.is_complete
 
 
