Control simulation: failing histories shrink by delta debugging, in a module of its own

Change: parts of the injected faults and their complements are tried, and no other fault is injected meanwhile. The new test holds that no single fault can be left out of the result.

--- a/benchmarks/control/exploration.py
+++ b/benchmarks/control/exploration.py
@@ -18,8 +18,9 @@
 from benchmarks.control.defects import planted_defect
 from benchmarks.control.faults import Fault, FaultInjector
 from benchmarks.control.fleet import InvariantViolationError
-from benchmarks.control.history import HistoryResult, play, shrink
+from benchmarks.control.history import HistoryResult, play
 from benchmarks.control.network import S
+from benchmarks.control.shrinking import shrink
 
 RECORDED = Path(__file__).parents[2] / "tests" / "data" / "control_histories"
 US_PER_MINUTE = 60 * S
--- a/benchmarks/control/history.py
+++ b/benchmarks/control/history.py
@@ -1,4 +1,4 @@
-"""Runs a simulated fleet with operators, routers and workers under faults, and shrinks failing histories."""
+"""Runs a simulated fleet with operators, routers and workers under faults."""
 
 from __future__ import annotations
 
@@ -184,37 +184,3 @@
         error.faults = tuple(history.fault_injector.injected)
         raise
     return history.result()
-
-
-def shrink(seed: int, machines: int = 3, tolerance: int = 1) -> tuple[str, tuple[Fault, ...]]:
-    """The invariant that the history of a seed violates, and a small set of faults that still violates one.
-
-    Tries to skip one fault after the other, and keeps it skipped if the history still violates an invariant.
-
-    Raises:
-        ValueError: the history violates no invariant.
-    """
-    violation = _find_violation(seed, machines, tolerance, frozenset())
-    if violation is None:
-        raise ValueError(f"the history of seed {seed} violates no invariant")
-    skipped: frozenset[int] = frozenset()
-    smaller = True
-    while smaller:
-        smaller = False
-        for fault in reversed(violation.faults):
-            fewer = _find_violation(seed, machines, tolerance, skipped | {fault.number})
-            if fewer is not None:
-                violation = fewer
-                skipped = skipped | {fault.number}
-                smaller = True
-    return str(violation), violation.faults
-
-
-def _find_violation(
-    seed: int, machines: int, tolerance: int, skipped: frozenset[int]
-) -> InvariantViolationError | None:
-    try:
-        play(seed, machines, tolerance, skipped=skipped)
-    except InvariantViolationError as error:
-        return error
-    return None
--- a/benchmarks/control_sim.py
+++ b/benchmarks/control_sim.py
@@ -20,7 +20,8 @@
 from benchmarks.control import exploration
 from benchmarks.control.defects import DEFECTS, planted_defect
 from benchmarks.control.fleet import InvariantViolationError
-from benchmarks.control.history import play, shrink
+from benchmarks.control.history import play
+from benchmarks.control.shrinking import shrink
 
 SIZES = ((3, 1), (4, 1), (5, 2), (6, 2), (7, 3))  # machines and tolerance, with `--all-sizes`
 
--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -11,9 +11,10 @@
 
 from benchmarks.control.defects import DEFECTS, POINTS, planted_defect
 from benchmarks.control.fleet import MS, Fleet, InvariantViolationError, S, has_formed
-from benchmarks.control.history import play, shrink
+from benchmarks.control.history import play
 from benchmarks.control.model import StepBudget, search
 from benchmarks.control.operators import Change, Operators
+from benchmarks.control.shrinking import shrink
 from hazelbend.consensus.raft import RaftNode
 from hazelbend.control import messages as m
 from hazelbend.control.config_state_machine import (
@@ -573,6 +574,15 @@
         assert shrink(seed) == (violation, fewest)
 
 
+def test_shrunk_history_needs_each_of_its_faults():
+    with planted_defect("wiped_voter_votes"):
+        for seed in (3, 26):
+            _, fewest = shrink(seed)
+            numbers = frozenset(fault.number for fault in fewest)
+            for number in numbers:
+                play(seed, injected=numbers - {number})
+
+
 def first_failing_history(seeds: range) -> tuple[int, tuple[object, ...]]:
     for seed in seeds:
         try:
