Configuration: one typed definition, read by the same code in control processes and routers

Cause: two definitions of one document. The control process checked with a marshmallow schema that left out sticky, resume, gap_aim_ms and the whole engine and converted weights; the router decoded with strict msgspec types.

Change: control/configuration.py holds the only types, control/configuration_reader.py reads them at both ends, with all findings and their paths.

--- a/hazelbend/control/configuration.py
+++ b/hazelbend/control/configuration.py
@@ -1,149 +1,113 @@
-"""Validates the operators' configuration: a marshmallow schema, and rules that the schema can't express.
+"""The operators' configuration document: routes by host and path prefix, services, limits.
 
-All errors are collected with their paths and reported together. Unknown fields are ignored.
+These types are the only definition of the document. `configuration_reader` reads a document into them, in the
+control processes, which accept it, and in the routers, which put it into force.
+
+Unknown fields are ignored, since later releases may add some. A field that becomes narrower makes accepted
+documents unreadable after an upgrade, so a constraint excludes only values that no router can serve with.
+Where a field has another name in the JSON document, `msgspec.field(name=...)` gives it.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
-from typing import Any, TypeAlias
+import random
+from enum import StrEnum
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+MAX_INTEGER = 2**63 - 1
+
+# Integers that fit into 64 bits with their sign, so that every computation with them as floats is finite.
+Integer = Annotated[int, Meta(ge=-MAX_INTEGER - 1, le=MAX_INTEGER)]
+Count = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+PositiveInteger = Annotated[int, Meta(ge=1, le=MAX_INTEGER)]
+NonEmptyText = Annotated[str, Meta(min_length=1)]
+
+
+class RouteKind(StrEnum):
+    """How the requests of a route may be repeated and are answered."""
+
+    SAFE = "safe"  # idempotent
+    UNSAFE = "unsafe"
+    STREAM = "stream"  # answered with an event stream
+
+
+class WeightedBackend(msgspec.Struct, frozen=True):
+    """A backend of a split route, and its weight among the others."""
+
+    backend: str
+    weight: Annotated[float, Meta(ge=0)]
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Where the requests for a host and path prefix go, and how they may be retried."""
+
+    name: str
+    host: NonEmptyText
+    prefix: Annotated[str, Meta(pattern="^/(.*/)?$")]
+    kind: RouteKind
+    timeout_ms: PositiveInteger = msgspec.field(name="timeoutMs")
+    target_ms: Count = msgspec.field(default=1_000, name="targetMs")
+    priority: Integer = 5
+    backend: NonEmptyText = ""  # left out if the route has a split
+    split: Annotated[tuple[WeightedBackend, ...], Meta(min_length=1)] = ()
+    retries: Count = 1
+    sticky: bool = False
+    resume: bool = False  # whether a broken stream may be resumed at another worker
+    gap_target_ms: float = msgspec.field(default=0, name="gap_aim_ms")  # between two tokens
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether responses are event streams."""
+        return self.kind is RouteKind.STREAM
 
-import orjson
-from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.SAFE or (self.is_stream and self.resume)
 
-# The errors that marshmallow reports for a document: messages, nested by field name or list index.
-SchemaMessages: TypeAlias = "Mapping[str | int, SchemaMessages] | Sequence[str]"
+    def pick_service(self, rng: random.Random) -> str:
+        """Pick the service for one request, by the weights of a split."""
+        if not self.split:
+            return self.backend
+        weights = [backend.weight for backend in self.split]
+        return rng.choices(self.split, weights)[0].backend
 
-ROUTE_KINDS = ("safe", "unsafe", "stream")
 
+class ModelEngine(msgspec.Struct, frozen=True):
+    """The model engine of a service's workers."""
 
-@dataclass(slots=True, frozen=True)
-class Finding:
-    """One error in a configuration, with the path of the field, such as `routes[3].timeoutMs`."""
+    capacity: Integer = 1  # requests that run at once
+    kv_capacity: Integer = msgspec.field(default=0, name="kvCapacity")  # tokens
+    kv_token_bytes: Integer = msgspec.field(default=0, name="kvTokenBytes")
+    bandwidth_mbps: float = msgspec.field(default=0, name="bandwidthMbps")
+    kv_ttl_s: float = msgspec.field(default=0, name="kvTtlS")
 
-    path: str
-    text: str
 
-    def __str__(self) -> str:
-        return f"{self.path}: {self.text}"
+class Service(msgspec.Struct, frozen=True):
+    """A group of workers that can serve the same requests."""
 
+    name: NonEmptyText
+    health_path: str | msgspec.UnsetType = msgspec.field(default=msgspec.UNSET, name="healthPath")
+    max_connections: PositiveInteger = msgspec.field(default=100, name="maxConns")
+    engine: ModelEngine | None = None
 
-class InvalidConfigurationError(ValueError):
-    """The configuration is invalid; `findings` holds every error."""
 
-    def __init__(self, findings: Iterable[Finding]) -> None:
-        self.findings = tuple(findings)
-        super().__init__("; ".join(map(str, self.findings)))
+class Limits(msgspec.Struct, frozen=True):
+    """Limits on the size of a client's request, and on the time to receive it."""
 
+    max_header_bytes: PositiveInteger = msgspec.field(default=16_384, name="maxHeaderBytes")
+    max_body_bytes: PositiveInteger = msgspec.field(default=4_194_304, name="maxBodyBytes")
+    header_timeout_ms: PositiveInteger = msgspec.field(default=3_000, name="headerTimeoutMs")
+    idle_timeout_ms: PositiveInteger = msgspec.field(default=15_000, name="idleTimeoutMs")
 
-class _BaseSchema(Schema):
-    class Meta:
-        unknown = EXCLUDE
 
+class Configuration(msgspec.Struct, frozen=True):
+    """A configuration document."""
 
-class _SplitSchema(_BaseSchema):
-    backend = fields.String(required=True)
-    weight = fields.Float(required=True, validate=validate.Range(min=0))
-
-
-class _RouteSchema(_BaseSchema):
-    name = fields.String(required=True)
-    host = fields.String(required=True, validate=validate.Length(min=1))
-    prefix = fields.String(required=True, validate=validate.Regexp(r"^/(.*/)?$"))
-    kind = fields.String(required=True, validate=validate.OneOf(ROUTE_KINDS))
-    timeoutMs = fields.Integer(required=True, strict=True, validate=validate.Range(min=1))  # noqa: N815
-    targetMs = fields.Integer(strict=True, validate=validate.Range(min=0))  # noqa: N815
-    priority = fields.Integer(strict=True)
-    backend = fields.String()
-    split = fields.List(fields.Nested(_SplitSchema), validate=validate.Length(min=1))
-    retries = fields.Integer(strict=True, validate=validate.Range(min=0))
-
-
-class _ServiceSchema(_BaseSchema):
-    name = fields.String(required=True, validate=validate.Length(min=1))
-    healthPath = fields.String()  # noqa: N815
-    maxConns = fields.Integer(strict=True, validate=validate.Range(min=1))  # noqa: N815
-
-
-class _LimitsSchema(_BaseSchema):
-    maxHeaderBytes = fields.Integer(strict=True, validate=validate.Range(min=1))  # noqa: N815
-    maxBodyBytes = fields.Integer(strict=True, validate=validate.Range(min=1))  # noqa: N815
-    headerTimeoutMs = fields.Integer(strict=True, validate=validate.Range(min=1))  # noqa: N815
-    idleTimeoutMs = fields.Integer(strict=True, validate=validate.Range(min=1))  # noqa: N815
-
-
-class _ConfigurationSchema(_BaseSchema):
-    version = fields.Integer(required=True, strict=True, validate=validate.Range(min=1))
-    routes = fields.List(fields.Nested(_RouteSchema), required=True)
-    services = fields.List(fields.Nested(_ServiceSchema), required=True)
-    limits = fields.Nested(_LimitsSchema)
-
-
-_SCHEMA = _ConfigurationSchema()
-
-
-def check_configuration(body: bytes) -> int:
-    """Validate a configuration; returns its version.
-
-    Raises:
-        InvalidConfigurationError: the configuration is invalid; holds every error with its path.
-    """
-    try:
-        document = orjson.loads(body)
-    except orjson.JSONDecodeError as error:
-        raise InvalidConfigurationError([Finding("body", f"no JSON: {error}")]) from None
-    if not isinstance(document, dict):
-        raise InvalidConfigurationError([Finding("body", "no JSON object")])
-    try:
-        configuration = _SCHEMA.load(document)
-    except ValidationError as error:
-        raise InvalidConfigurationError(schema_findings("", error.messages)) from None
-    if findings := list(_rule_findings(configuration)):
-        raise InvalidConfigurationError(findings)
-    return int(configuration["version"])
-
-
-def schema_findings(path: str, messages: SchemaMessages) -> Iterator[Finding]:
-    """Flatten marshmallow's messages for a document into findings with paths."""
-    if isinstance(messages, Mapping):
-        for key, nested in messages.items():
-            step = f"[{key}]" if isinstance(key, int) else f".{key}" if path else str(key)
-            yield from schema_findings(path + step, nested)
-    else:
-        for text in messages:
-            yield Finding(path, str(text))
-
-
-def _rule_findings(configuration: dict[str, Any]) -> Iterator[Finding]:
-    """Check that service names are unique, backends exist, and no two routes match the same requests."""
-    services: set[str] = set()
-    for index, service in enumerate(configuration["services"]):
-        if service["name"] in services:
-            yield Finding(f"services[{index}].name", f"{service['name']!r} stands twice")
-        services.add(service["name"])
-    index_by_match: dict[tuple[str, str], int] = {}
-    for index, route in enumerate(configuration["routes"]):
-        path = f"routes[{index}]"
-        yield from _backend_findings(path, route, services)
-        match_key = (route["host"].lower(), route["prefix"])
-        if match_key in index_by_match:
-            first = index_by_match[match_key]
-            yield Finding(f"{path}.prefix", f"the same host and prefix as routes[{first}]")
-        index_by_match.setdefault(match_key, index)
-
-
-def _backend_findings(path: str, route: dict[str, Any], services: set[str]) -> Iterator[Finding]:
-    """Check that a route has either one backend or a split, of known services and with a positive weight."""
-    if ("backend" in route) == ("split" in route):
-        yield Finding(path, "needs one of backend and split")
-        return
-    if "backend" in route:
-        if route["backend"] not in services:
-            yield Finding(f"{path}.backend", f"unknown service {route['backend']!r}")
-        return
-    for index, target in enumerate(route["split"]):
-        if target["backend"] not in services:
-            yield Finding(f"{path}.split[{index}].backend", f"unknown service {target['backend']!r}")
-    if sum(target["weight"] for target in route["split"]) <= 0:
-        yield Finding(f"{path}.split", "the weights sum to 0")
+    version: PositiveInteger
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits = Limits()
--- a/hazelbend/forwarding/admission.py
+++ b/hazelbend/forwarding/admission.py
@@ -6,11 +6,12 @@
 import random
 from collections.abc import Callable
 
+from hazelbend.control.configuration import Route
 from hazelbend.forwarding.fleet_state import FleetState
 from hazelbend.forwarding.ports import ClientRequest
 from hazelbend.forwarding.request_context import RequestContext
 from hazelbend.placement.prompt import parse_prompt
-from hazelbend.placement.routes import Route, RouteTable
+from hazelbend.placement.routes import RouteTable
 
 RESPONSE_MARGIN_US = 8_000  # part of the timeout that is reserved for the response to reach the client
 RESPONSE_MARGIN_DIVISOR = 10  # the margin is at most the timeout divided by this
--- a/hazelbend/forwarding/request_context.py
+++ b/hazelbend/forwarding/request_context.py
@@ -4,13 +4,13 @@
 
 from dataclasses import dataclass, field
 
+from hazelbend.control.configuration import Route
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.forwarding.event_stream import EventSplitter
 from hazelbend.forwarding.ports import ClientRequest, Headers, WorkerCall
 from hazelbend.placement.choices import Choice
 from hazelbend.placement.prompt import Prompt
 from hazelbend.placement.reliability import NO_FAILURE_COSTS, FailureCosts
-from hazelbend.placement.routes import Route
 
 REJECTION_COST_RATIO = 0.1  # cost of a rejection to a request, as a fraction of its route's latency target
 
--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from hazelbend.control.configuration import Service
 from hazelbend.control.load_table import CachedPrefix, Load, Outcomes
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.placement.choices import Attempt, Choice
@@ -19,7 +20,6 @@
 from hazelbend.placement.policy import DEFAULT_POLICY, PREFILL_UNIT_TOKENS, Policy
 from hazelbend.placement.prompt import PrefixSegment, Prompt
 from hazelbend.placement.reliability import AttemptOutcome
-from hazelbend.placement.routes import Service
 from hazelbend.placement.selector import WorkerSelector
 from hazelbend.placement.statistics import Statistics
 
--- a/hazelbend/placement/fleet_view.py
+++ b/hazelbend/placement/fleet_view.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from hazelbend.control.configuration import ModelEngine, Service
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.decisions.statistics import Mean
 from hazelbend.placement.choices import Attempt, Stage
@@ -9,7 +10,6 @@
 from hazelbend.placement.policy import PREFILL_UNIT_TOKENS, Policy
 from hazelbend.placement.prefill_model import PrefillTimeModel
 from hazelbend.placement.prompt import Prompt
-from hazelbend.placement.routes import ModelEngine, Service
 
 
 class FleetView:
--- a/hazelbend/system/control_api.py
+++ b/hazelbend/system/control_api.py
@@ -12,7 +12,7 @@
 from hazelbend.consensus.identity import address_of
 from hazelbend.control.announcements import AnnouncementOutcome
 from hazelbend.control.config_state_machine import ChangeResult, decompress_body
-from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
+from hazelbend.control.configuration_reader import InvalidConfigurationError, check_configuration
 from hazelbend.control.outputs import CallOutcome, PutOutcome, ReadOutcome
 from hazelbend.control.worker_recovery import HeartbeatRejectedError
 from hazelbend.protocol.control_calls import parse_heartbeat
--- a/hazelbend/system/main.py
+++ b/hazelbend/system/main.py
@@ -78,7 +78,7 @@
 
 def _check(path: Path) -> int:
     """Print all findings in a settings file (YAML) or a configuration (JSON)."""
-    from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
+    from hazelbend.control.configuration_reader import InvalidConfigurationError, check_configuration
 
     try:
         if path.suffix == ".json":
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -8,12 +8,12 @@
 import picologging
 
 from hazelbend.control import messages as m
+from hazelbend.control.configuration import Limits
 from hazelbend.control.workers import WorkerRecord
 from hazelbend.forwarding.fleet_state import FleetState
 from hazelbend.forwarding.forwarder import Forwarder
 from hazelbend.placement.engine import PlacementEngine
 from hazelbend.placement.retry_budget import RetryBudget
-from hazelbend.placement.routes import Limits
 from hazelbend.system.clock import SECOND_US, clock
 from hazelbend.system.control_subscriptions import ControlSubscriptions
 from hazelbend.system.load_reporter import LoadReporter
--- a/hazelbend/system/router_update_handler.py
+++ b/hazelbend/system/router_update_handler.py
@@ -5,14 +5,15 @@
 import zlib
 from collections.abc import Callable
 
-import msgspec
 import picologging
 
 from hazelbend.control import messages as m
+from hazelbend.control.configuration import Limits
+from hazelbend.control.configuration_reader import InvalidConfigurationError, read_configuration
 from hazelbend.control.load_table import LoadUpdate, LoadView
 from hazelbend.control.workers import EXPIRY_HEARTBEATS
 from hazelbend.forwarding.fleet_state import FleetState
-from hazelbend.placement.routes import Limits, decode_route_table
+from hazelbend.placement.routes import RouteTable
 from hazelbend.system.clock import SECOND_US, clock
 from hazelbend.system.settings import Settings
 
@@ -39,6 +40,7 @@
         self._on_limits = on_limits
         self._on_fleet_status = on_fleet_status
         self._other_routers = LoadView()
+        self.unreadable_version = 0  # the newest version that was received and could not be read
         self._config_confirmed_at = 0  # microseconds of this process's clock
 
     def has_current_config(self) -> bool:
@@ -55,14 +57,21 @@
         if update.version <= self.config_version():
             return
         try:
-            route_table = decode_route_table(zlib.decompress(update.body))
-        except (msgspec.DecodeError, zlib.error) as error:
-            log.error("router: configuration %d cannot be decoded: %s", update.version, error)
+            route_table = RouteTable(read_configuration(zlib.decompress(update.body)))
+        except (InvalidConfigurationError, zlib.error) as error:
+            self._report_unreadable(update.version, error)
             return
         if self._state.apply_configuration(route_table):
             self._on_limits(route_table.configuration.limits)
             log.info("router: configuration %d is in force", update.version)
 
+    def _report_unreadable(self, version: int, error: Exception) -> None:
+        """Log an unreadable configuration once, although each subscription sends it."""
+        if version > self.unreadable_version:
+            self.unreadable_version = version
+            in_force = self.config_version()
+            log.error("router: configuration %d is unreadable, keeping %d: %s", version, in_force, error)
+
     def config_confirmed(self, version: int, at_s: float) -> None:
         """Record a majority's confirmation that no configuration was newer than this version at `at_s`."""
         if self.config_version() >= version:
--- a/hazelbend/system/settings.py
+++ b/hazelbend/system/settings.py
@@ -5,17 +5,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeAlias
 
 from marshmallow import EXCLUDE, Schema, ValidationError, fields, validate
 from ruamel.yaml import YAML
 from ruamel.yaml.error import YAMLError
 
-from hazelbend.control.configuration import Finding, schema_findings
+from hazelbend.control.configuration_reader import Finding
 from hazelbend.system.clock import MILLISECOND_US, SECOND_US
 
+# The errors that marshmallow reports for a document: messages, nested by field name or list index.
+SchemaMessages: TypeAlias = "Mapping[str | int, SchemaMessages] | Sequence[str]"
+
 SETTINGS_PATH_VARIABLE = "HAZELBEND_CONFIG"  # the environment variable that names the settings file
 ADDRESS_PATTERN = r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"  # IPv4 address and port
 MAX_PORT = 65_535
@@ -159,10 +163,21 @@
     try:
         table = _SettingsSchema().load(document)
     except ValidationError as error:
-        raise SettingsError(list(schema_findings("", error.messages))) from None
+        raise SettingsError(list(_schema_findings("", error.messages))) from None
     return _to_settings(table)
 
 
+def _schema_findings(path: str, messages: SchemaMessages) -> Iterator[Finding]:
+    """Flatten marshmallow's messages for a document into findings with paths."""
+    if isinstance(messages, Mapping):
+        for key, nested in messages.items():
+            step = f"[{key}]" if isinstance(key, int) else f".{key}" if path else str(key)
+            yield from _schema_findings(path + step, nested)
+    else:
+        for text in messages:
+            yield Finding(path, str(text))
+
+
 def _to_settings(table: dict[str, Any]) -> Settings:
     listen = table["listen"]
     bounds = table["bounds"]
--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -23,7 +23,7 @@
     decompress_body,
     encode_config_change,
 )
-from hazelbend.control.configuration import InvalidConfigurationError, check_configuration
+from hazelbend.control.configuration_reader import InvalidConfigurationError, check_configuration
 from hazelbend.control.load_table import (
     CachedPrefix,
     CacheTable,
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from hazelbend.control.configuration_reader import read_configuration
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.forwarding.errors import (
     NotSentError,
@@ -23,7 +24,7 @@
 from hazelbend.forwarding.prefill import prefill_priority
 from hazelbend.placement.engine import PlacementEngine
 from hazelbend.placement.retry_budget import RetryBudget
-from hazelbend.placement.routes import decode_route_table
+from hazelbend.placement.routes import RouteTable
 from tests.support.virtual_loop import VirtualLoop
 
 S = 1_000_000
@@ -104,7 +105,7 @@
                 "backend": "s", "retries": 3}  # fmt: skip
         services = [{"name": "s"}, {"name": "llm", "engine": ENGINE}]
         document = {"version": 1, "routes": [base | route], "services": services}
-        self.state.apply_configuration(decode_route_table(json.dumps(document).encode()))
+        self.state.apply_configuration(RouteTable(read_configuration(json.dumps(document).encode())))
         self.budget = RetryBudget(0.2, 100.0, 10 * S)
         self.forwarder = Forwarder(self.state, self, self.now, lambda: self.budget, 1)
         for number in range(1, 4):
--- a/tests/golden/golden_kit.py
+++ b/tests/golden/golden_kit.py
@@ -30,13 +30,13 @@
 from hazelbend.consensus import messages as log_messages
 from hazelbend.consensus import persistent_state, state_codec
 from hazelbend.control import config_state_machine, messages, workers
+from hazelbend.control.configuration import Configuration
 from hazelbend.dispatcher import fleet_snapshot
 from hazelbend.dns_discovery import snapshot
 from hazelbend.forwarding import prefill
 from hazelbend.gossip import messages as gossip_messages
 from hazelbend.leases import lease_node, lease_table, views
 from hazelbend.leases import operations as lease_operations
-from hazelbend.placement import routes
 from hazelbend.protocol import control_calls, handover
 from hazelbend.protocol.discovery import EndpointListCodec
 from hazelbend.quotas import ledger
@@ -144,7 +144,7 @@
     "worker_order": json_codec(msgspec.json.Decoder(worker_orders.WorkerOrder).decode),
     "prefill_result": json_codec(msgspec.json.Decoder(prefill.PrefillResult).decode),
     "fleet_snapshot": json_codec(msgspec.json.Decoder(fleet_snapshot.Snapshot).decode),
-    "routes": json_codec(msgspec.json.Decoder(routes.Configuration).decode),
+    "routes": json_codec(msgspec.json.Decoder(Configuration).decode),
 }
 
 # These decode to state machines, whose content is read by `snapshot`.
--- a/tests/golden/golden_runs.py
+++ b/tests/golden/golden_runs.py
@@ -28,6 +28,7 @@
 from benchmarks.control import history
 from hazelbend.consensus import state_codec
 from hazelbend.control import messages
+from hazelbend.control.configuration import Configuration
 from hazelbend.control.load_table import CachedPrefix, Load
 from hazelbend.control.phase_planner import PhasePlanner
 from hazelbend.control.workers import WorkerRecord, WorkerState
@@ -42,7 +43,7 @@
 from hazelbend.placement.engine import PlacementEngine
 from hazelbend.placement.prompt import parse_prompt
 from hazelbend.placement.reliability import AttemptOutcome, FailureCosts
-from hazelbend.placement.routes import decode_route_table
+from hazelbend.placement.routes import RouteTable
 from hazelbend.quotas import operations as quota_operations
 from hazelbend.system.control_status import control_status
 from tests.golden import golden_kit as kit
@@ -409,8 +410,8 @@
     """
     trace, rng, now = Trace(), random.Random(6), 0
     placement = PlacementEngine("a", 11)
-    body = json.dumps(kit.ROUTES | {"services": [{"name": "plain"}, {"name": "chat", "engine": ENGINE}]})
-    placement.services = decode_route_table(body.encode()).services
+    document = kit.ROUTES | {"services": [{"name": "plain"}, {"name": "chat", "engine": ENGINE}]}
+    placement.services = RouteTable(msgspec.convert(document, Configuration)).services
     for n in range(8):
         phase = ("prefill", "decode")[n % 2] if n < 5 else ""
         service = "chat" if n < 5 else "plain"
--- a/tests/golden/golden_shown.py
+++ b/tests/golden/golden_shown.py
@@ -31,7 +31,7 @@
 import hazelbend
 from hazelbend.cli.main import main as command_line
 from hazelbend.console import client as console_client
-from hazelbend.control import configuration
+from hazelbend.control import configuration_reader
 from hazelbend.decisions.interface import LoadReport, Outcome
 from hazelbend.dispatcher import config, console_server, deploy_files
 from hazelbend.dispatcher.log import RecentLines
@@ -500,8 +500,8 @@
     results: dict[str, Any] = {}
     for name, document in (("full", kit.ROUTES), ("broken", broken), ("none", {}), ("list", [])):
         try:
-            results[name] = configuration.check_configuration(json.dumps(document).encode())
-        except configuration.InvalidConfigurationError as error:
+            results[name] = configuration_reader.check_configuration(json.dumps(document).encode())
+        except configuration_reader.InvalidConfigurationError as error:
             results[name] = list(map(str, error.findings))
     return as_json_text(results)
 
--- a/tests/placement/test_placement.py
+++ b/tests/placement/test_placement.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from hazelbend.control.configuration import Service
+from hazelbend.control.configuration_reader import read_configuration
 from hazelbend.control.load_table import CachedPrefix, Load
 from hazelbend.control.workers import WorkerRecord, WorkerState
 from hazelbend.placement.ended_workers import MAX_ENDED_WORKERS, EndedWorkers
@@ -15,17 +17,18 @@
 from hazelbend.placement.prefill_model import PrefillTimeModel
 from hazelbend.placement.prompt import PrefixSegment, parse_prompt
 from hazelbend.placement.retry_budget import RetryBudget
-from hazelbend.placement.routes import RouteTable, Service, decode_route_table
+from hazelbend.placement.routes import RouteTable
 
 S = 1_000_000
 ENGINE = {"capacity": 64, "kvCapacity": 400_000, "kvTokenBytes": 18_000, "bandwidthMbps": 370_000.0}
 
 
 def route_table(*routes: dict[str, object]) -> RouteTable:
-    base = {"name": "r", "host": "a.example", "prefix": "/", "kind": "safe", "timeoutMs": 100, "backend": "s"}
-    services = [{"name": "s"}, {"name": "t"}, {"name": "llm", "engine": ENGINE}]
-    document = {"version": 1, "routes": [base | route for route in routes], "services": services}
-    return decode_route_table(json.dumps(document).encode())
+    base = {"name": "r", "host": "a.example", "prefix": "/", "kind": "safe", "timeoutMs": 100}
+    services = [{"name": "s"}, {"name": "t"}, {"name": "u"}, {"name": "llm", "engine": ENGINE}]
+    documents = [base | (route if "split" in route else {"backend": "s"} | route) for route in routes]
+    document = {"version": 1, "routes": documents, "services": services}
+    return RouteTable(read_configuration(json.dumps(document).encode()))
 
 
 # --- routes ---
@@ -44,7 +47,7 @@
 
 def test_split_route_picks_backends_by_weight():
     split = [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}, {"backend": "u", "weight": 0}]
-    route = route_table({"split": split, "backend": ""}).find("a.example", "/")
+    route = route_table({"split": split}).find("a.example", "/")
     rng = random.Random(1)
     drawn = [route.pick_service(rng) for _ in range(2_000)]
     assert 150 < drawn.count("t") < 250 and "u" not in drawn
