Routers send requests of routes with a short timeout

What callers saw: a route with a timeoutMs of 1 to 31 is acknowledged and read, and none of its requests is served: each gets 503, however fast the worker is.

Cause: with less than 30 ms left nothing is sent, and the margin for the response is taken off before. On such a route there are never 30 ms left.

Change: the least time to send is at most half of the route's timeout. From 60 ms on nothing changes.

--- a/hazelbend/forwarding/attempts.py
+++ b/hazelbend/forwarding/attempts.py
@@ -10,7 +10,7 @@
 
 from hazelbend.forwarding.errors import NotSentError, OutcomeUnknownError, WorkerFailedError
 from hazelbend.forwarding.first_byte_timeout import FirstByteTimeout, first_byte_timeout_us
-from hazelbend.forwarding.fleet_state import MIN_REMAINING_US, FleetState, outcome_of
+from hazelbend.forwarding.fleet_state import FleetState, outcome_of
 from hazelbend.forwarding.ports import ClientResponse, WorkerClient
 from hazelbend.forwarding.prefill import PrefillStage
 from hazelbend.forwarding.request_context import RequestContext
@@ -46,7 +46,7 @@
         if context.uses_prefill_workers:
             await self._prefill.run(context)
         for _ in range(MAX_ATTEMPTS):
-            if self._retry_policy.remaining_us(context) < MIN_REMAINING_US:
+            if self._retry_policy.remaining_us(context) < context.min_send_time:
                 return False
             if context.sends and not self._retry_policy.take_retry(context):
                 return False
--- a/hazelbend/forwarding/fleet_state.py
+++ b/hazelbend/forwarding/fleet_state.py
@@ -13,7 +13,6 @@
 from hazelbend.placement.reliability import AttemptOutcome
 from hazelbend.placement.routes import RouteTable
 
-MIN_REMAINING_US = 30_000  # with less time left, nothing is sent
 # Statuses that say nothing about the worker's health: the request may have arrived with too little time left,
 # or was meant for an instance that had the address before (RFC 9110, sections 15.6.5 and 15.5.20).
 NEUTRAL_STATUSES = frozenset({HTTPStatus.GATEWAY_TIMEOUT, HTTPStatus.MISDIRECTED_REQUEST})
@@ -45,7 +44,7 @@
         """
         remaining = context.deadline - now
         worker = self.placement.workers.get(choice.worker.record.instance)
-        if remaining < MIN_REMAINING_US or worker is None or not worker.accepts_work:
+        if remaining < context.min_send_time or worker is None or not worker.accepts_work:
             return None
         return remaining
 
--- a/hazelbend/forwarding/request_context.py
+++ b/hazelbend/forwarding/request_context.py
@@ -12,6 +12,9 @@
 from hazelbend.placement.prompt import Prompt
 from hazelbend.placement.reliability import NO_FAILURE_COSTS, FailureCosts
 
+# With less time left nothing is sent: at most this, and this part of the route's timeout if that is short.
+MAX_MIN_SEND_TIME_US = 30_000
+MIN_SEND_TIME_DIVISOR = 2
 REJECTION_COST_RATIO = 0.1  # cost of a rejection to a request, as a fraction of its route's latency target
 
 
@@ -61,6 +64,11 @@
         failure = target if self.route.is_idempotent else max(target, self.route.timeout_ms * 1_000.0)
         return FailureCosts(failure, REJECTION_COST_RATIO * target, target)
 
+    @property
+    def min_send_time(self) -> int:
+        """The remaining time with which the request is still sent to a worker."""
+        return min(MAX_MIN_SEND_TIME_US, self.route.timeout_ms * 1_000 // MIN_SEND_TIME_DIVISOR)
+
     def worker_call(self, choice: Choice, extra_headers: Headers = ()) -> WorkerCall:
         """Return this request as a call to the chosen worker.
 
--- a/hazelbend/forwarding/retry_policy.py
+++ b/hazelbend/forwarding/retry_policy.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from hazelbend.forwarding.fleet_state import MIN_REMAINING_US, FleetState
+from hazelbend.forwarding.fleet_state import FleetState
 from hazelbend.forwarding.request_context import RequestContext
 from hazelbend.placement.retry_budget import RetryBudget
 
@@ -59,7 +59,7 @@
         return (
             context.sends < MAX_SENDS
             and self.may_execute_again(context, in_flight=1)
-            and self.remaining_us(context) >= MIN_REMAINING_US
+            and self.remaining_us(context) >= context.min_send_time
             and self.allows_retry(context)
         )
 
--- a/hazelbend/forwarding/worker_selection.py
+++ b/hazelbend/forwarding/worker_selection.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from hazelbend.forwarding.fleet_state import MIN_REMAINING_US, FleetState
+from hazelbend.forwarding.fleet_state import FleetState
 from hazelbend.forwarding.request_context import RequestContext
 from hazelbend.placement.choices import Choice
 
@@ -38,7 +38,7 @@
 
     async def wait_for_worker(self, context: RequestContext) -> Choice | None:
         """Wait for the first worker of the service, which becomes known soon after a start."""
-        wait_until = min(self._clock() + MAX_WORKER_WAIT_US, context.deadline - MIN_REMAINING_US)
+        wait_until = min(self._clock() + MAX_WORKER_WAIT_US, context.deadline - context.min_send_time)
         while self._clock() < wait_until:
             await asyncio.sleep(WORKER_POLL_S)
             choice = self.select(context)
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -97,6 +97,7 @@
         self.calls: list[WorkerCall] = []
         self.freed: list[str] = []
         self.script: list[object] = []
+        self.connect_s = 0.005
         self.on_connect: Callable[[], None] = lambda: None
         placement = PlacementEngine("z", 1)
         self.state = FleetState(placement)
@@ -126,7 +127,7 @@
     # --- WorkerClient ---
 
     async def send(self, call, before_first_byte):
-        await asyncio.sleep(0.005)
+        await asyncio.sleep(self.connect_s)
         self.on_connect()
         step = self.script.pop(0)
         if isinstance(step, NotSentError):
@@ -313,6 +314,21 @@
     assert reply.status == 503 and harness.calls == []
 
 
+# Guards against a route whose requests are never sent, since its timeout is below the least time to send.
+@pytest.mark.parametrize("timeout_ms", [1, 20, 30, 50])
+def test_request_of_a_route_with_a_short_timeout_is_sent(timeout_ms):
+    harness = RouterHarness(timeoutMs=timeout_ms)
+    harness.connect_s = 0.0
+    harness.serve(ScriptedResponse())
+    assert len(harness.calls) == 1
+
+
+def test_request_of_a_route_with_a_short_timeout_is_not_sent_late():
+    harness = RouterHarness(timeoutMs=20)
+    harness.connect_s = 0.012
+    assert harness.serve(ScriptedResponse()).status == 503 and harness.calls == []
+
+
 # --- prompts ---
 
 
--- a/tests/system/test_configuration_agreement.py
+++ b/tests/system/test_configuration_agreement.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from benchmarks.configuration_mutations import FULL, UNREADABLE, compare
+from benchmarks.configuration_mutations import FULL, Router, compare
 from hazelbend.control.configuration_reader import InvalidConfigurationError, check_configuration
 
 MUTATIONS = 120  # for each seed
@@ -24,12 +24,41 @@
     return json.dumps(document).encode()
 
 
-# Guards against an acknowledged configuration that no router can read (review/5).
+# Guards against an acknowledged configuration that no router can read, or none can serve with (review/5).
 @pytest.mark.parametrize("seed", range(3))
-def test_each_accepted_configuration_can_be_read_by_a_router(seed):
+def test_each_accepted_configuration_is_in_force_on_a_router(seed):
     counts, faults = compare(MUTATIONS, seed)
     assert counts["accepted"] and counts["refused"]
-    assert not [fault for fault in faults if fault.text == UNREADABLE]
+    assert not faults
+
+
+# Guards against numbers that a router can read and can't compute with: none of a route's requests is served.
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        *[("routes.2.timeoutMs", value) for value in (1, 2, 29, 30, 31, 59, 60, 2**63 - 1)],
+        *[("routes.0.timeoutMs", value) for value in (1, 30, 2**63 - 1)],
+        *[("routes.0.targetMs", value) for value in (0, 2**63 - 1)],
+        *[("routes.0.gap_aim_ms", value) for value in (-1e308, 0, 1e308)],
+        *[("routes.0.retries", value) for value in (0, 2**63 - 1)],
+        *[("services.0.engine.bandwidthMbps", value) for value in (-1e308, 0, 5e-324, 1e308)],
+        *[("services.0.engine.kvCapacity", value) for value in (-(2**63), 0, 1, 2**63 - 1)],
+        *[("services.0.engine.kvTokenBytes", value) for value in (-(2**63), 0, 2**63 - 1)],
+        *[("services.0.engine.capacity", value) for value in (-(2**63), 0, 2**63 - 1)],
+    ],
+)  # fmt: skip
+def test_extreme_number_is_served_with(path, value):
+    body = with_value(path, value)
+    router = Router()
+    assert router.fault_of(check_configuration(body), body) is None
+    router.close()
+
+
+# Guards against weights that a router can read and can't draw by.
+def test_weights_whose_sum_is_not_finite_are_refused():
+    body = with_value("routes.1.split", [{"backend": "plain", "weight": 1e308}] * 2)
+    with pytest.raises(InvalidConfigurationError, match=r"routes\[1\].split: the weights sum to inf"):
+        check_configuration(body)
 
 
 # Guards against an acknowledged configuration that no router can read (review/5).
