Control: an accepted change is acknowledged again although a later release finds it invalid

Cause: the check ran before the state machine recognizes a resend, so each stricter check refuses what an earlier release had accepted.

Change: before an invalid change is refused, the leader has a majority confirm its state and looks the change up. One that was accepted gets 200, one of which that is not known any more 503. A Base-Version of over 19 digits is refused; it raised an error in the log's encoder.

--- a/hazelbend/control/config_state_machine.py
+++ b/hazelbend/control/config_state_machine.py
@@ -106,10 +106,8 @@
         if isinstance(entry, ForceNewCluster):
             self.restore(entry.state)
             return ChangeResult.ACCEPTED
-        if entry.digest in self.accepted:
-            return ChangeResult.ACCEPTED
-        if entry.base < self.floor:
-            return ChangeResult.BASE_TOO_OLD
+        if (result := self._result_of_resend(entry.base, entry.digest)) is not None:
+            return result
         if entry.base != self.current.version:
             return ChangeResult.CONFLICT
         if entry.version <= self.current.version:
@@ -118,6 +116,15 @@
         self._remember(entry)
         return ChangeResult.ACCEPTED
 
+    def result_of_resend(self, base: int, body: bytes) -> ChangeResult | None:
+        """The result of a change that may have been accepted before; None if it certainly was not."""
+        return self._result_of_resend(base, digest_of(base, body))
+
+    def _result_of_resend(self, base: int, digest: bytes) -> ChangeResult | None:
+        if digest in self.accepted:
+            return ChangeResult.ACCEPTED
+        return ChangeResult.BASE_TOO_OLD if base < self.floor else None
+
     def snapshot(self) -> bytes:
         """Encode the complete state."""
         bases = list(self.accepted.values())
--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -17,7 +17,7 @@
 from hazelbend.control import messages as m
 from hazelbend.control.cluster_membership import ClusterMembership
 from hazelbend.control.config_calls import ConfigCalls
-from hazelbend.control.config_state_machine import ConfigStateMachine
+from hazelbend.control.config_state_machine import ChangeResult, ConfigStateMachine
 from hazelbend.control.fencing import OrderAuthority, fencing_token
 from hazelbend.control.load_table import Load
 from hazelbend.control.outputs import (
@@ -200,6 +200,13 @@
         """
         return self._config_calls.put(base, version, body, now) if self.quorum_exceeds_tolerance else None
 
+    def result_of_resend(self, base: int, body: bytes) -> ChangeResult | None:
+        """The result of a put that may have been accepted before; None if it certainly was not.
+
+        It holds for all puts that were acknowledged before a call of `read_config` whose outcome is known.
+        """
+        return self.config_state.result_of_resend(base, body)
+
     def read_config(self, now: int) -> int | None:
         """Read the newest committed configuration; returns the request id of the outcome to wait for.
 
--- a/hazelbend/system/control_api.py
+++ b/hazelbend/system/control_api.py
@@ -4,16 +4,15 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
 
 import msgspec
 import picologging
 
 from hazelbend.consensus.identity import address_of
 from hazelbend.control.announcements import AnnouncementOutcome
-from hazelbend.control.config_state_machine import ChangeResult, decompress_body
+from hazelbend.control.config_state_machine import ChangeResult, StoredConfig, decompress_body
 from hazelbend.control.configuration_reader import InvalidConfigurationError, check_configuration
-from hazelbend.control.outputs import CallOutcome, PutOutcome, ReadOutcome
+from hazelbend.control.outputs import PutOutcome, ReadOutcome
 from hazelbend.control.worker_recovery import HeartbeatRejectedError
 from hazelbend.protocol.control_calls import parse_heartbeat
 from hazelbend.system.clock import clock
@@ -26,6 +25,7 @@
 LEADER_TIMEOUT_S = 0.7  # for a call that waits for a leader to be elected
 LEADER_POLL_S = 0.02
 JSON = "application/json"
+MAX_VERSION_DIGITS = 19  # of a number of 64 bits
 
 NOT_FOUND = HttpResponse(404, b"no such call\n")
 WORKERS_NOT_RECOVERED = HttpResponse(503, b"just started: not all workers that have ended are known\n")
@@ -43,13 +43,6 @@
         super().__init__(f"{response.status} {response.body!r}")
 
 
-@dataclass(slots=True, frozen=True)
-class _ConfigChange:
-    base_version: int  # the version that the new one is based on
-    version: int
-    body: bytes
-
-
 class ControlApi:
     """Handles calls by the engine of a `ControlNode`."""
 
@@ -118,22 +111,50 @@
     # --- configurations ---
 
     async def _put_config(self, request: HttpRequest) -> HttpResponse:
-        change = _read_config_change(request)
+        base_version = _read_base_version(request)
+        try:
+            version = check_configuration(request.body)
+        except InvalidConfigurationError as error:
+            return await self._answer_invalid_config(request, base_version, error)
         await self._require_leadership(request.path)
-        request_id = self._node.engine.put_config(change.base_version, change.version, change.body, clock())
+        request_id = self._node.engine.put_config(base_version, version, request.body, clock())
         if request_id is None:
             return HttpResponse(503, b"no majority that is large enough\n")
-        return _put_response(await self._node.wait_for_outcome(request_id), change.version)
+        outcome = await self._node.wait_for_outcome(request_id)
+        return _put_response(outcome.result if isinstance(outcome, PutOutcome) else None, version)
+
+    async def _answer_invalid_config(
+        self, request: HttpRequest, base_version: int, error: InvalidConfigurationError
+    ) -> HttpResponse:
+        """Refuse an invalid configuration, unless an earlier release, with a laxer check, accepted it.
+
+        An accepted change must not be refused when it is sent again, and whether this one was accepted is
+        known only at the leader, with a majority's confirmation.
+        """
+        await self._confirm_config(request.path)
+        result = self._node.engine.result_of_resend(base_version, request.body)
+        if result is not None:
+            return _put_response(result, None)
+        return HttpResponse(400, "".join(f"{finding}\n" for finding in error.findings).encode())
 
     async def _get_config(self, request: HttpRequest) -> HttpResponse:
-        await self._require_leadership(request.path)
+        config = await self._confirm_config(request.path)
+        if not config.version:
+            return HttpResponse(404, b"no configuration yet\n")
+        return HttpResponse(200, decompress_body(config), JSON)
+
+    async def _confirm_config(self, path: str) -> StoredConfig:
+        """The newest configuration, confirmed by a majority after this call began.
+
+        Raises:
+            CallRejectedError: this process does not lead, or no majority answers.
+        """
+        await self._require_leadership(path)
         request_id = self._node.engine.read_config(clock())
         outcome = await self._node.wait_for_outcome(request_id) if request_id is not None else None
         if not isinstance(outcome, ReadOutcome) or outcome.config is None:
-            return HttpResponse(503, b"no majority answers\n")
-        if not outcome.config.version:
-            return HttpResponse(404, b"no configuration yet\n")
-        return HttpResponse(200, decompress_body(outcome.config), JSON)
+            raise CallRejectedError(HttpResponse(503, b"no majority answers\n"))
+        return outcome.config
 
     async def _require_leadership(self, path: str) -> None:
         """Wait until this process leads.
@@ -178,23 +199,23 @@
         return HttpResponse(200, b'{"epoch":%d}' % epoch, JSON)
 
 
-def _read_config_change(request: HttpRequest) -> _ConfigChange:
-    """Parse and check a change of the configuration. Raises CallRejectedError."""
-    base_version = request.headers.get("base-version", "0")
-    if not (base_version.isascii() and base_version.isdecimal()):
-        raise CallRejectedError(HttpResponse(400, b"Base-Version: no whole number\n"))
-    try:
-        version = check_configuration(request.body)
-    except InvalidConfigurationError as error:
-        findings = "".join(f"{finding}\n" for finding in error.findings)
-        raise CallRejectedError(HttpResponse(400, findings.encode())) from None
-    return _ConfigChange(int(base_version), version, request.body)
+def _read_base_version(request: HttpRequest) -> int:
+    """The version that the new one is based on.
+
+    Raises:
+        CallRejectedError: the header is not a whole number, or longer than a version can be.
+    """
+    text = request.headers.get("base-version", "0")
+    if not (text.isascii() and text.isdecimal() and len(text) <= MAX_VERSION_DIGITS):
+        raise CallRejectedError(HttpResponse(400, b"Base-Version: no whole number of at most 19 digits\n"))
+    return int(text)
 
 
-def _put_response(outcome: CallOutcome | None, version: int) -> HttpResponse:
-    match outcome.result if isinstance(outcome, PutOutcome) else None:
+def _put_response(result: ChangeResult | None, version: int | None) -> HttpResponse:
+    """The response to a put with this result. `version`: None if it can't be read from the body."""
+    match result:
         case ChangeResult.ACCEPTED:
-            return HttpResponse(200, b'{"version":%d}' % version, JSON)
+            return HttpResponse(200, b"{}" if version is None else b'{"version":%d}' % version, JSON)
         case ChangeResult.CONFLICT:
             return CONFIG_CONFLICT
         case ChangeResult.VERSION_NOT_NEWER:
--- a/tests/system/test_control_node.py
+++ b/tests/system/test_control_node.py
@@ -329,3 +329,43 @@
         assert errors == {"control engine": {"count": 1, "last_error": "KeyError('not expected')"}}
 
     play(scenario)
+
+
+# Guards against a stricter check that refuses a change which an earlier release has acknowledged (review/5).
+def test_change_that_an_earlier_release_accepted_is_acknowledged_again_although_it_is_invalid_now(play):
+    async def scenario(node: ControlNode, api: ControlApi, store: Store) -> None:
+        accepted_before = CONFIGURATION.replace(b'"retries": 2', b'"resume": "false"')
+        invalid = HttpRequest("POST", "/config/put", {}, accepted_before)
+        assert (await api.handle(invalid)).status == 400
+        request_id = node.engine.put_config(0, 1, accepted_before, node.engine.next_tick_at)
+        assert request_id is not None
+        await node.wait_for_outcome(request_id)
+        response = await api.handle(invalid)
+        assert (response.status, response.body) == (200, b"{}")
+        other_base = HttpRequest("POST", "/config/put", {"base-version": "1"}, accepted_before)
+        response = await api.handle(other_base)
+        assert response.status == 400 and b"routes[0].resume: Expected `bool`" in response.body
+
+    play(scenario)
+
+
+def test_invalid_change_gets_no_clear_answer_where_it_is_unknown_whether_it_was_accepted(play, monkeypatch):
+    async def scenario(node: ControlNode, api: ControlApi, store: Store) -> None:
+        invalid = HttpRequest("POST", "/config/put", {}, b"{}")
+        node.engine.config_state.floor = 1
+        assert (await api.handle(invalid)).status == 503
+        node.engine.config_state.floor = 0
+        assert (await api.handle(invalid)).status == 400
+        monkeypatch.setattr(node.engine, "read_config", lambda now: None)
+        assert (await api.handle(invalid)).status == 503
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("base", ["x", "-1", "", "9" * 20, "9" * 5_000, "\u0663"])
+def test_base_version_that_is_no_version_is_refused(play, base):
+    async def scenario(node: ControlNode, api: ControlApi, store: Store) -> None:
+        response = await api.handle(HttpRequest("POST", "/config/put", {"base-version": base}, CONFIGURATION))
+        assert response.status == 400 and response.body.startswith(b"Base-Version")
+
+    play(scenario)
