Routers serve by the newest readable configuration while a newer one is unreadable

Cause: a control process keeps and sends the newest version alone, whether routers can read it or not.

Change: a stored configuration that can't be read carries the newest readable one before it; a router that subscribes is sent that one first and then the newest, and decides by itself, as it may be of another release. The log of both roles says why, status shows readable_version and the version in force at each router (told with its pings), and the router's metrics have both versions. GET /config/get returns the newest in full as before.

Golden: status and metrics have new fields.

--- a/hazelbend/control/config_state_machine.py
+++ b/hazelbend/control/config_state_machine.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from hazelbend.control.configuration_reader import Finding, InvalidConfigurationError, read_configuration
+
 DIGEST_BYTES = 16
 MAX_ACCEPTED_DIGESTS = 4_096  # accepted changes whose resends are recognized: at most 100 KB of a snapshot
 ZLIB_LEVEL = 1  # the fastest: configurations are repetitive text, and processor time is scarce
@@ -41,10 +43,20 @@
 
 
 class StoredConfig(msgspec.Struct, frozen=True):
-    """A committed configuration. Version 0 means that there is none; `body` is compressed."""
+    """A committed configuration. Version 0 means that there is none; `body` is compressed.
+
+    An earlier release may have accepted one that this release can't read. Routers then keep serving by the
+    newest readable one before it, which is its `fallback`.
+    """
 
     version: int = 0
     body: bytes = b""
+    fallback: StoredConfig | msgspec.UnsetType = msgspec.UNSET  # left out of a readable configuration
+
+    @property
+    def readable(self) -> StoredConfig:
+        """The newest readable configuration; version 0 if none is left."""
+        return self if self.fallback is msgspec.UNSET else self.fallback
 
 
 class _Snapshot(msgspec.Struct, frozen=True):
@@ -75,6 +87,24 @@
     return _encoder.encode(ForceNewCluster(state))
 
 
+def reading_error(config: StoredConfig) -> InvalidConfigurationError | None:
+    """Why routers can't read this configuration; None if they can."""
+    try:
+        read_configuration(decompress_body(config))
+    except InvalidConfigurationError as error:
+        return error
+    except zlib.error as error:
+        return InvalidConfigurationError([Finding("body", f"not compressed: {error}")])
+    return None
+
+
+def _with_fallback(config: StoredConfig, previous: StoredConfig) -> StoredConfig:
+    """This configuration, with the newest readable one as its fallback if it can't be read itself."""
+    if not config.version or reading_error(config) is None:
+        return config
+    return msgspec.structs.replace(config, fallback=previous.readable)
+
+
 def decompress_body(config: StoredConfig) -> bytes:
     """The configuration's text as the operator sent it."""
     return zlib.decompress(config.body)
@@ -112,7 +142,7 @@
             return ChangeResult.CONFLICT
         if entry.version <= self.current.version:
             return ChangeResult.VERSION_NOT_NEWER
-        self.current = StoredConfig(entry.version, entry.body)
+        self.current = _with_fallback(StoredConfig(entry.version, entry.body), self.current)
         self._remember(entry)
         return ChangeResult.ACCEPTED
 
@@ -128,14 +158,20 @@
     def snapshot(self) -> bytes:
         """Encode the complete state."""
         bases = list(self.accepted.values())
-        return _encoder.encode(_Snapshot(self.current, list(self.accepted), bases, self.floor))
+        current = self.current
+        if not current.readable.version:
+            current = StoredConfig(current.version, current.body)
+        return _encoder.encode(_Snapshot(current, list(self.accepted), bases, self.floor))
 
     def restore(self, state: bytes) -> None:
         """Replace the state with that of a snapshot."""
         snapshot = _snapshot_decoder.decode(state)
         # In earlier formats the bases are unknown: each may be any version up to the current one.
         bases = snapshot.bases or [snapshot.current.version] * len(snapshot.accepted_digests)
-        self.current = snapshot.current
+        # Another release may have read it differently, and earlier ones keep no fallback.
+        stored = snapshot.current
+        previous = StoredConfig() if stored.fallback is msgspec.UNSET else stored.fallback
+        self.current = _with_fallback(StoredConfig(stored.version, stored.body), previous)
         self.floor = snapshot.floor
         self.accepted = dict(zip(snapshot.accepted_digests, bases, strict=True))
 
--- a/hazelbend/control/configuration_reader.py
+++ b/hazelbend/control/configuration_reader.py
@@ -158,11 +158,11 @@
         services.add(service.name)
     index_by_match: dict[tuple[str, str], int] = {}
     for index, route in enumerate(configuration.routes):
-        path = f"routes[{index}]"
-        yield from _backend_findings(path, route, services)
+        if route.split or route.backend not in services:
+            yield from _backend_findings(f"routes[{index}]", route, services)
         first = index_by_match.setdefault((route.host.lower(), route.prefix), index)
         if first != index:
-            yield Finding(f"{path}.prefix", f"the same host and prefix as routes[{first}]")
+            yield Finding(f"routes[{index}].prefix", f"the same host and prefix as routes[{first}]")
 
 
 def _backend_findings(path: str, route: Route, services: set[str]) -> Iterator[Finding]:
--- a/hazelbend/system/control_api.py
+++ b/hazelbend/system/control_api.py
@@ -182,7 +182,8 @@
     def _status(self) -> HttpResponse:
         from hazelbend.system.control_status import control_status  # imported on demand: rarely used
 
-        status = control_status(self._node.engine, self._node.config.version, clock())
+        node = self._node
+        status = control_status(node.engine, node.config, node.router_versions, clock())
         return HttpResponse(200, msgspec.json.encode(status) + b"\n", JSON)
 
     async def _force_new_cluster(self) -> HttpResponse:
--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -97,6 +97,7 @@
                 self._publisher.subscribe(connection, body)
             case m.Ping():
                 connection.send(m.encode(self._node.confirmation(body)))
+                self._publisher.record_ping(connection, body)
             case RouterLoad():
                 self._publisher.merge_router_load(connection, body)
             case m.PeerHello():
--- a/hazelbend/system/control_node.py
+++ b/hazelbend/system/control_node.py
@@ -10,7 +10,7 @@
 import picologging
 
 from hazelbend.control import messages as m
-from hazelbend.control.config_state_machine import StoredConfig
+from hazelbend.control.config_state_machine import StoredConfig, reading_error
 from hazelbend.control.engine import ControlEngine
 from hazelbend.control.outputs import CallOutcome, DurableOutput, ImmediateOutput
 from hazelbend.control.settings import ControlSettings
@@ -54,6 +54,7 @@
         on_workers: Callable[[list[WorkerRecord]], None],
     ) -> None:
         self.config = StoredConfig()  # the configuration in force
+        self.router_versions: dict[str, int] = {}  # of the configuration in force at each subscribed router
         self.confirmed_at: int | None = None  # when a majority last confirmed that `config` is the newest
         self._settings = settings
         self._persister = StatePersister(store)
@@ -80,6 +81,7 @@
             commit_index = restored[1]
             self.engine.raft.restore_commit_index(commit_index, clock())
             self.config = self.engine.config_state.current
+            _log_config(self.config)
         self.engine.restore_workers(self._persister.restored_workers(), clock())
         log.info("control: started as %s, %s", self.engine.identity, "restored" if state else "new")
 
@@ -204,7 +206,7 @@
         self.confirmed_at = output.confirmed_at
         if output.config.version > self.config.version:
             self.config = output.config
-            log.info("control: configuration %d is in force", output.config.version)
+            _log_config(output.config)
             self._on_config(output.config)
 
     def _resolve(self, outcome: CallOutcome) -> None:
@@ -226,5 +228,13 @@
         self._send_immediate(self.engine.take_immediate_output())
 
 
+def _log_config(config: StoredConfig) -> None:
+    if config.readable is config:
+        log.info("control: configuration %d is in force", config.version)
+    else:
+        text = "control: configuration %d is unreadable; routers keep %d until a newer one is put: %s"
+        log.error(text, config.version, config.readable.version, reading_error(config))
+
+
 def _ignore_frame(content: bytes) -> None:
     """Ignore what a control process sends over this link: it answers over a link that it opens itself."""
--- a/hazelbend/system/control_status.py
+++ b/hazelbend/system/control_status.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hazelbend.control.config_state_machine import StoredConfig
 from hazelbend.control.engine import ControlEngine
 from hazelbend.system.clock import MILLISECOND_US
 from hazelbend.transport.background_work import FAILURES, WorkFailure
@@ -44,17 +45,21 @@
     lost: list[str]  # voters that have failed and may be replaced
     joining: list[str]  # learners: processes that catch up before they become voters
     commit_index: int = msgspec.field(name="commit")
-    config_version: int = msgspec.field(name="version")  # of the configuration in force
+    config_version: int = msgspec.field(name="version")  # of the newest configuration
+    readable_version: int  # of the newest configuration that routers can read; see `StoredConfig`
     confirmed_ms_ago: int | None  # since a majority last confirmed this process's state
     replicas: dict[str, ReplicaStatus]  # by identity; only at the leader
     control_addresses: tuple[str, ...] = msgspec.field(name="controls")  # of processes that are alive
     routers: list[str]  # the routers subscribed to this process
+    router_versions: dict[str, int]  # of the configuration in force at these routers, as far as they told
     workers: list[WorkerStatus]
     unexpected_errors: dict[str, WorkFailure]  # since the start, by the name of the background work
 
 
-def control_status(engine: ControlEngine, config_version: int, now: int) -> ControlStatus:
-    """Return the status at this time. `config_version` is that of the configuration in force."""
+def control_status(
+    engine: ControlEngine, config: StoredConfig, router_versions: dict[str, int], now: int
+) -> ControlStatus:
+    """Return the status at this time. `config` is the newest configuration."""
     raft = engine.raft
     confirmed_age = raft.confirmed_age(now)
     other_voters = [voter for voter in raft.voters if voter != engine.identity]
@@ -68,11 +73,13 @@
         lost=[voter for voter in other_voters if engine.peers.is_replaceable(voter, now)],
         joining=sorted(raft.learners),
         commit_index=raft.commit_index,
-        config_version=config_version,
+        config_version=config.version,
+        readable_version=config.readable.version,
         confirmed_ms_ago=None if confirmed_age is None else confirmed_age // MILLISECOND_US,
         replicas=_replicas(engine, now),
         control_addresses=(engine.settings.address, *engine.peers.alive(now)),
         routers=sorted(engine.subscribed_routers),
+        router_versions=router_versions,
         workers=_workers(engine, now),
         unexpected_errors=FAILURES.by_name,
     )
--- a/hazelbend/system/control_subscriptions.py
+++ b/hazelbend/system/control_subscriptions.py
@@ -100,7 +100,8 @@
     def ping(self) -> None:
         """Send a ping. The pong contains the age of the majority's confirmation."""
         self.last_ping_at = self._now()
-        self._link.send(m.encode(m.Ping(round(self.last_ping_at * SECOND_US))))
+        sent_at = round(self.last_ping_at * SECOND_US)
+        self._link.send(m.encode(m.Ping(sent_at, self._handler.config_version())))
 
     async def close(self) -> None:
         """Close the connection and do not reconnect."""
--- a/hazelbend/system/metrics.py
+++ b/hazelbend/system/metrics.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily, Metric
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, HistogramMetricFamily, Metric
 
 from hazelbend.placement.statistics import RatioHistogram, Statistics, WorkerStatistics
 from hazelbend.transport.background_work import FAILURES
@@ -17,18 +18,27 @@
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
-def render(statistics: Statistics) -> bytes:
+@dataclass(slots=True, frozen=True)
+class ConfigVersions:
+    """The configurations of a router. A version of 0 means that there is none."""
+
+    in_force: int
+    unreadable: int  # a newer one that could not be read
+
+
+def render(statistics: Statistics, config: ConfigVersions) -> bytes:
     """Return all metrics of this router with their current values."""
     registry = CollectorRegistry()
-    registry.register(_StatisticsCollector(statistics))
+    registry.register(_StatisticsCollector(statistics, config))
     return generate_latest(registry)
 
 
 class _StatisticsCollector:
     """Implements the library's collector protocol for the router's own counters."""
 
-    def __init__(self, statistics: Statistics) -> None:
+    def __init__(self, statistics: Statistics, config: ConfigVersions) -> None:
         self._statistics = statistics
+        self._config = config
 
     def collect(self) -> Iterator[Metric]:
         """Create all metric families."""
@@ -47,6 +57,16 @@
         yield self._refusals()
         yield self._retries()
         yield self._unexpected_errors()
+        yield GaugeMetricFamily(
+            "hazelbend_config_version",
+            "Version of the configuration in force, 0 if there is none",
+            value=self._config.in_force,
+        )
+        yield GaugeMetricFamily(
+            "hazelbend_unreadable_config_version",
+            "Version of a newer configuration that could not be read, 0 if there is none",
+            value=self._config.unreadable,
+        )
 
     def _attempts(self) -> Metric:
         help_text = "Sends to workers by how they ended"
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -103,7 +103,10 @@
             case "/metrics":
                 from hazelbend.system import metrics  # imported on demand: slow to import
 
-                return HttpResponse(200, metrics.render(self._placement.statistics), metrics.CONTENT_TYPE)
+                updates = self._updates
+                config = metrics.ConfigVersions(updates.config_version(), updates.unreadable_version)
+                content = metrics.render(self._placement.statistics, config)
+                return HttpResponse(200, content, metrics.CONTENT_TYPE)
             case "/readyz" if self._is_ready:
                 return HttpResponse(200, b"ready\n")
             case "/readyz":
--- a/hazelbend/system/router_update_handler.py
+++ b/hazelbend/system/router_update_handler.py
@@ -40,7 +40,7 @@
         self._on_limits = on_limits
         self._on_fleet_status = on_fleet_status
         self._other_routers = LoadView()
-        self.unreadable_version = 0  # the newest version that was received and could not be read
+        self.unreadable_version = 0  # of a configuration newer than the one in force, if there is one
         self._config_confirmed_at = 0  # microseconds of this process's clock
 
     def has_current_config(self) -> bool:
@@ -62,6 +62,8 @@
             self._report_unreadable(update.version, error)
             return
         if self._state.apply_configuration(route_table):
+            if update.version >= self.unreadable_version:
+                self.unreadable_version = 0
             self._on_limits(route_table.configuration.limits)
             log.info("router: configuration %d is in force", update.version)
 
--- a/hazelbend/system/update_publisher.py
+++ b/hazelbend/system/update_publisher.py
@@ -10,6 +10,7 @@
 import asyncio
 from dataclasses import dataclass
 
+import msgspec
 import picologging
 
 from hazelbend.control import messages as m
@@ -35,6 +36,7 @@
 class _Subscriber:
     router: str
     wants_loads: bool
+    version: int | None = None  # of the configuration in force there, as it told last
     config_pending: bool = False  # whether to send the newest configuration once it has read earlier data
 
 
@@ -86,6 +88,17 @@
         if self._subscribers.pop(connection, None) is not None:
             self._update_router_set()
 
+    def record_ping(self, connection: FrameConnection, ping: m.Ping) -> None:
+        """Record which configuration is in force at a router."""
+        subscriber = self._subscribers.get(connection)
+        if (
+            subscriber is not None
+            and ping.version is not msgspec.UNSET
+            and ping.version != subscriber.version
+        ):
+            subscriber.version = ping.version
+            self._update_router_set()
+
     def merge_router_load(self, connection: FrameConnection, load: RouterLoad) -> None:
         """Merge a router's load report, sent by the router or forwarded by another control process."""
         if not self.loads.merge(load, clock()):
@@ -103,6 +116,11 @@
     def _update_router_set(self) -> None:
         routers = {subscriber.router for subscriber in self._subscribers.values()}
         self._node.engine.subscribed_routers = routers
+        self._node.router_versions = {
+            subscriber.router: subscriber.version
+            for subscriber in self._subscribers.values()
+            if subscriber.version is not None
+        }
 
     def _complete_state(self, request: m.SubscribeRequest) -> list[m.Body]:
         """Return the messages with the complete state: those needed to serve first, the largest last."""
@@ -110,8 +128,10 @@
         config = self._node.config
         loads = self.loads.all_other_loads(request.router) if request.loads else {}
         bodies: list[m.Body] = [m.WorkerUpdate(0, engine.records_for_routers())]
-        if config.version > request.version:
-            bodies.append(m.ConfigUpdate(config.version, config.body))
+        # A router decides by itself which of these it can read: it may be of another release.
+        for each in (config.readable, config) if config.readable is not config else (config,):
+            if each.version > request.version:
+                bodies.append(m.ConfigUpdate(each.version, each.body))
         bodies.append(engine.fleet_status(clock()))
         bodies.append(LoadUpdate(loads, complete=request.loads))
         if request.caches:
--- a/tests/forwarding/test_reliability.py
+++ b/tests/forwarding/test_reliability.py
@@ -300,7 +300,7 @@
     )
     harness.state.placement.workers.clear()
     harness.serve()
-    text = metrics.render(harness.state.placement.statistics).decode()
+    text = metrics.render(harness.state.placement.statistics, metrics.ConfigVersions(1, 0)).decode()
     prefill_worker = extra_headers(harness.calls[0])["Expect-Instance"]
     assert f'hazelbend_sends_total{{end="served",worker="{prefill_worker}"}} 1.0' in text
     counts = harness.state.placement.statistics.for_worker(prefill_worker)
--- a/tests/golden/golden_runs.py
+++ b/tests/golden/golden_runs.py
@@ -28,6 +28,7 @@
 from benchmarks.control import history
 from hazelbend.consensus import state_codec
 from hazelbend.control import messages
+from hazelbend.control.config_state_machine import StoredConfig
 from hazelbend.control.configuration import Configuration
 from hazelbend.control.load_table import CachedPrefix, Load
 from hazelbend.control.phase_planner import PhasePlanner
@@ -148,7 +149,11 @@
             fleet.partition(partitioned, other)
     fleet.run(3 * S)
     return [
-        json.loads(msgspec.json.encode(control_status(each.engine, each.published_version, fleet.now)))
+        json.loads(
+            msgspec.json.encode(
+                control_status(each.engine, StoredConfig(each.published_version), {}, fleet.now)
+            )
+        )
         for each in fleet.alive
     ]
 
--- a/tests/golden/golden_shown.py
+++ b/tests/golden/golden_shown.py
@@ -99,7 +99,7 @@
     )
     refusals = Counter({reason: n for n, reason in enumerate(statistics.Refusal, 1)})
     results = statistics.Statistics({"w-1": worker, "w-2": statistics.WorkerStatistics()}, refusals, 9)
-    return metrics.render(results).decode()
+    return metrics.render(results, metrics.ConfigVersions(in_force=7, unreadable=0)).decode()
 
 
 def sample_overview() -> overview.Overview:
