--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -100,6 +100,8 @@
         A record of a process that was out of touch may have come before. A worker that drains stays so.
         """
         known = self.workers.get(record.instance)
+        if known is not None and known.record == record:
+            return
         if known is not None and record.state is known.record.state and differs(known.record, record):
             self._replace_record(known, record)
         else:
--- a/hazelbend/placement/worker_replicas.py
+++ b/hazelbend/placement/worker_replicas.py
@@ -140,8 +140,8 @@
         newest: dict[str, WorkerRecord] = {}
         for replica in self._replicas.values():
             for record in replica.live_records():
-                known = newest.setdefault(record.instance, record)
-                if record.rank > known.rank:
+                known = newest.get(record.instance)
+                if known is None or known.seq < record.seq:
                     newest[record.instance] = record
         return list(newest.values())
 
