Routers don't let workers expire by the ages of a process that sends no records

Found by reading: a process without a vote answers a subscription with its status alone. Ages count only for workers whose records the process has sent. The new test fails without the change.

--- a/hazelbend/placement/worker_replicas.py
+++ b/hazelbend/placement/worker_replicas.py
@@ -65,8 +65,10 @@
         if status.registry is msgspec.UNSET:
             self._knows_all = False
             self._mismatches = 0
-            self._expired -= {instance for instance, age in ages.items() if age <= expiry_us}
-            self._expired |= {instance for instance, age in ages.items() if age > expiry_us}
+            # A process without a vote hears no ages of its peers; it sends its status, and no records.
+            listed = {instance: age for instance, age in ages.items() if instance in self.records}
+            self._expired -= {instance for instance, age in listed.items() if age <= expiry_us}
+            self._expired |= {instance for instance, age in listed.items() if age > expiry_us}
             return
         is_equal = status.registry.digest == self._digest
         self._mismatches = 0 if is_equal else self._mismatches + 1
--- a/tests/placement/test_worker_replicas.py
+++ b/tests/placement/test_worker_replicas.py
@@ -150,6 +150,19 @@
     assert router.used == set()
 
 
+# Guards against the ages of a process without a vote, which hears of no heartbeats at its peers.
+def test_process_that_only_names_the_voters_lets_no_worker_expire(router):
+    voter = ControlProcess(router, "c1")
+    voter.heartbeat(0, record())
+    voter.status(0)
+    router.updates.subscription_ended("c1")
+    router.updates.subscription_opened("c2")
+    ages = {"i-1": 60 * HEARTBEAT_US}
+    for registry in (NO_LIST, m.RegistryStatus(1, knows_all=True)):
+        router.updates.apply_fleet_status("c2", m.FleetStatus(("c1",), 1, ages, (), registry))
+        assert router.used == {"i-1"}
+
+
 def test_control_process_of_an_earlier_release_lets_a_worker_expire_by_its_age(router):
     earlier = ControlProcess(router, "c1")
     earlier.sends_registry_status = False
