A router's shutdown ends all subscriptions while it drops a silent control process

In a router this ends the shutdown with a traceback, before its readiness listener and its calls to workers are closed, and leaves a task that subscribes anew.

Cause: FrameLink.close awaited its own cancelled task and suppressed CancelledError, which swallowed a cancellation of the caller as well. The maintenance task that was just dropping a subscription went on after it was cancelled, while close iterated over the subscriptions.

Change: close waits for its task without taking over its result, so that the caller's own cancellation passes through, and the link is closed in any case; the subscriptions are closed once the maintenance task has ended. PrefillCaller.close suppressed a cancellation in the same way.

--- a/hazelbend/forwarding/prefill.py
+++ b/hazelbend/forwarding/prefill.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 
 import msgspec
@@ -145,5 +144,4 @@
         tasks = list(self._free_tasks)
         for task in tasks:
             task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/hazelbend/system/control_subscriptions.py
+++ b/hazelbend/system/control_subscriptions.py
@@ -192,6 +192,7 @@
         """Close all subscriptions."""
         if self._task is not None:
             self._task.cancel()
+            await asyncio.wait([self._task])  # it opens and drops subscriptions until it has ended
         for subscription in self._subscriptions.values():
             await subscription.close()
 
--- a/hazelbend/transport/peer/frame_link.py
+++ b/hazelbend/transport/peer/frame_link.py
@@ -157,11 +157,12 @@
             self._connection.close()
 
     async def close(self) -> None:
-        """Close the link permanently."""
+        """Close the link permanently, also if the caller is cancelled meanwhile."""
         self._task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await self._task
-        self.reconnect()
+        try:
+            await asyncio.wait([self._task])  # raises only the caller's cancellation
+        finally:
+            self.reconnect()
 
     async def _stay_connected(self) -> None:
         backoff_s = INITIAL_BACKOFF_S
--- a/tests/system/test_control_subscriptions.py
+++ b/tests/system/test_control_subscriptions.py
@@ -263,3 +263,20 @@
     second.is_silent = True
     await eventually(lambda: second.address not in updates.sources)
     await subscriptions.close()
+
+
+# Guards against a router whose shutdown fails while it drops a control process that has fallen silent.
+async def test_close_while_a_silent_control_process_is_dropped_ends_all_subscriptions(controls, monkeypatch):
+    subscriptions, updates = await subscribed(controls)
+    await eventually(lambda: len(with_subscribers(controls)) == 2)
+    closing: list[asyncio.Task[None]] = []
+    monkeypatch.setattr(
+        updates,
+        "subscription_ended",
+        lambda source: closing.append(asyncio.create_task(subscriptions.close())),
+    )
+    with_subscribers(controls)[0].is_silent = True
+    await eventually(lambda: closing)
+    await closing[0]
+    await eventually(lambda: not with_subscribers(controls))
+    assert subscriptions._task is not None and subscriptions._task.done()
--- a/tests/transport/test_frame_link.py
+++ b/tests/transport/test_frame_link.py
@@ -69,3 +69,17 @@
             raise ConnectionResetError
     writer.close()
     await server.close()
+
+
+# Guards against a task that goes on after its cancellation: the link that it closed took that for its own.
+async def test_caller_that_is_cancelled_while_it_closes_a_link_ends_and_the_link_is_closed():
+    server = FrameServer(lambda connection, frame: None, lambda connection: None)
+    await server.listen(HOST, 0)
+    link = FrameLink(f"{HOST}:{server._server.sockets[0].getsockname()[1]}", lambda frame: None)
+    await eventually(lambda: link.is_open)
+    closing = asyncio.create_task(link.close())
+    asyncio.get_running_loop().call_soon(closing.cancel)  # runs right after the first step of `closing`
+    await asyncio.wait([closing])
+    assert closing.cancelled()
+    assert not link.is_open and link._task.done()
+    await server.close()
