A control process knows of expired workers only after it was in touch for an expiry's time

Change: a process counts as knowing all workers once it has been in touch with a majority for the whole time of an expiry; a standstill of over contactMs begins that anew. Until then routers keep a worker that it doesn't list.

--- a/hazelbend/control/worker_sync.py
+++ b/hazelbend/control/worker_sync.py
@@ -54,6 +54,7 @@
         self._announcements = Announcements(raft.incarnation, settings.tolerance)
         self._reporting_since: int | None = None  # when ready workers were first reported to routers
         self._last_ages_at: int | None = None
+        self._in_touch_since: int | None = None  # since when a majority has confirmed this process's state
         # To be sent once the records are stored: the address of the process that announced them, and the ack.
         self._unsent_acks: list[tuple[str, m.WorkerUpdateAck]] = []
 
@@ -138,16 +139,20 @@
     def registry_status(self, now: int) -> m.RegistryStatus | msgspec.UnsetType:
         """The state of the registry for the comparison with routers' replicas; UNSET until the recovery ends.
 
-        A worker without a record has expired only if its heartbeats would have reached this process: it has
-        run for long enough, and a majority has confirmed of late that this process is in touch with it.
+        A worker without a record has expired only if its heartbeats would have reached this process: for the
+        whole time of an expiry it has run and been in touch with a majority.
         """
         if self._reporting_since is None:
             return msgspec.UNSET
+        has_heard_all = False
+        if self._in_touch_since is not None and self._is_in_touch(now):
+            heard_since = max(self._reporting_since, self._in_touch_since)
+            has_heard_all = now - heard_since >= EXPIRY_HEARTBEATS * self._settings.heartbeat_us
+        return m.RegistryStatus(self.registry.digest, knows_all=has_heard_all)
+
+    def _is_in_touch(self, now: int) -> bool:
         confirmed_age = self._raft.confirmed_age(now)
-        in_touch = confirmed_age is not None and confirmed_age <= self._settings.contact_us
-        expiry_us = EXPIRY_HEARTBEATS * self._settings.heartbeat_us
-        has_heard_all = now - self._reporting_since >= expiry_us
-        return m.RegistryStatus(self.registry.digest, knows_all=in_touch and has_heard_all)
+        return confirmed_age is not None and confirmed_age <= self._settings.contact_us
 
     def send_snapshot(self, address: str, now: int) -> None:
         """Send all worker records to a peer that may have missed earlier updates."""
@@ -168,11 +173,20 @@
 
     def send_ages(self, routers: tuple[str, ...], switching: tuple[str, ...], now: int) -> None:
         """Send peers the ages of workers with a heartbeat since the last call, and this registry's digest."""
+        self._update_contact(now)
         self._expire_workers(now)
         recent_ages = self.registry.take_recent_ages(now)
         ages = m.WorkerAges(recent_ages, routers, switching, self.registry.digest)
         self._outbox.broadcast(self._peers.alive_quorum_peers(now), ages)
 
+    def _update_contact(self, now: int) -> None:
+        """Update since when this process has been in touch with a majority."""
+        stood_still = self._last_ages_at is not None and now - self._last_ages_at > self._settings.contact_us
+        if stood_still or not self._is_in_touch(now):
+            self._in_touch_since = None
+        elif self._in_touch_since is None:
+            self._in_touch_since = now
+
     def _expire_workers(self, now: int) -> None:
         """Remove workers without a recent heartbeat.
 
--- a/tests/control/test_worker_expiry.py
+++ b/tests/control/test_worker_expiry.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from benchmarks.control.fleet import Fleet, S, has_formed
+from benchmarks.control.fleet import MS, Fleet, S, has_formed
 from hazelbend.control import worker_sync
 from hazelbend.control.engine import AGES_PERIOD_US, ControlEngine
 from hazelbend.control.workers import EXPIRY_HEARTBEATS, WorkerRecord, WorkerState
@@ -61,6 +61,36 @@
     assert not reported and "i-1" in engine.registry.tracked
 
 
+# Guards against routers that drop all workers when a process is back in touch and has not been sent them yet.
+@pytest.mark.parametrize("seed", [3, 21])
+def test_process_that_was_cut_off_past_the_expiry_does_not_know_all_workers_when_it_is_back(seed):
+    fleet = Fleet(seed, 3, 1, loss=0.05)
+    assert fleet.run_until(lambda: has_formed(fleet, 3), 8 * S)
+    cut_off, *others = (machine.address for machine in fleet.alive)
+    hearing, process = fleet.machines[others[0]].engine, fleet.machines[cut_off].engine
+    fleet.run_until(lambda: hearing._workers.recovery.has_ended(fleet.now), 5 * S)
+    fleet.run(expiry_us(process) + 2 * S)
+
+    def run_with_heartbeats(duration: int, period: int = 100 * MS) -> None:
+        for _ in range(duration // period):
+            hearing.handle_heartbeat(record(fleet.now), fleet.now)
+            fleet.run(period)
+            status = process.fleet_status(fleet.now).registry
+            assert "i-1" in process.registry.tracked or not status.knows_all
+
+    run_with_heartbeats(3 * S)
+    assert process.fleet_status(fleet.now).registry.knows_all
+    for address in others:
+        fleet.partition(cut_off, address)
+    run_with_heartbeats(expiry_us(process) + 3600 * MS)
+    assert "i-1" not in process.registry.tracked
+    fleet.heal()
+    run_with_heartbeats(3 * S, period=10 * MS)
+    assert "i-1" in process.registry.tracked
+    run_with_heartbeats(expiry_us(process))
+    assert process.fleet_status(fleet.now).registry.knows_all
+
+
 def test_process_knows_all_workers_only_when_it_has_run_for_long_and_is_in_touch(fleet, monkeypatch):
     engine = fleet.alive[0].engine
     sync = engine._workers
