Routers request records that repair nothing ever less often

Suspected by reading: a release that adds a field to the records computes other digests.

Change: the number of differing statuses until the next request doubles, up to 64 (32 s), while neither digest has changed since the last request.

--- a/hazelbend/placement/worker_replicas.py
+++ b/hazelbend/placement/worker_replicas.py
@@ -19,6 +19,8 @@
 from hazelbend.control.workers import WorkerRecord, WorkerState, record_digest
 
 MAX_DIGEST_MISMATCHES = 2  # consecutive statuses with another digest, until all records are requested
+# The same after requests that changed nothing, since another release may compute other digests.
+MAX_UNREPAIRED_MISMATCHES = 64
 
 
 class Liveness(IntEnum):
@@ -43,6 +45,11 @@
         self._expired: set[str] = set()  # by their ages, at a control process of an earlier release
         self._knows_all = False  # whether a worker that is not in `records` is known to have expired
         self._mismatches = 0
+        self._mismatches_until_resync = (
+            MAX_DIGEST_MISMATCHES  # doubles with each request that changes nothing
+        )
+        self._registry_digest = 0  # of the control process, in its last status
+        self._requested_at_digests: tuple[int, int] | None = None  # there and here, at the last request
 
     def apply_update(self, update: WorkerUpdate) -> None:
         """Apply changed records, or all records. They arrive in the order in which they were sent."""
@@ -70,7 +77,8 @@
             self._expired -= {instance for instance, age in listed.items() if age <= expiry_us}
             self._expired |= {instance for instance, age in listed.items() if age > expiry_us}
             return
-        is_equal = status.registry.digest == self._digest
+        self._registry_digest = status.registry.digest
+        is_equal = self._registry_digest == self._digest
         self._mismatches = 0 if is_equal else self._mismatches + 1
         self._knows_all = is_equal and status.registry.knows_all
 
@@ -80,9 +88,14 @@
 
     def take_resync_request(self) -> bool:
         """Whether all records must be requested, because the replica differs from the registry."""
-        if self._mismatches < MAX_DIGEST_MISMATCHES:
+        digests = self._registry_digest, self._digest
+        if digests != self._requested_at_digests:
+            self._mismatches_until_resync = MAX_DIGEST_MISMATCHES
+        if self._mismatches < self._mismatches_until_resync:
             return False
         self._mismatches = 0
+        self._requested_at_digests = digests
+        self._mismatches_until_resync = min(2 * self._mismatches_until_resync, MAX_UNREPAIRED_MISMATCHES)
         return True
 
     def liveness(self, instance: str) -> Liveness:
--- a/tests/placement/test_worker_replicas.py
+++ b/tests/placement/test_worker_replicas.py
@@ -163,6 +163,24 @@
         assert router.used == {"i-1"}
 
 
+# Guards against all records twice a second while another release computes other digests for the same records.
+def test_records_that_repair_nothing_are_requested_ever_less_often(router):
+    statuses = [False] * 400
+    router.updates.subscription_opened("c1")
+    status = m.FleetStatus((), 1, {}, (), m.RegistryStatus(1, knows_all=True))
+    for index in range(len(statuses)):
+        router.updates.apply_fleet_status("c1", status)
+        statuses[index] = router.updates.take_resync_request("c1")
+    assert statuses.index(True) < MAX_REPAIR_STATUSES
+    assert sum(statuses[:200]) <= 10 and any(statuses[200:]), "fewer, but never none"
+    other_status = m.FleetStatus((), 1, {}, (), m.RegistryStatus(2, knows_all=True))
+    requests = []
+    for _ in range(MAX_REPAIR_STATUSES):
+        router.updates.apply_fleet_status("c1", other_status)
+        requests.append(router.updates.take_resync_request("c1"))
+    assert any(requests), "a new difference is repaired as fast as the first one"
+
+
 def test_control_process_of_an_earlier_release_lets_a_worker_expire_by_its_age(router):
     earlier = ControlProcess(router, "c1")
     earlier.sends_registry_status = False
