A late heartbeat of a crashed worker doesn't end the next worker at its address

Cause: WorkerRegistry._end_previous_instance took the instance whose record arrived last at an address for the newer one and marked the other as GONE, which is final.

Change: only a worker's own deregistration ends it. Of two instances at one address, the one whose heartbeats go on is running: an instance that is silent while another one there is heard is superseded. It leaves the routers' replicas and the digest, as an expired one does, and is reported again if the other one falls silent and it is heard. A late heartbeat of a superseded instance changes nothing while the other one is heard. While both are heard, both are reported: requests name the instance, and the other worker answers 421. Workers that drain are never superseded.

--- a/hazelbend/control/engine.py
+++ b/hazelbend/control/engine.py
@@ -272,7 +272,7 @@
         reachable_workers = [
             worker.record
             for worker in self.registry.tracked.values()
-            if not self.registry.is_silent(worker, now)
+            if not (worker.is_superseded or self.registry.is_silent(worker, now))
         ]
         return self.planner.plan(reachable_workers, loads, now)
 
--- a/hazelbend/control/worker_sync.py
+++ b/hazelbend/control/worker_sync.py
@@ -120,20 +120,22 @@
         if self._reporting_since is not None or not self.recovery.has_ended(now):
             return
         self._reporting_since = now
-        records = self.registry.records()
+        records = self._reportable(self.registry.records())
         self._outbox.report_workers([record for record in records if record.state is WorkerState.READY])
 
     def records_for_routers(self) -> tuple[WorkerRecord, ...]:
-        """The records for a router that subscribes now: without ready workers until the recovery has ended,
-        because one that was restored may have ended meanwhile.
-        """
+        """The records for a router that subscribes now, without those that `_reportable` excludes."""
         return tuple(self._reportable(self.registry.records()))
 
     def _reportable(self, records: Iterable[WorkerRecord]) -> list[WorkerRecord]:
+        """Exclude superseded workers, and ready ones until the recovery has ended: one that was restored may
+        have ended meanwhile.
+        """
         return [
             record
             for record in records
-            if self._reporting_since is not None or record.state is not WorkerState.READY
+            if record.state is not WorkerState.READY
+            or (self._reporting_since is not None and not self.registry.is_superseded(record.instance))
         ]
 
     def registry_status(self, now: int) -> m.RegistryStatus | msgspec.UnsetType:
@@ -188,14 +190,18 @@
             self._in_touch_since = now
 
     def _expire_workers(self, now: int) -> None:
-        """Remove workers without a recent heartbeat.
+        """Remove workers without a recent heartbeat, and update which ones are superseded.
 
         Not right after this process stood still: it has not read yet which heartbeats its peers received.
         """
         last_ages_at = self._last_ages_at
         self._last_ages_at = now
-        if last_ages_at is None or now - last_ages_at <= MAX_AGES_GAP_US:
-            self._outbox.report_expired_workers(self.registry.expire(now))
+        if last_ages_at is not None and now - last_ages_at > MAX_AGES_GAP_US:
+            return
+        self._outbox.report_expired_workers(self.registry.expire(now))
+        changes = self.registry.update_superseded(now)
+        self._outbox.report_expired_workers(changes.superseded)
+        self._outbox.report_workers(self._reportable(changes.restored))
 
     def handle_update(self, sender: str, update: m.WorkerUpdate, now: int) -> None:
         """Merge a peer's records, and acknowledge them if the peer waits for that."""
--- a/hazelbend/control/workers.py
+++ b/hazelbend/control/workers.py
@@ -4,6 +4,11 @@
 `seq`), so they merge to the same result in any order, a late heartbeat changes nothing, and `GONE` is final.
 Times are microseconds of this process's monotonic clock.
 
+A worker that has crashed says nothing, and another instance may start at its address. Which of two instances
+at one address is running does not follow from the order in which their records arrive, since a heartbeat
+may arrive seconds late; it follows from whose heartbeats go on. So an instance that is silent while another
+one at its address is heard is superseded: it is not reported to routers until the other one is silent.
+
 A worker that has announced that it drains or ends may never repeat that, so these records must survive a
 restart: the registry reports their changes as `WorkerStateChange`, to be stored before an announcement is
 acknowledged. Workers that are `READY` announce themselves with every heartbeat.
@@ -72,6 +77,20 @@
 
     record: WorkerRecord
     last_heartbeat_at: int
+    is_superseded: bool = False  # another instance at its address is heard in its place
+
+    @property
+    def digest(self) -> int:
+        """Its part of the digest of the registry; 0 if routers do not need its record."""
+        return 0 if self.is_superseded else record_digest(self.record)
+
+
+@dataclass(slots=True)
+class SupersededChanges:
+    """The workers that have been superseded, and those that no longer are."""
+
+    superseded: list[str]  # instances
+    restored: list[WorkerRecord]
 
 
 class WorkerRegistry:
@@ -81,8 +100,7 @@
         """`heartbeat_us`: the period of a worker's heartbeats."""
         self._heartbeat_us = heartbeat_us
         self.tracked: dict[str, TrackedWorker] = {}
-        self.digest = 0  # of all records that are not `GONE`: equal for registries of the same workers
-        self._instance_by_address: dict[str, str] = {}
+        self.digest = 0  # of the records that routers need: equal for registries of the same workers
         self._recent_instances: set[str] = set()  # since the last `take_recent_ages`
         self._unsaved_instances: set[str] = set()  # whose stored record is outdated
 
@@ -92,16 +110,12 @@
         if known is not None and record.rank <= known.record.rank:
             self.record_heartbeat(record.instance, last_heartbeat_at)
             return []
-        changed = []
-        if record.state is not WorkerState.GONE:
-            changed = self._end_previous_instance(record, last_heartbeat_at)
         is_changed = known is None or differs(known.record, record)
-        if is_changed:
-            changed.append(record)
         previous_heartbeat_at = known.last_heartbeat_at if known is not None else last_heartbeat_at - 1
-        self._track(TrackedWorker(record, previous_heartbeat_at), differs=is_changed)
+        is_superseded = known is not None and known.is_superseded and record.state is WorkerState.READY
+        self._track(TrackedWorker(record, previous_heartbeat_at, is_superseded), differs=is_changed)
         self.record_heartbeat(record.instance, last_heartbeat_at)
-        return changed
+        return [record] if is_changed else []
 
     def tombstone(self, instance: str) -> WorkerRecord | None:
         """The `GONE` record of this instance; None if the instance is unknown."""
@@ -130,6 +144,47 @@
                     expired.append(instance)
         return expired
 
+    def update_superseded(self, now: int) -> SupersededChanges:
+        """Update which workers are superseded by another instance at their address.
+
+        Workers that drain are never superseded, since their routers must not take them for ready ones later.
+        """
+        changes = SupersededChanges([], [])
+        for workers in self._workers_by_address().values():
+            heard = [worker for worker in workers if not self.is_silent(worker, now)]
+            if not heard:
+                continue  # nothing shows which of them is running
+            running = [worker for worker in heard if not worker.is_superseded] or heard
+            running_instances = {worker.record.instance for worker in running}
+            for worker in workers:
+                is_ready = worker.record.state is WorkerState.READY
+                is_superseded = is_ready and worker.record.instance not in running_instances
+                if is_superseded != worker.is_superseded:
+                    self._set_superseded(worker, is_superseded, changes)
+        return changes
+
+    def _set_superseded(self, worker: TrackedWorker, is_superseded: bool, changes: SupersededChanges) -> None:
+        self.digest ^= worker.digest
+        worker.is_superseded = is_superseded
+        self.digest ^= worker.digest
+        if is_superseded:
+            changes.superseded.append(worker.record.instance)
+        else:
+            changes.restored.append(worker.record)
+
+    def _workers_by_address(self) -> dict[str, list[TrackedWorker]]:
+        """The workers that have not ended, by their addresses."""
+        by_address: dict[str, list[TrackedWorker]] = {}
+        for worker in self.tracked.values():
+            if worker.record.state is not WorkerState.GONE:
+                by_address.setdefault(worker.record.address, []).append(worker)
+        return by_address
+
+    def is_superseded(self, instance: str) -> bool:
+        """Whether another instance at the address of this one is heard in its place."""
+        known = self.tracked.get(instance)
+        return known is not None and known.is_superseded
+
     def is_silent(self, worker: TrackedWorker, now: int) -> bool:
         """Whether heartbeats have been missing for longer than lost messages are likely to explain."""
         return now - worker.last_heartbeat_at > SILENT_HEARTBEATS * self._heartbeat_us
@@ -195,38 +250,22 @@
             for instance in recent & set(self.tracked)
         }
 
-    def _end_previous_instance(self, record: WorkerRecord, now: int) -> list[WorkerRecord]:
-        """Mark the previous instance at the address of this record as `GONE`: its process was replaced."""
-        previous = self._instance_by_address.get(record.address)
-        self._instance_by_address[record.address] = record.instance
-        if previous is None or previous == record.instance or previous not in self.tracked:
-            return []
-        previous_record = self.tracked[previous].record
-        if previous_record.state is WorkerState.GONE:
-            return []
-        ended = msgspec.structs.replace(previous_record, state=WorkerState.GONE)
-        self._track(TrackedWorker(ended, now), differs=True)
-        return [ended]
-
     def _track(self, worker: TrackedWorker, *, differs: bool) -> None:
         """Add or replace a record. All changes go through this method, which updates `digest` and what is
         to be stored.
         """
         known = self.tracked.get(worker.record.instance)
         if differs:
-            previous_digest = record_digest(known.record) if known is not None else 0
-            self.digest ^= record_digest(worker.record) ^ previous_digest
+            self.digest ^= worker.digest ^ (known.digest if known is not None else 0)
             if _is_stored(worker.record) or (known is not None and _is_stored(known.record)):
                 self._unsaved_instances.add(worker.record.instance)
         self.tracked[worker.record.instance] = worker
 
     def _drop(self, instance: str) -> None:
-        record = self.tracked.pop(instance).record
-        self.digest ^= record_digest(record)
-        if _is_stored(record):
+        worker = self.tracked.pop(instance)
+        self.digest ^= worker.digest
+        if _is_stored(worker.record):
             self._unsaved_instances.add(instance)
-        if self._instance_by_address.get(record.address) == instance:
-            del self._instance_by_address[record.address]
 
 
 def _is_stored(record: WorkerRecord) -> bool:
--- a/hazelbend/system/control_status.py
+++ b/hazelbend/system/control_status.py
@@ -104,7 +104,7 @@
             instance=worker.record.instance,
             service=worker.record.service,
             address=worker.record.address,
-            state=worker.record.state.name.lower(),
+            state="superseded" if worker.is_superseded else worker.record.state.name.lower(),
             phase=worker.record.phase,
             heard_ms_ago=(now - worker.last_heartbeat_at) // MILLISECOND_US,
         )
--- a/hazelbend/system/update_publisher.py
+++ b/hazelbend/system/update_publisher.py
@@ -169,9 +169,10 @@
             _send_or_disconnect(connection, frame)
 
     def publish_workers(self, records: list[WorkerRecord], expired: list[str]) -> None:
-        """Send changed workers, and the instances of those that have expired."""
+        """Send changed workers, and the instances of those that have expired or are superseded."""
         for instance in expired:
-            log.info("control: worker %s has expired: no heartbeats", instance)
+            self._caches.remove(instance)
+            log.info("control: worker %s is removed: no heartbeats", instance)
         for record in records:
             if record.state is WorkerState.GONE:
                 self._caches.remove(record.instance)
