--- a/tests/placement/test_worker_replicas.py
+++ b/tests/placement/test_worker_replicas.py
@@ -21,8 +21,10 @@
 NO_LIST = msgspec.UNSET
 
 
-def record(instance: str = "i-1", seq: int = 1, state: WorkerState = WorkerState.READY) -> WorkerRecord:
-    return WorkerRecord(instance, "s", f"10.9.0.{instance[2:]}:80", "z", state, seq)
+def record(
+    instance: str = "i-1", seq: int = 1, state: WorkerState = WorkerState.READY, address: str = ""
+) -> WorkerRecord:
+    return WorkerRecord(instance, "s", address or f"10.9.0.{instance[2:]}:80", "z", state, seq)
 
 
 class ControlProcess:
@@ -37,7 +39,8 @@
         self.send_all()
 
     def heartbeat(self, now: int, *records: WorkerRecord, lost: bool = False) -> None:
-        changed = [changed for each in records for changed in self.registry.merge(each, now)]
+        merged = [changed for each in records for changed in self.registry.merge(each, now)]
+        changed = [each for each in merged if not self.registry.is_superseded(each.instance)]
         if not lost:
             self.send(m.WorkerUpdate(0, tuple(changed), expired=()))
 
@@ -46,11 +49,17 @@
         if not lost:
             self.send(m.WorkerUpdate(0, (), expired=expired))
 
+    def update_superseded(self, now: int) -> None:
+        changes = self.registry.update_superseded(now)
+        self.send(m.WorkerUpdate(0, tuple(changes.restored), expired=tuple(changes.superseded)))
+
     def send(self, update: m.WorkerUpdate) -> None:
         self.router.updates.apply_workers(self.address, update)
 
     def send_all(self) -> None:
-        self.send(m.WorkerUpdate(0, self.registry.records(), complete=True))
+        records = self.registry.records()
+        reported = tuple(each for each in records if not self.registry.is_superseded(each.instance))
+        self.send(m.WorkerUpdate(0, reported, complete=True))
 
     def status(self, now: int) -> None:
         """Send the periodic status, and all workers if the router requests them."""
@@ -150,6 +159,33 @@
     assert router.used == set()
 
 
+# Guards against a late heartbeat of a crashed worker that ends the next worker at its address (review/7).
+def test_router_uses_the_worker_at_an_address_whose_heartbeats_go_on(router):
+    control = ControlProcess(router, "c1")
+    address = record("i-1").address
+    control.heartbeat(0, record("i-2", address=address))
+    control.heartbeat(HEARTBEAT_US // 2, record("i-1"))
+
+    def run(seconds: range, instance: str) -> None:
+        for second in seconds:
+            now = second * HEARTBEAT_US
+            control.heartbeat(now, record(instance, second, address=address))
+            control.update_superseded(now)
+            control.status(now)
+            assert instance in router.used
+
+    run(range(1, 6), "i-2")
+    assert router.used == {"i-2"}
+    control.heartbeat(6 * HEARTBEAT_US, record("i-1", 2))
+    control.status(6 * HEARTBEAT_US)
+    assert router.used == {"i-2"}, "one late heartbeat changes nothing"
+    for second in (7, 8):
+        control.heartbeat(second * HEARTBEAT_US, record("i-1", second))
+    control.update_superseded(8 * HEARTBEAT_US)
+    run(range(9, 11), "i-1")
+    assert router.used == {"i-1"}, "the other worker has crashed, and this one is running"
+
+
 # Guards against the ages of a process without a vote, which hears of no heartbeats at its peers.
 def test_process_that_only_names_the_voters_lets_no_worker_expire(router):
     voter = ControlProcess(router, "c1")
