Tests: a scripted server that fails ends its connection; the hang of the suite at 99%

Cause: test_attempt_is_written_in_the_same_loop_iteration_as_its_last_check gave its server a list in the place of bytes. The server's handler failed with a TypeError and left its connection open, so the attempt waited without end, unless the garbage collector closed the connection by chance. With the collector off it hangs each time; the assertion before the response held all the same.

Change: the server is given the bytes, and its handler closes the connection however it ends. The assertion is as before. With the collector off the test passes now.

--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -41,7 +41,8 @@
                 await reader.read()
         except (asyncio.IncompleteReadError, OSError):
             pass
-        writer.close()
+        finally:
+            writer.close()
 
 
 @asynccontextmanager
@@ -68,7 +69,7 @@
         return 500_000
 
     async def run() -> None:
-        async with connected_client(ScriptedServer([CASES["done"][0]])) as (client, _):
+        async with connected_client(ScriptedServer(CASES["done"][0])) as (client, _):
             await client.attempt(JOB, check, lambda message: events.append(type(message).__name__))
 
     asyncio.run(run())
