Control simulation: workers that crash, are replaced at their address and cut off from control

Real registries and the router's own handler. Invariants: a worker whose heartbeats have been acknowledged for twice contactMs is used by routers in touch; one that crashed an expiry and 3 s ago is not.

--- a/benchmarks/control/defects.py
+++ b/benchmarks/control/defects.py
@@ -30,7 +30,8 @@
 from hazelbend.control.peers import PeerTable
 from hazelbend.control.worker_recovery import WorkerRecovery
 from hazelbend.control.worker_sync import WorkerSync
-from hazelbend.control.workers import WorkerRecord, WorkerRegistry, WorkerState
+from hazelbend.control.workers import TrackedWorker, WorkerRecord, WorkerRegistry, WorkerState
+from hazelbend.placement.worker_replicas import WorkerReplica
 
 STALE_READ_ID_OFFSET = 1_000_000  # keeps the ids of reads without a majority apart from those of other reads
 NEVER_HEARTBEATS = 1 << 40  # heartbeat intervals that no history reaches
@@ -273,6 +274,42 @@
     return [(ControlEngine, "order_token", order_token)]
 
 
+def _end_other_instances_at_an_address() -> list[Patch]:
+    """The instance whose record arrives last at an address ends the others there."""
+    original = WorkerRegistry.merge
+
+    def merge(self: WorkerRegistry, record: WorkerRecord, last_heartbeat_at: int) -> list[WorkerRecord]:
+        changed = original(self, record, last_heartbeat_at)
+        if not changed or record.state is WorkerState.GONE:
+            return changed
+        for other in list(self.tracked.values()):
+            is_other = other.record.instance != record.instance and other.record.address == record.address
+            if is_other and other.record.state is not WorkerState.GONE:
+                ended = msgspec.structs.replace(other.record, state=WorkerState.GONE)
+                self._track(TrackedWorker(ended, last_heartbeat_at), differs=True)
+                changed.append(ended)
+        return changed
+
+    return [(WorkerRegistry, "merge", merge)]
+
+
+def _expire_by_age() -> list[Patch]:
+    """Routers let workers expire by the ages that they are told, before control processes do."""
+    return [(WorkerSync, "registry_status", lambda self, now: msgspec.UNSET)]
+
+
+def _never_compare_workers() -> list[Patch]:
+    """A router does not request the records that it lacks."""
+    return [(WorkerReplica, "take_resync_request", lambda self: False)]
+
+
+# Detected by histories with workers that crash and are replaced.
+WORKER_DEFECTS: dict[str, Callable[[], list[Patch]]] = {
+    "last_record_ends_others": _end_other_instances_at_an_address,
+    "routers_expire_by_age": _expire_by_age,
+    "workers_not_compared": _never_compare_workers,
+}
+
 DEFECTS: dict[str, Callable[[], list[Patch]]] = {
     "acknowledge_before_majority": _commit_before_majority,
     "unconfirmed_counts": _confirm_without_majority,
@@ -330,7 +367,7 @@
 @contextmanager
 def planted_defect(name: str) -> Iterator[None]:
     """Activate this defect for the duration of the context. An empty name activates none."""
-    patches = DEFECTS[name]() if name else []
+    patches = (DEFECTS | WORKER_DEFECTS)[name]() if name else []
     absent = object()
     before = [(owner, attribute, owner.__dict__.get(attribute, absent)) for owner, attribute, _ in patches]
     for owner, attribute, value in patches:
--- a/benchmarks/control/exploration.py
+++ b/benchmarks/control/exploration.py
@@ -18,7 +18,7 @@
 from benchmarks.control.defects import planted_defect
 from benchmarks.control.faults import Fault, FaultInjector
 from benchmarks.control.fleet import InvariantViolationError
-from benchmarks.control.history import HistoryResult, play
+from benchmarks.control.history import HistoryResult, play, play_with_workers
 from benchmarks.control.network import S
 from benchmarks.control.shrinking import shrink
 
@@ -35,6 +35,7 @@
     machines: int
     tolerance: int
     defect: str = ""
+    with_workers: bool = False  # whether workers crash and are replaced
 
 
 @dataclass(slots=True, frozen=True)
@@ -126,7 +127,8 @@
 def _play(task: Task) -> PlayedHistory:
     with planted_defect(task.defect):
         try:
-            return PlayedHistory(task, play(task.seed, task.machines, task.tolerance))
+            play_task = play_with_workers if task.with_workers else play
+            return PlayedHistory(task, play_task(task.seed, task.machines, task.tolerance))
         except InvariantViolationError as error:
             return PlayedHistory(task, None, str(error))
 
@@ -155,6 +157,7 @@
     started_at = time.monotonic()
     summary = explore(tasks)
     values = summary.as_plain_values(time.monotonic() - started_at)
-    values["recorded"] = [record(played).name for played in summary.failing]
+    recordable = [played for played in summary.failing if not played.task.with_workers]
+    values["recorded"] = [record(played).name for played in recordable]
     print(json.dumps(values))
     return 1 if summary.failing else 0
--- a/benchmarks/control/fleet.py
+++ b/benchmarks/control/fleet.py
@@ -120,6 +120,7 @@
         self.replaced_seeds: tuple[str, ...] = ()  # if not empty, the seeds in new settings files
         self.on_publish: list[Callable[[Machine, StoredConfig], None]] = []
         self.on_workers_changed: list[Callable[[Machine, list[WorkerRecord]], None]] = []
+        self.on_workers_removed: list[Callable[[Machine, list[str]], None]] = []
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._last_event_number = 0
         self.on_power_loss: list[Callable[[], None]] = []  # called when all machines lose power at once
@@ -373,6 +374,9 @@
             self._flush(machine)
 
     def _send_immediate(self, machine: Machine, output: outputs.ImmediateOutput) -> None:
+        if output.expired_workers:
+            for on_removed in self.on_workers_removed:
+                on_removed(machine, output.expired_workers)
         if output.changed_workers:
             for listener in self.on_workers_changed:
                 listener(machine, output.changed_workers)
--- a/benchmarks/control/history.py
+++ b/benchmarks/control/history.py
@@ -16,6 +16,7 @@
     RouterMonitor,
 )
 from benchmarks.control.operators import Operators
+from benchmarks.control.running_workers import RouterWorkers, RunningWorkers
 
 RNG_SALT = 0x3000000
 START_TIMEOUT_US = 10 * S  # in which all machines must have formed one cluster
@@ -76,11 +77,15 @@
         while fleet.now < min(max(self.fault_injector.effects_end_at, fleet.now + 1 * S), last):
             self._run_and_check(200 * MS)
         fleet.heal()
-        self.leaving.end()
+        self._end_disruptions()
         self._run_and_check(RECOVERY_US)
         self._check_caught_up()
         self.operators.check_end()
 
+    def _end_disruptions(self) -> None:
+        """Let no more workers leave, so that the records of all control processes become equal."""
+        self.leaving.end()
+
     def _perform_action(self, drawn: float) -> None:
         if drawn < 0.40:
             self.operators.change()
@@ -100,11 +105,14 @@
         end = self.fleet.now + duration
         while self.fleet.now < end:
             self.fleet.run(min(50 * MS, end - self.fleet.now))
-            is_in_touch = self.fleet.calm_us() > CONTACT_US
-            for router in self.routers:
-                router.check(self.operators, self.workers)
-                if is_in_touch:
-                    router.check_ended(self.leaving)
+            self._check_routers(self.fleet.calm_us())
+
+    def _check_routers(self, calm_us: int) -> None:
+        """Check the routers. `calm_us`: how long all processes, links and disks have been healthy."""
+        for router in self.routers:
+            router.check(self.operators, self.workers)
+            if calm_us > CONTACT_US:
+                router.check_ended(self.leaving)
 
     def _has_formed(self) -> bool:
         return has_formed(self.fleet, self._voter_count)
@@ -154,6 +162,25 @@
         )
 
 
+class WorkerHistory(History):
+    """A history with workers that crash, are replaced, and are cut off from the control processes."""
+
+    def __init__(self, seed: int, machines: int, tolerance: int, skipped: frozenset[int]) -> None:
+        super().__init__(seed, machines, tolerance, skipped)
+        self.running = RunningWorkers(self.fleet)
+        self.router_workers = [RouterWorkers(self.fleet, number, self.running) for number in range(ROUTERS)]
+        self.running.begin()
+
+    def _check_routers(self, calm_us: int) -> None:
+        super()._check_routers(calm_us)
+        for router in self.router_workers:
+            router.check(calm_us)
+
+    def _end_disruptions(self) -> None:
+        super()._end_disruptions()
+        self.running.end()
+
+
 def play(
     seed: int,
     machines: int = 3,
@@ -177,7 +204,17 @@
     """
     if injected is not None:
         skipped = frozenset(range(MAX_FAULTS)) - injected
-    history = History(seed, machines, tolerance, skipped)
+    return _play(History(seed, machines, tolerance, skipped), length)
+
+
+def play_with_workers(
+    seed: int, machines: int = 3, tolerance: int = 1, length: int = 40 * S
+) -> HistoryResult:
+    """Run one `WorkerHistory`. Arguments and errors: see `play`."""
+    return _play(WorkerHistory(seed, machines, tolerance, frozenset()), length)
+
+
+def _play(history: History, length: int) -> HistoryResult:
     try:
         history.play(length)
     except InvariantViolationError as error:
--- a/benchmarks/control_sim.py
+++ b/benchmarks/control_sim.py
@@ -1,14 +1,16 @@
 """Runs histories of control processes under faults, and shrinks those that break a rule.
 
     python -m benchmarks.control_sim explore --seeds 100 [--first N] [--machines 3] [--tolerance 1]
-        [--all-sizes]
+        [--all-sizes] [--workers]
     python -m benchmarks.control_sim find DEFECT [--seeds 100] [--machines 3] [--tolerance 1]
     python -m benchmarks.control_sim shrink SEED [--machines 3] [--tolerance 1] [--defect NAME]
 
 Each command prints one JSON line. `explore` uses all cores; if a rule was broken, its exit status is 1, and
-the history is shrunk and written to `tests/data/control_histories`, which a test replays. `find` runs seeds
-until a planted defect is found. The faults are defined in `benchmarks/control/faults.py`, the checks in
-`operators.py`, `observers.py` and `history.py` of that folder, and the planted defects in `defects.py`.
+the history is shrunk and written to `tests/data/control_histories`, which a test replays. With `--workers`,
+workers crash, are replaced and are cut off from control in each history (`running_workers.py`); one that
+breaks a rule is only printed then. `find` runs seeds until a planted defect is found. The faults are defined
+in `benchmarks/control/faults.py`, the checks in `operators.py`, `observers.py` and `history.py` of that
+folder, and the planted defects in `defects.py`.
 """
 
 from __future__ import annotations
@@ -18,9 +20,9 @@
 import sys
 
 from benchmarks.control import exploration
-from benchmarks.control.defects import DEFECTS, planted_defect
+from benchmarks.control.defects import DEFECTS, WORKER_DEFECTS, planted_defect
 from benchmarks.control.fleet import InvariantViolationError
-from benchmarks.control.history import play
+from benchmarks.control.history import play, play_with_workers
 from benchmarks.control.shrinking import shrink
 
 SIZES = ((3, 1), (4, 1), (5, 2), (6, 2), (7, 3))  # machines and tolerance, with `--all-sizes`
@@ -34,7 +36,8 @@
     explore = commands.add_parser("explore")
     explore.add_argument("--all-sizes", action="store_true", help="3 to 7 machines in turn")
     find = commands.add_parser("find")
-    find.add_argument("defect", choices=sorted(DEFECTS))
+    explore.add_argument("--workers", action="store_true", help="workers crash, are replaced and cut off")
+    find.add_argument("defect", choices=sorted(DEFECTS | WORKER_DEFECTS))
     shrinking = commands.add_parser("shrink")
     shrinking.add_argument("seed", type=int)
     shrinking.add_argument("--defect", choices=sorted(DEFECTS), default="")
@@ -50,16 +53,20 @@
 def _explore(options: argparse.Namespace) -> int:
     sizes = SIZES if options.all_sizes else ((options.machines, options.tolerance),)
     seeds = range(options.first, options.first + options.seeds)
-    tasks = [exploration.Task(seed, *sizes[seed % len(sizes)]) for seed in seeds]
+    tasks = []
+    for seed in seeds:
+        machines, tolerance = sizes[seed % len(sizes)]
+        tasks.append(exploration.Task(seed, machines, tolerance, with_workers=options.workers))
     return exploration.run(tasks)
 
 
 def _find(options: argparse.Namespace) -> int:
     """Run one seed after the other until the defect is found; the exit status is 1 if it is not found."""
+    play_seed = play_with_workers if options.defect in WORKER_DEFECTS else play
     for seed in range(options.first, options.first + options.seeds):
         try:
             with planted_defect(options.defect):
-                play(seed, options.machines, options.tolerance)
+                play_seed(seed, options.machines, options.tolerance)
         except InvariantViolationError as error:
             print(json.dumps({"defect": options.defect, "seed": seed, "broken": str(error)}))
             return 0
--- a/tests/control/test_worker_expiry.py
+++ b/tests/control/test_worker_expiry.py
@@ -5,7 +5,9 @@
 import msgspec
 import pytest
 
-from benchmarks.control.fleet import MS, Fleet, S, has_formed
+from benchmarks.control.defects import WORKER_DEFECTS, planted_defect
+from benchmarks.control.fleet import MS, Fleet, InvariantViolationError, S, has_formed
+from benchmarks.control.history import play_with_workers
 from hazelbend.control import worker_sync
 from hazelbend.control.engine import AGES_PERIOD_US, ControlEngine
 from hazelbend.control.workers import EXPIRY_HEARTBEATS, WorkerRecord, WorkerState
@@ -105,3 +107,18 @@
     monkeypatch.setattr(sync, "_reporting_since", None)
     assert engine.fleet_status(fleet.now).registry is msgspec.UNSET, "it reports no ready workers yet"
     assert worker_sync.MAX_AGES_GAP_US > AGES_PERIOD_US
+
+
+# With workers that crash, are replaced at their address and are cut off; 100 seeds by hand.
+@pytest.mark.parametrize("seed", [1, 3, 4])
+def test_histories_with_workers_keep_the_invariants(seed):
+    play_with_workers(seed)
+
+
+DETECTING_SEEDS = {"last_record_ends_others": 4, "routers_expire_by_age": 1, "workers_not_compared": 3}
+
+
+@pytest.mark.parametrize("defect", sorted(WORKER_DEFECTS))
+def test_history_with_workers_detects_each_planted_defect(defect):
+    with planted_defect(defect), pytest.raises(InvariantViolationError):
+        play_with_workers(DETECTING_SEEDS[defect])
