--- a/benchmarks/waiting.py
+++ b/benchmarks/waiting.py
@@ -166,7 +166,7 @@
         async with asyncio.timeout(20):
             while len(stomp_client.statuses_by_request()) < sent:
                 await asyncio.sleep(0.05)
-        engine = app.parts["waiting"].gate.engine
+        engine = app.extensions["waiting"].gate.engine
         names, longest = [row["name"] for row in lanes], engine.totals.longest_wait_us
         return {
             "rule": rule,
--- a/hazelbend/control/messages.py
+++ b/hazelbend/control/messages.py
@@ -93,9 +93,8 @@
     """A router's heartbeat on a subscription, with the router's time in microseconds."""
 
     sent_at: int = 0
-    version: int | msgspec.UnsetType = (
-        msgspec.UNSET
-    )  # of the configuration in force; earlier releases send none
+    # Of the configuration in force; earlier releases send none.
+    version: int | msgspec.UnsetType = msgspec.UNSET
 
 
 class Pong(msgspec.Struct, frozen=True, tag=True):
--- a/hazelbend/control/worker_sync.py
+++ b/hazelbend/control/worker_sync.py
@@ -26,9 +26,8 @@
     WorkerState,
 )
 
-MAX_AGES_GAP_US = (
-    1_000_000  # between two calls of `send_ages`; a longer one shows that the process stood still
-)
+# Between two calls of `send_ages`; a longer gap shows that the process stood still.
+MAX_AGES_GAP_US = 1_000_000
 MAX_DIGEST_MISMATCHES = 2  # consecutive messages with another digest, until all records are requested
 
 
--- a/hazelbend/control/workers.py
+++ b/hazelbend/control/workers.py
@@ -147,7 +147,7 @@
     def update_superseded(self, now: int) -> SupersededChanges:
         """Update which workers are superseded by another instance at their address.
 
-        Workers that drain are never superseded, since their routers must not take them for ready ones later.
+        Workers that drain are never superseded, so that a late heartbeat cannot make them ready again.
         """
         changes = SupersededChanges([], [])
         for workers in self._workers_by_address().values():
