Routers log each failed send of a request that must not run twice, with its connection

What the operators saw: a request that must run once ran more than once, and no line of any router names it. Change: a send that ended without a response for the client leaves a line with the request's id, the worker, its status and reason phrase, or the error, and the connection: its local port, and how many requests it had carried before. Unknown outcomes are counted by error (hazelbend_unknown_outcomes_total). Nothing in how requests are routed changes.

--- a/benchmarks/configuration_mutations.py
+++ b/benchmarks/configuration_mutations.py
@@ -30,7 +30,14 @@
 from hazelbend.forwarding.errors import SendWithdrawnError
 from hazelbend.forwarding.fleet_state import FleetState
 from hazelbend.forwarding.forwarder import Forwarder
-from hazelbend.forwarding.ports import BeforeFirstByte, ClientRequest, Headers, WorkerCall, WorkerResponse
+from hazelbend.forwarding.ports import (
+    UNKNOWN_CONNECTION,
+    BeforeFirstByte,
+    ClientRequest,
+    Headers,
+    WorkerCall,
+    WorkerResponse,
+)
 from hazelbend.placement.engine import PlacementEngine
 from hazelbend.placement.retry_budget import RetryBudget
 from hazelbend.system.router_update_handler import RouterUpdateHandler
@@ -143,6 +150,8 @@
     headers: Headers = (("Server-Signature", "x"),)
     not_executed = False
     reported_in_flight: int | None = None
+    reason = ""
+    connection = UNKNOWN_CONNECTION
 
     def __init__(self, parts: tuple[bytes, ...]) -> None:
         self._parts = parts
--- a/benchmarks/router_sim.py
+++ b/benchmarks/router_sim.py
@@ -35,7 +35,14 @@
 from hazelbend.forwarding.errors import OutcomeUnknownError, SendWithdrawnError, WorkerUnreachableError
 from hazelbend.forwarding.fleet_state import FleetState
 from hazelbend.forwarding.forwarder import Forwarder
-from hazelbend.forwarding.ports import BeforeFirstByte, ClientRequest, Headers, WorkerCall
+from hazelbend.forwarding.ports import (
+    UNKNOWN_CONNECTION,
+    BeforeFirstByte,
+    ClientRequest,
+    ConnectionUse,
+    Headers,
+    WorkerCall,
+)
 from hazelbend.forwarding.retry_policy import RetryPolicy
 from hazelbend.placement.engine import PlacementEngine
 from hazelbend.placement.retry_budget import RetryBudget
@@ -75,6 +82,8 @@
     not_executed: bool = False
     reported_in_flight: int | None = None
     is_cut: bool = False
+    reason: str = ""
+    connection: ConnectionUse = UNKNOWN_CONNECTION
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """The body; half of it if the worker closes the connection early."""
--- a/hazelbend/forwarding/attempts.py
+++ b/hazelbend/forwarding/attempts.py
@@ -16,6 +16,7 @@
 from hazelbend.forwarding.request_context import RequestContext
 from hazelbend.forwarding.response_relay import ResponseRelay
 from hazelbend.forwarding.retry_policy import MAX_ATTEMPTS, RetryPolicy
+from hazelbend.forwarding.send_log import log_not_sent, log_rejection, log_unknown_outcome
 from hazelbend.forwarding.worker_selection import WorkerSelector
 from hazelbend.placement.choices import Choice
 from hazelbend.placement.reliability import AttemptOutcome
@@ -80,6 +81,7 @@
                     self._fleet.record_response(attempt, response, self._clock())
                     outcome = outcome_of(response)
                     if response.not_executed:
+                        log_rejection(context, choice, response)
                         return False
                     if response.status >= 500 and self._retry_policy.may_abandon(context):
                         raise WorkerFailedError(f"status {response.status}")
@@ -95,10 +97,12 @@
         except NotSentError as error:
             context.sends = sends_before
             self._fleet.record_not_sent(choice, error, self._clock())
+            log_not_sent(context, choice, error)
             return False
-        except OutcomeUnknownError:
+        except OutcomeUnknownError as error:
             outcome = AttemptOutcome.FAILED
-            self._record_possible_execution(context)
+            self._record_possible_execution(context, error)
+            log_unknown_outcome(context, choice, error)
             return False
         finally:
             if outcome is not None:
@@ -112,7 +116,9 @@
             context.sends += 1
         return remaining
 
-    def _record_possible_execution(self, context: RequestContext) -> None:
+    def _record_possible_execution(self, context: RequestContext, error: OutcomeUnknownError) -> None:
         context.possible_executions += 1
-        self._fleet.placement.statistics.retries += self._retry_policy.may_execute_again(context)
+        statistics = self._fleet.placement.statistics
+        statistics.unknown_outcomes[type(error).__name__] += 1
+        statistics.retries += self._retry_policy.may_execute_again(context)
         context.kv_handle = None  # the worker may own the KV cache now
--- a/hazelbend/forwarding/ports.py
+++ b/hazelbend/forwarding/ports.py
@@ -42,13 +42,26 @@
     extra_headers: Headers
 
 
+@dataclass(slots=True, frozen=True)
+class ConnectionUse:
+    """The use of a connection by one request."""
+
+    local_port: int  # identifies the connection in logs; 0: unknown
+    earlier_requests: int  # requests that were written on it before this one
+
+
+UNKNOWN_CONNECTION = ConnectionUse(0, 0)
+
+
 class WorkerResponse(Protocol):
     """The head of a worker's response, and access to its body."""
 
     status: int
+    reason: str  # the reason phrase of the status line
     headers: Headers
     not_executed: bool  # the worker guarantees that it has not executed the request and will not
     reported_in_flight: int | None  # requests that the worker reports as running or queued
+    connection: ConnectionUse
 
     def chunks(self) -> AsyncIterator[bytes]:
         """Iterate over the body as it arrives.
--- a/hazelbend/placement/statistics.py
+++ b/hazelbend/placement/statistics.py
@@ -67,6 +67,7 @@
     workers: dict[str, WorkerStatistics] = field(default_factory=dict)  # by instance
     refusals: Counter[Refusal] = field(default_factory=Counter)
     retries: int = 0  # attempts after one that may have been executed
+    unknown_outcomes: Counter[str] = field(default_factory=Counter)  # by the class of the error
 
     def for_worker(self, instance: str) -> WorkerStatistics:
         """Return the counters of a worker, created at its first attempt."""
--- a/hazelbend/system/metrics.py
+++ b/hazelbend/system/metrics.py
@@ -56,6 +56,7 @@
         )
         yield self._refusals()
         yield self._retries()
+        yield self._unknown_outcomes()
         yield self._unexpected_errors()
         yield GaugeMetricFamily(
             "hazelbend_config_version",
@@ -105,6 +106,13 @@
         help_text = "Sends after one that may have run"
         return CounterMetricFamily("hazelbend_repeats", help_text, value=self._statistics.retries)
 
+    def _unknown_outcomes(self) -> Metric:
+        help_text = "Sends that may have been executed and gave no response for the client, by error"
+        family = CounterMetricFamily("hazelbend_unknown_outcomes", help_text, labels=("error",))
+        for error, count in self._statistics.unknown_outcomes.items():
+            family.add_metric((error,), count)
+        return family
+
     @staticmethod
     def _unexpected_errors() -> Metric:
         help_text = "Unexpected errors of background work, by its name"
--- a/hazelbend/transport/http/aiohttp_client.py
+++ b/hazelbend/transport/http/aiohttp_client.py
@@ -79,13 +79,18 @@
         self.is_permitted = False  # `before_first_byte` allowed it: bytes may have been written
         self.is_written = False
         self.reused_connection = False
-        self._protocol: ResponseHandler | None = None
+        self._protocol: StrictResponseHandler | None = None
 
-    def begin(self, protocol: ResponseHandler | None) -> None:
+    def begin(self, protocol: StrictResponseHandler) -> None:
         """Record that the request is about to be written on this connection."""
         self._protocol = protocol
         self.is_permitted = True
 
+    @property
+    def connection(self) -> StrictResponseHandler | None:
+        """The connection on which the request was written; None before that."""
+        return self._protocol
+
     def discard_connection(self) -> None:
         """Close the connection, even if it is already back in the pool.
 
@@ -129,8 +134,10 @@
             RequestWithdrawnError: the request must not be sent any more.
             StaleConnectionError: the connection cannot be used for it.
         """
+        protocol = conn.protocol
+        assert isinstance(protocol, StrictResponseHandler)
         is_new = self.progress is not None and not self.progress.reused_connection
-        if conn.protocol is not None and not _is_usable(conn.protocol, is_new=is_new):
+        if not _is_usable(protocol, is_new=is_new):
             conn.close()
             raise StaleConnectionError
         if self.progress is not None:
@@ -138,9 +145,10 @@
             if remaining is None:
                 conn.release()  # nothing was written, so the connection can be reused
                 raise RequestWithdrawnError
-            self.progress.begin(conn.protocol)
+            self.progress.begin(protocol)
             remaining_ms = max(remaining // MICROSECONDS_PER_MS, 1)
             self.headers[self.progress.timeout_header] = str(remaining_ms)
+        protocol.requests_written += 1
         return await super().send(conn)
 
     def write_bytes(
@@ -187,6 +195,16 @@
     (RFC 9112, section 8).
     """
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.local_port = 0
+        self.requests_written = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record the local port of the connection."""
+        super().connection_made(transport)
+        self.local_port = (transport.get_extra_info("sockname") or (None, 0))[1]
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an unfinished response if the connection was reset; `exc` is None after a FIN of the peer."""
         payload = self._payload
--- a/hazelbend/transport/http/worker_client.py
+++ b/hazelbend/transport/http/worker_client.py
@@ -14,7 +14,7 @@
     SendWithdrawnError,
     WorkerUnreachableError,
 )
-from hazelbend.forwarding.ports import BeforeFirstByte, Headers, WorkerCall
+from hazelbend.forwarding.ports import UNKNOWN_CONNECTION, BeforeFirstByte, ConnectionUse, Headers, WorkerCall
 from hazelbend.transport.http.aiohttp_client import (
     RequestProgress,
     RequestWithdrawnError,
@@ -50,9 +50,11 @@
 class HttpWorkerResponse:
     """Implements `forwarding.ports.WorkerResponse`."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: aiohttp.ClientResponse, connection: ConnectionUse) -> None:
         self._response = response
+        self.connection = connection
         self.status = response.status
+        self.reason = response.reason or ""
         self.headers: Headers = tuple(
             (name, value)
             for name, value in response.headers.items()
@@ -120,7 +122,7 @@
             response.close()
             progress.discard_connection()
             raise InvalidResponseError("the response to another request")
-        return HttpWorkerResponse(response)
+        return HttpWorkerResponse(response, _connection_use(progress))
 
     def _apply_keepalive(self, header: str | None) -> None:
         """Apply the shortest announced timeout to all workers: closing a connection early costs little."""
@@ -160,6 +162,13 @@
     return echoed_id == request_id
 
 
+def _connection_use(progress: RequestProgress) -> ConnectionUse:
+    connection = progress.connection
+    if connection is None:
+        return UNKNOWN_CONNECTION
+    return ConnectionUse(connection.local_port, connection.requests_written - 1)
+
+
 def _keepalive_timeout_s(header: str | None) -> float | None:
     """Return the timeout in a header such as `Keep-Alive: timeout=5, max=9`, in seconds."""
     for parameter in (header or "").split(","):
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -20,7 +20,7 @@
 from hazelbend.forwarding.event_stream import EventSplitter, ends_inside_event
 from hazelbend.forwarding.fleet_state import FleetState
 from hazelbend.forwarding.forwarder import Forwarder
-from hazelbend.forwarding.ports import ClientRequest, WorkerCall
+from hazelbend.forwarding.ports import ClientRequest, ConnectionUse, WorkerCall
 from hazelbend.forwarding.prefill import prefill_priority
 from hazelbend.placement.engine import PlacementEngine
 from hazelbend.placement.retry_budget import RetryBudget
@@ -31,6 +31,8 @@
 ENGINE = {"capacity": 64, "kvCapacity": 400_000, "kvTokenBytes": 18_000, "bandwidthMbps": 370_000.0}
 EVENTS = [b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"]
 
+KEPT_CONNECTION = ConnectionUse(local_port=4012, earlier_requests=7)
+
 
 @dataclass
 class ScriptedResponse:
@@ -41,6 +43,8 @@
     headers: tuple[tuple[str, str], ...] = (("Server-Signature", "x"),)
     not_executed: bool = False
     reported_in_flight: int | None = None
+    reason: str = "Busy"
+    connection: ConnectionUse = KEPT_CONNECTION
     broken: bool = False
     closed: bool = False
 
