Process soak: workers restart at their addresses, reject requests and send surplus bytes

The routers' log lines tell how: 'not executed by worker ... status 421 'MisdirecteHTTP/1.1 200 OK', local port 57928, earlier requests 1' right after a 421 on the same port, that is the end of a surplus head and the true response to the same request; and a 503 on a kept connection, whose reason phrase doesn't show that.

--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -7,7 +7,8 @@
 deregister at random times, serve on, and their last heartbeat arrives late; short series of overlapping
 kills, terminations, freezes and restarts follow, often right after an acknowledgement. Workers also leave
 while a control process is down, and once it has started, it is sent the last heartbeat of one that has ended.
-With `--uploads`, some clients of each machine send their bodies in two parts. Checked are:
+Workers also crash and start again at their addresses, reject some requests, and send surplus bytes after
+rejections. With `--uploads`, some clients of each machine send their bodies in two parts. Checked are:
 
 DRAIN    no request that was sent later than `DRAIN_S` after a worker's end was acknowledged reaches it, once
          nothing was disturbed for `CONTACT_S`
@@ -26,19 +27,21 @@
 import asyncio
 import json
 import logging
+import os
 import signal
 import sys
 import tempfile
 from collections import Counter
 from pathlib import Path
+from typing import IO
 
 from benchmarks.soak.soak import Soak
 
 
-def run_seed(seed: int, seconds: float, uploads: int) -> list[str]:
+def run_seed(seed: int, seconds: float, uploads: int, logs: str) -> list[str]:
     """Play one seed, print its line, and return the broken rules."""
-    with tempfile.TemporaryDirectory() as folder:
-        soak = Soak(seed, Path(folder), uploads)
+    with tempfile.TemporaryDirectory() as folder, _log_file(seed, logs) as log_file:
+        soak = Soak(seed, Path(folder), uploads, log_file)
         broken = asyncio.run(soak.run(seconds))
     statuses = Counter(soak.observations.statuses.values())
     line = {
@@ -47,6 +50,8 @@
         "runs": len(soak.observations.runs),
         "statuses": {str(status): count for status, count in sorted(statuses.items())},
         "ended_workers": sum(worker.ended_at is not None for worker in soak.workers),
+        "rejections": soak.observations.rejections,
+        "surplus": sum(worker.surplus_sent for worker in soak.workers),
         "late_heartbeats": soak.observations.late_heartbeats,
         "configuration": soak.observations.acknowledged_version,
         "faults": dict(soak.faults),
@@ -57,6 +62,14 @@
     return broken
 
 
+def _log_file(seed: int, folder: str) -> IO[bytes]:
+    path = Path(os.devnull)
+    if folder:
+        path = Path(folder) / f"seed-{seed}.log"
+        path.parent.mkdir(parents=True, exist_ok=True)
+    return path.open("wb")
+
+
 def main() -> int:
     """Play the seeds one after the other."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -64,13 +77,14 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--uploads", type=int, default=0)
+    parser.add_argument("--logs", default="", help="folder for the log of all processes of each seed")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, signal.default_int_handler)  # so that the processes are ended too
     # The workers' server logs each request whose connection ends: that is what the faults are for.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     broken = []
     for seed in range(options.first, options.first + options.seeds):
-        broken += run_seed(seed, options.seconds, options.uploads)
+        broken += run_seed(seed, options.seconds, options.uploads, options.logs)
     return int(bool(broken))
 
 
--- a/benchmarks/soak/observations.py
+++ b/benchmarks/soak/observations.py
@@ -43,6 +43,7 @@
     sent_at: dict[str, float] = field(default_factory=dict)  # by request id
     statuses: dict[str, int] = field(default_factory=dict)  # of the answers, by request id
     runs: list[Run] = field(default_factory=list)  # in order
+    rejections: int = 0  # requests that a worker has not run, and said so
     late_heartbeats: int = 0  # that a control process has acknowledged soon after its start
     revived: list[str] = field(
         default_factory=list
--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -17,6 +17,7 @@
 from collections.abc import AsyncIterator, Coroutine, Iterable
 from http import HTTPStatus
 from pathlib import Path
+from typing import IO
 
 import aiohttp
 
@@ -39,6 +40,7 @@
 REQUEST_TIMEOUT_S = 4.0
 CLIENTS_PER_MACHINE = 6
 CLIENT_PAUSE_S = 0.03
+WORKER_RESTART_RANGE_S = (0.5, 2.5)  # between two restarts of workers at their addresses
 UPLOAD_PAUSE_S = 0.9  # between the two parts of a body
 UPLOAD_PART = b"x" * 1_800
 WORKERS = 4  # at any time, beside those that leave
@@ -60,12 +62,15 @@
 class Soak:
     """One seed: a fleet, its workers and clients, and the faults."""
 
-    def __init__(self, seed: int, folder: Path, uploads: int) -> None:
-        """`uploads`: the number of clients of each machine that send their bodies in two parts."""
+    def __init__(self, seed: int, folder: Path, uploads: int, log_file: IO[bytes]) -> None:
+        """`uploads`: the number of clients of each machine that send their bodies in two parts.
+
+        `log_file` takes the output of all processes.
+        """
         self._rng = random.Random(seed)
         # Not drawn from the seed: two soaks may run beside each other.
         network = f"127.{10 + secrets.randbelow(240)}.{1 + secrets.randbelow(250)}"
-        self._fleet = ExampleFleet(folder, asyncio.subprocess.DEVNULL, network, HEARTBEAT_MS)
+        self._fleet = ExampleFleet(folder, log_file.fileno(), network, HEARTBEAT_MS)
         self._worker_ip = f"{network}.{WORKER_HOST}"
         self._numbers = itertools.count()
         self._background: set[asyncio.Task[None]] = set()
@@ -85,6 +90,7 @@
             await self._fleet.configure(_configuration(1))
             self.observations.disturb()
             self._start_clients()
+            self._spawn(self._restart_workers())
             end = time.monotonic() + seconds
             while time.monotonic() < end:
                 await self._play_round()
@@ -121,14 +127,29 @@
     # --- workers, clients, operator ---
 
     async def _start_worker(self) -> None:
-        port = FIRST_WORKER_PORT + next(self._numbers)
+        worker = await self._start_instance(FIRST_WORKER_PORT + next(self._numbers))
+        self._staying_workers.append(worker)
+
+    async def _start_instance(self, port: int) -> SoakWorker:
         settings = FakeModelWorkerSettings(
             SERVICE, self._worker_ip, port, "z1", "", self._fleet.control_addresses, events=2
         )
-        worker = SoakWorker(settings, self.observations)
+        worker = SoakWorker(settings, self.observations, self._rng)
         await worker.start()
-        self._staying_workers.append(worker)
         self.workers.append(worker)
+        return worker
+
+    async def _restart_workers(self) -> None:
+        """Let workers crash and start again at their addresses, as new instances."""
+        while not self._is_over:
+            await asyncio.sleep(self._rng.uniform(*WORKER_RESTART_RANGE_S))
+            index = self._rng.randrange(len(self._staying_workers))
+            crashed = self._staying_workers[index]
+            await crashed.crash()
+            restarted = await self._start_instance(crashed.settings.port)
+            if crashed in self._staying_workers:
+                self._staying_workers[self._staying_workers.index(crashed)] = restarted
+            self.faults["restart_worker"] += 1
 
     def _start_clients(self) -> None:
         clients = CLIENTS_PER_MACHINE + self._uploads
--- a/benchmarks/soak/worker.py
+++ b/benchmarks/soak/worker.py
@@ -1,4 +1,4 @@
-"""A worker of the soak: it records each run, and it can announce its end and serve on."""
+"""A worker of the soak: it records each run, rejects some requests, and can announce its end and serve on."""
 
 from __future__ import annotations
 
@@ -11,24 +11,48 @@
 
 from benchmarks.soak.control_calls import call_as_worker
 from benchmarks.soak.observations import Observations, Run
+from benchmarks.soak.surplus import SurplusBytes
 from hazelbend.fakes.model_worker import FakeModelWorker, FakeModelWorkerSettings
 
 LATE_HEARTBEAT_RANGE_S = (0.5, 5.8)  # from the acknowledgement of a deregistration to the last heartbeat
+REJECTED_FRACTION = 0.03  # of the requests
 
 
 class SoakWorker(FakeModelWorker):
-    """A worker that records each run, and that can announce its end and serve on."""
+    """A worker that records each run, rejects some requests, and can announce its end and serve on."""
 
-    def __init__(self, settings: FakeModelWorkerSettings, observations: Observations) -> None:
+    def __init__(
+        self, settings: FakeModelWorkerSettings, observations: Observations, rng: random.Random
+    ) -> None:
+        """`rng`: draws the requests that are rejected, and the bytes that are sent beyond the responses."""
         super().__init__(settings)
+        self._rng = rng
+        self._surplus = SurplusBytes(rng)
         self.ended_at: float | None = None  # when its end was acknowledged
         self.late_heartbeat: dict[str, object] | None = None  # sent before it deregistered
         self._observations = observations
 
+    async def _serve_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._surplus.write_waiting(request)
+        if self._rng.random() < REJECTED_FRACTION:
+            await request.read()
+            response: web.StreamResponse = _busy(request.headers["Request-Id"])
+        else:
+            response = await super()._serve_request(request)
+        if "Not-Executed" in response.headers:
+            self._observations.rejections += 1
+            self._surplus.follow(request, response.status, response.reason or "")
+        return response
+
     async def _decode(self, request: web.BaseRequest) -> web.StreamResponse:
         self._observations.runs.append(Run(request.headers["Request-Id"], self))
         return await super()._decode(request)
 
+    @property
+    def surplus_sent(self) -> int:
+        """How many times surplus bytes were sent."""
+        return self._surplus.sent
+
     async def announce_end(self, rng: random.Random) -> None:
         """Drain or deregister; the last heartbeat that was sent before arrives late if it deregisters."""
         late_heartbeat = self._heartbeat()
@@ -54,3 +78,8 @@
     async def call(self, control: str, call: str, body: dict[str, object]) -> bool:
         """Call one control process; returns whether it acknowledges."""
         return await call_as_worker(control, self.instance, call, body) == HTTPStatus.OK
+
+
+def _busy(request_id: str) -> web.Response:
+    headers = {"Request-Id": request_id, "Not-Executed": "1"}
+    return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers)
--- a/hazelbend/fakes/model_worker.py
+++ b/hazelbend/fakes/model_worker.py
@@ -137,12 +137,13 @@
         return await self._serve_request(request)
 
     async def _serve_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers["Request-Id"]
         if request.headers.get("Expect-Instance", self.instance) != self.instance:
-            return _misdirected({"Instance-Id": self.instance})
+            return _misdirected({"Request-Id": request_id, "Instance-Id": self.instance})
         await request.read()
         is_prefill = request.headers.get("Phase") == PREFILL
         if is_prefill != (self.settings.phase == PREFILL):
-            return _misdirected({})
+            return _misdirected({"Request-Id": request_id})
         return await (self._prefill(request) if is_prefill else self._decode(request))
 
     async def _prefill(self, request: web.BaseRequest) -> web.Response:
--- a/tests/benchmarks/test_process_soak.py
+++ b/tests/benchmarks/test_process_soak.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from benchmarks.soak.observations import CONTACT_S, DRAIN_S, Observations, Run
@@ -18,7 +20,8 @@
     observations: Observations, request_id: str, sent_at: float, ended_at: float | None = None
 ) -> None:
     """Record a request that ran at a worker whose end was acknowledged at `ended_at`."""
-    worker = SoakWorker(FakeModelWorkerSettings("orders", "127.0.0.9", 1, "z"), observations)
+    settings = FakeModelWorkerSettings("orders", "127.0.0.9", 1, "z")
+    worker = SoakWorker(settings, observations, random.Random(1))
     worker.ended_at = ended_at
     observations.sent_at[request_id] = sent_at
     observations.runs.append(Run(request_id, worker))
