A response that continues surplus bytes is not taken for a rejection

What callers saw: a request that must run once ran at two workers. Cause: a worker in trouble sends more after a complete response. If these bytes end inside a head, the response that is due next continues it: its status line becomes part of a reason phrase or of a header, and the request id that follows is the right one. So a 200 was read as a 421, or as a 503 with Not-Executed, and the request was sent to the next worker. Change: a head that contains a second status line is no response: the connection is closed, and the outcome is unknown. Every such head contains it, because the response that is due begins with its own status line. The dispatcher's client shares the code (test_surplus_head_before_a_response_does_not_turn_it_into_a_rejection).

--- a/hazelbend/transport/http/aiohttp_client.py
+++ b/hazelbend/transport/http/aiohttp_client.py
@@ -11,6 +11,7 @@
 import asyncio
 import functools
 import math
+import re
 import select
 import sys
 from collections.abc import Callable, Coroutine, Iterable
@@ -30,6 +31,7 @@
 HAS_EAGER_TASKS = sys.version_info >= (3, 12)  # aiohttp then starts to write a body eagerly by itself
 IDLE_POLL_S = 0.5  # between checks whether a replaced session is still in use
 MICROSECONDS_PER_MS = 1_000
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 class RequestNotWrittenError(Exception):
@@ -44,6 +46,10 @@
     """The pooled connection cannot be used for another request."""
 
 
+class SurplusBytesError(aiohttp.ClientError):
+    """The head of the response begins with bytes that a worker sent beyond an earlier response."""
+
+
 class RequestProgress:
     """Tracks how far one request has been written.
 
@@ -269,13 +275,14 @@
     Raises:
         RequestWithdrawnError: `before_first_byte` returned None, or this process was stopped while the
             request was connecting, so that its connect timeout does not show a fault of the server.
+        SurplusBytesError: the response can't be told from bytes that belong to no request.
         aiohttp.ClientError, OSError: no connection, or no response.
     """
     loop = asyncio.get_running_loop()
     while True:
         started_at = loop.time()
         try:
-            return await owner.session.request(
+            response = await owner.session.request(
                 method,
                 url,
                 data=body,
@@ -286,11 +293,28 @@
             )
         except StaleConnectionError:
             progress.reused_connection = False
+            continue
         except aiohttp.ConnectionTimeoutError:
             timeout_s = owner.session.timeout.sock_connect or 0.0
             if loop.time() - started_at > timeout_s + MAX_TIMER_DELAY_S:
                 raise RequestWithdrawnError from None
             raise
+        if _has_second_status_line(response):
+            response.close()
+            progress.discard_connection()
+            raise SurplusBytesError("the head of the response contains a second status line")
+        return response
+
+
+def _has_second_status_line(response: aiohttp.ClientResponse) -> bool:
+    """Whether surplus bytes that end inside a head precede the response.
+
+    Its own status line is then part of the reason phrase or of a header of these bytes, while the headers
+    that follow, such as the id of the request, are its own.
+    """
+    reason = (response.reason or "").encode()
+    values = [value for _, value in response.raw_headers]
+    return STATUS_LINE.search(b"\n".join([reason, *values])) is not None
 
 
 def _progress_trace() -> aiohttp.TraceConfig:
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -273,6 +273,20 @@
     assert backend.connections == 2 and len(backend.requests) == 2
 
 
+def test_surplus_head_before_a_response_does_not_turn_it_into_a_rejection():
+    """Guards a job that must not run twice: the response was read as the end of a surplus `not processed`."""
+    served = OK_HEAD + chunk(DONE) + b"0\r\n\r\n"
+    surplus = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nX-Note: "
+
+    async def run():
+        scripted = ScriptedServer(served, surplus + served)
+        async with connected_client(scripted) as (client, _):
+            return [await client.attempt(JOB, lambda: 500_000, lambda update: None) for _ in range(2)]
+
+    first, second = asyncio.run(run())
+    assert (first.outcome, second.outcome) == (Outcome.SERVED, Outcome.RESET)
+
+
 @pytest.mark.parametrize("size", [1, 8_000_000], ids=["after the last byte", "before it"])
 def test_reset_after_the_request_was_passed_to_the_socket_counts_as_possibly_run(size):
     """If the body does not fit into the socket's buffers, its last byte may not have been sent. This cannot
--- a/tests/transport/test_worker_client_faults.py
+++ b/tests/transport/test_worker_client_faults.py
@@ -334,3 +334,32 @@
         may_continue.set()
         await asyncio.sleep(0.05)
         await client.free_handle(worker.address, "i-1", "h1")
+
+
+# --- surplus bytes ---
+
+SURPLUS_HEADS = [
+    response_to(1, b"", b"421 Misdirected Request", b"Instance-Id: i-2\r\n"),
+    response_to(1, b"", b"503 Busy", b"Not-Executed: 1\r\nRetry-After: 1\r\n"),
+    b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    response_to(1, b"another body", extra_headers=b"Server-Signature: s\r\n"),
+]
+
+
+@pytest.mark.parametrize("surplus", SURPLUS_HEADS)
+async def test_surplus_bytes_cut_at_any_place_never_change_the_response_that_follows_them(client, surplus):
+    async def script(connection: Connection, number: int) -> None:
+        await connection.request()
+        await connection.send(response_to(1))
+        await connection.request()
+        await connection.send(surplus[:number])
+        await connection.send(response_to(2, b"true"))
+
+    async with running_worker(script) as worker:
+        while worker.connections < len(surplus):
+            assert await fetch_body(client, call(worker, 1)) == b"ok"
+            try:
+                response = await client.send(call(worker, 2), lambda: 1_000_000)
+            except OutcomeUnknownError:
+                continue
+            assert (response.status, response.not_executed, await response.body()) == (200, False, b"true")
