A request is never written twice on one connection

What callers saw: a request that must run once ran at two workers. Cause: a response is matched to a request by its id, and all sends of a request (prefill, decode, retries) share it. If two instances have had one address, or a worker changes its phase, the second send can go over the connection of the first. A surplus copy of the first rejection that arrives late was taken for the response to the second send, which ran; the request was sent to a third worker. Change: a request knows the connections on which it was written, and the client doesn't write it on any of them again. So a response with its id on a connection can only be for its one send there. Closing a connection after every rejection would have the same effect and costs a handshake for each; this costs one only where an address is used twice by the same request.

--- a/hazelbend/forwarding/ports.py
+++ b/hazelbend/forwarding/ports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol, TypeAlias
 
 Headers: TypeAlias = tuple[tuple[str, str], ...]
@@ -35,11 +35,17 @@
 
 @dataclass(slots=True, frozen=True)
 class WorkerCall:
-    """A request to one worker."""
+    """A request to one worker.
+
+    `used_connections` are those on which this request was written before, in calls to any worker. The client
+    adds the connection of this call, and does not write the request on any of them again: a response is
+    matched to a request by its id, so a late response to an earlier call could be taken for that to this one.
+    """
 
     address: str
     request: ClientRequest
     extra_headers: Headers
+    used_connections: set[object] = field(default_factory=set)
 
 
 @dataclass(slots=True, frozen=True)
--- a/hazelbend/forwarding/request_context.py
+++ b/hazelbend/forwarding/request_context.py
@@ -42,6 +42,7 @@
     uses_prefill_workers: bool  # one worker may prefill the prompt, and another one decode
     deadline: int
     tried_instances: set[str] = field(default_factory=set)
+    used_connections: set[object] = field(default_factory=set)  # see `WorkerCall`
     sends: int = 0  # sends that may have reached a worker, without prefill calls
     prefill_sends: int = 0
     possible_executions: int = 0  # those of `sends` whose outcome is unknown
@@ -81,4 +82,4 @@
             headers += (("Kv-From", self.kv_handle.kv_from),)
         if self.event_splitter is not None and self.event_splitter.last_event_id:
             headers += (("Last-Event-Id", self.event_splitter.last_event_id),)
-        return WorkerCall(record.address, self.request, headers)
+        return WorkerCall(record.address, self.request, headers, self.used_connections)
--- a/hazelbend/transport/http/aiohttp_client.py
+++ b/hazelbend/transport/http/aiohttp_client.py
@@ -56,12 +56,13 @@
     `before_first_byte` is called when the connection is established. It returns the remaining time of the
     request in microseconds, or None if the request must not be sent any more. `on_written` is called once,
     when the last byte has been passed to the connection. The header `timeout_header` carries the remaining
-    time to the server, in milliseconds.
+    time to the server, in milliseconds. `used_connections` are not used; the one that is used is added.
     """
 
     __slots__ = (
         "_on_written",
         "_protocol",
+        "_used_connections",
         "before_first_byte",
         "has_body",
         "is_permitted",
@@ -77,8 +78,10 @@
         *,
         has_body: bool,
         on_written: Callable[[], object] | None = None,
+        used_connections: set[object] | None = None,
     ) -> None:
         self.before_first_byte = before_first_byte
+        self._used_connections = set() if used_connections is None else used_connections
         self.timeout_header = timeout_header
         self.has_body = has_body
         self._on_written = on_written
@@ -90,8 +93,13 @@
     def begin(self, protocol: StrictResponseHandler) -> None:
         """Record that the request is about to be written on this connection."""
         self._protocol = protocol
+        self._used_connections.add(protocol)
         self.is_permitted = True
 
+    def may_use(self, protocol: StrictResponseHandler) -> bool:
+        """Whether the request may be written on this connection."""
+        return protocol not in self._used_connections
+
     @property
     def connection(self) -> StrictResponseHandler | None:
         """The connection on which the request was written; None before that."""
@@ -142,18 +150,20 @@
         """
         protocol = conn.protocol
         assert isinstance(protocol, StrictResponseHandler)
-        is_new = self.progress is not None and not self.progress.reused_connection
-        if not _is_usable(protocol, is_new=is_new):
+        progress = self.progress
+        is_new = progress is not None and not progress.reused_connection
+        may_use = progress is None or progress.may_use(protocol)
+        if not may_use or not _is_usable(protocol, is_new=is_new):
             conn.close()
             raise StaleConnectionError
-        if self.progress is not None:
-            remaining = self.progress.before_first_byte()
+        if progress is not None:
+            remaining = progress.before_first_byte()
             if remaining is None:
                 conn.release()  # nothing was written, so the connection can be reused
                 raise RequestWithdrawnError
-            self.progress.begin(protocol)
+            progress.begin(protocol)
             remaining_ms = max(remaining // MICROSECONDS_PER_MS, 1)
-            self.headers[self.progress.timeout_header] = str(remaining_ms)
+            self.headers[progress.timeout_header] = str(remaining_ms)
         protocol.requests_written += 1
         return await super().send(conn)
 
--- a/hazelbend/transport/http/worker_client.py
+++ b/hazelbend/transport/http/worker_client.py
@@ -99,7 +99,12 @@
     async def send(self, call: WorkerCall, before_first_byte: BeforeFirstByte) -> HttpWorkerResponse:
         """See the Protocol."""
         request = call.request
-        progress = RequestProgress(before_first_byte, DEADLINE_HEADER, has_body=bool(request.body))
+        progress = RequestProgress(
+            before_first_byte,
+            DEADLINE_HEADER,
+            has_body=bool(request.body),
+            used_connections=call.used_connections,
+        )
         headers = [
             *request.headers,
             ("Host", request.host),
--- a/tests/transport/test_worker_client_faults.py
+++ b/tests/transport/test_worker_client_faults.py
@@ -10,6 +10,7 @@
 import socket
 import time
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import pytest
 
@@ -363,3 +364,19 @@
             except OutcomeUnknownError:
                 continue
             assert (response.status, response.not_executed, await response.body()) == (200, False, b"true")
+
+
+async def test_next_send_of_a_request_uses_a_connection_without_late_responses_to_its_earlier_sends(client):
+    """Prefill and decode calls of a request, and its retries, have the same id."""
+    used_connections: set[object] = set()
+
+    async def script(connection: Connection, number: int) -> None:
+        await connection.request()
+        await connection.send(response_to(1, b"%d" % number))
+        await connection.request()
+        await connection.send(response_to(1, b"late"))
+
+    async with running_worker(script) as worker:
+        for number in (b"1", b"2"):
+            sent = replace(call(worker, 1), used_connections=used_connections)
+            assert await fetch_body(client, sent) == number
