A new connection with bytes before the request is not opened again and again

Cause: send_once took an unusable new connection for a stale pooled one, and opened the next. Change: it counts as a failed connect, as nothing was written; the request goes to another worker. Evidence: test_worker_that_writes_before_the_request_is_given_up_after_one_connection fails without the change (by its time limit).

--- a/hazelbend/transport/http/aiohttp_client.py
+++ b/hazelbend/transport/http/aiohttp_client.py
@@ -302,6 +302,8 @@
                 middlewares=(progress.attach,),
             )
         except StaleConnectionError:
+            if not progress.reused_connection:
+                raise aiohttp.ClientConnectionError("bytes or a close before the request") from None
             progress.reused_connection = False
             continue
         except aiohttp.ConnectionTimeoutError:
--- a/tests/transport/test_worker_client_faults.py
+++ b/tests/transport/test_worker_client_faults.py
@@ -19,6 +19,7 @@
 from hazelbend.transport.http import aiohttp_client
 from hazelbend.transport.http.worker_client import HttpWorkerClient
 from tests.support.scripted_worker import HOST, TEST_TIMEOUT_S, Connection, ScriptedWorker, running_worker
+from tests.support.socket_kit import eventually
 
 pytestmark = pytest.mark.anyio
 LARGE = b"0123456789abcdef" * 262_144  # 4 MiB, more than the kernel buffers
@@ -380,3 +381,22 @@
         for number in (b"1", b"2"):
             sent = replace(call(worker, 1), used_connections=used_connections)
             assert await fetch_body(client, sent) == number
+
+
+async def test_worker_that_writes_before_the_request_is_given_up_after_one_connection(client, monkeypatch):
+    """Guards a worker that was connected to again and again until the deadline of the request."""
+    original_send = aiohttp_client.CheckedRequest.send
+
+    async def send(request, connection):
+        await eventually(lambda: connection.protocol.should_close)
+        return await original_send(request, connection)
+
+    async def script(connection: Connection, number: int) -> None:
+        await connection.send(response_to(1))
+        await asyncio.sleep(TEST_TIMEOUT_S)
+
+    monkeypatch.setattr(aiohttp_client.CheckedRequest, "send", send)
+    async with running_worker(script) as worker:
+        with pytest.raises(NotSentError):
+            await client.send(call(worker, 1), lambda: 1_000_000)
+        assert worker.connections == 1
