A connection with bytes that no response was due for is not used again, also inside a head

What callers saw: 502 for a request whose worker had answered 200. Cause: a part of a surplus response head that arrives on an idle connection is lost with the parser of that response, which aiohttp replaces at the next request; the rest of the head then breaks the response to that request. aiohttp notices surplus bytes only as a complete head. Change: bytes that arrive while no response is due close the connection before its next use. Evidence: test_connection_with_a_part_of_a_surplus_head_is_not_used_again fails without the change.

--- a/hazelbend/transport/http/aiohttp_client.py
+++ b/hazelbend/transport/http/aiohttp_client.py
@@ -15,6 +15,7 @@
 import select
 import sys
 from collections.abc import Callable, Coroutine, Iterable
+from http import HTTPStatus
 from types import SimpleNamespace
 from typing import Any, Protocol
 
@@ -23,6 +24,8 @@
 from aiohttp.client_middlewares import ClientHandlerType
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
 from yarl import URL
 
 from hazelbend.transport.http.eager_start import start_eagerly
@@ -205,16 +208,39 @@
 
 
 class StrictResponseHandler(ResponseHandler):
-    """A connection on which a reset never completes a response that has no length.
+    """A connection that is stricter than aiohttp's about which bytes belong to a response.
 
-    aiohttp treats such a response as complete however its connection was lost; only a FIN may end it
-    (RFC 9112, section 8).
+    A reset never completes a response that has no length. aiohttp treats such a response as complete however
+    its connection was lost; only a FIN may end it (RFC 9112, section 8).
+
+    Bytes that arrive while no response is due belong to no request, and the connection is not used again.
+    aiohttp notices that only if they are a complete head.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.local_port = 0
         self.requests_written = 0
+        self._responses_started = 0
+
+    @property
+    def is_response_due(self) -> bool:
+        """Whether a response to a request that was written has not arrived completely."""
+        if self._responses_started < self.requests_written:
+            return True
+        return self._payload is not None and not self._payload.is_eof()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what was received; an empty `data` resumes the parser."""
+        if data and not self.is_response_due:
+            self.force_close()
+        super().data_received(data)
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Pass on the head of a response."""
+        if data[0].code >= HTTPStatus.OK:  # not an interim response
+            self._responses_started += 1
+        super().feed_data(data, size)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the local port of the connection."""
--- a/tests/transport/test_worker_client_faults.py
+++ b/tests/transport/test_worker_client_faults.py
@@ -400,3 +400,25 @@
         with pytest.raises(NotSentError):
             await client.send(call(worker, 1), lambda: 1_000_000)
         assert worker.connections == 1
+
+
+async def test_connection_with_a_part_of_a_surplus_head_is_not_used_again(client):
+    """Guards the next request there: the rest of the surplus head broke its response."""
+    surplus_due = asyncio.Event()
+
+    async def script(connection: Connection, number: int) -> None:
+        await connection.request()
+        await connection.send(response_to(number))
+        await surplus_due.wait()
+        await connection.send(b"HTTP/1.1 421 Mis")
+        await connection.request()
+        await connection.send(b"directed Request\r\n\r\n" + response_to(2))
+
+    aiohttp_client.set_keepalive(client.session, 60.0)
+    async with running_worker(script) as worker:
+        assert await fetch_body(client, call(worker, 1)) == b"ok"
+        [(connection, _)] = next(iter(client.session.connector._conns.values()))
+        surplus_due.set()
+        await eventually(lambda: connection.should_close)
+        assert await fetch_body(client, call(worker, 2)) == b"ok"
+        assert worker.connections == 2
