--- a/benchmarks/process_soak.py
+++ b/benchmarks/process_soak.py
@@ -7,8 +7,9 @@
 deregister at random times, serve on, and their last heartbeat arrives late; short series of overlapping
 kills, terminations, freezes and restarts follow, often right after an acknowledgement. Workers also leave
 while a control process is down, and once it has started, it is sent the last heartbeat of one that has ended.
-Workers also crash and start again at their addresses, reject some requests, and send surplus bytes after
-rejections. With `--uploads`, some clients of each machine send their bodies in two parts. Checked are:
+Workers also crash and start again at their addresses, reject some requests, send surplus bytes after
+rejections, and break off some responses. With `--uploads`, some clients of each machine send their bodies in
+two parts. Checked are:
 
 DRAIN    no request that was sent later than `DRAIN_S` after a worker's end was acknowledged reaches it, once
          nothing was disturbed for `CONTACT_S`
@@ -51,7 +52,8 @@
         "statuses": {str(status): count for status, count in sorted(statuses.items())},
         "ended_workers": sum(worker.ended_at is not None for worker in soak.workers),
         "rejections": soak.observations.rejections,
-        "surplus": sum(worker.surplus_sent for worker in soak.workers),
+        "surplus": sum(worker.response_faults.surplus_sent for worker in soak.workers),
+        "broken_responses": sum(worker.response_faults.broken for worker in soak.workers),
         "late_heartbeats": soak.observations.late_heartbeats,
         "configuration": soak.observations.acknowledged_version,
         "faults": dict(soak.faults),
--- a/benchmarks/soak/worker.py
+++ b/benchmarks/soak/worker.py
@@ -11,11 +11,12 @@
 
 from benchmarks.soak.control_calls import call_as_worker
 from benchmarks.soak.observations import Observations, Run
-from benchmarks.soak.surplus import SurplusBytes
+from benchmarks.soak.response_faults import ResponseFaults
 from hazelbend.fakes.model_worker import FakeModelWorker, FakeModelWorkerSettings
 
 LATE_HEARTBEAT_RANGE_S = (0.5, 5.8)  # from the acknowledgement of a deregistration to the last heartbeat
 REJECTED_FRACTION = 0.03  # of the requests
+EARLY_FRACTION = 0.5  # of the rejected requests, that are rejected before their bodies are read
 
 
 class SoakWorker(FakeModelWorker):
@@ -24,35 +25,33 @@
     def __init__(
         self, settings: FakeModelWorkerSettings, observations: Observations, rng: random.Random
     ) -> None:
-        """`rng`: draws the requests that are rejected, and the bytes that are sent beyond the responses."""
+        """`rng` draws the requests that are rejected, and the faults in responses."""
         super().__init__(settings)
         self._rng = rng
-        self._surplus = SurplusBytes(rng)
+        self.response_faults = ResponseFaults(rng)
         self.ended_at: float | None = None  # when its end was acknowledged
         self.late_heartbeat: dict[str, object] | None = None  # sent before it deregistered
         self._observations = observations
 
     async def _serve_request(self, request: web.BaseRequest) -> web.StreamResponse:
-        self._surplus.write_waiting(request)
+        self.response_faults.write_waiting_surplus(request)
         if self._rng.random() < REJECTED_FRACTION:
-            await request.read()
+            if self._rng.random() >= EARLY_FRACTION:
+                await request.read()
             response: web.StreamResponse = _busy(request.headers["Request-Id"])
         else:
             response = await super()._serve_request(request)
         if "Not-Executed" in response.headers:
             self._observations.rejections += 1
-            self._surplus.follow(request, response.status, response.reason or "")
+            self.response_faults.follow_rejection(request, response.status, response.reason or "")
         return response
 
     async def _decode(self, request: web.BaseRequest) -> web.StreamResponse:
         self._observations.runs.append(Run(request.headers["Request-Id"], self))
+        if self.response_faults.break_off(request):
+            return web.Response()  # is not written: the connection has ended
         return await super()._decode(request)
 
-    @property
-    def surplus_sent(self) -> int:
-        """How many times surplus bytes were sent."""
-        return self._surplus.sent
-
     async def announce_end(self, rng: random.Random) -> None:
         """Drain or deregister; the last heartbeat that was sent before arrives late if it deregisters."""
         late_heartbeat = self._heartbeat()
