Surplus detection also knows of requests that aiohttp writes without CheckedRequest

Seen by test_discovery_watch.py::test_retry_from_before_an_address_change_keeps_the_new_watch, which failed. The response to a request is due from set_response_params on, which aiohttp calls for every request.

--- a/hazelbend/transport/http/aiohttp_client.py
+++ b/hazelbend/transport/http/aiohttp_client.py
@@ -221,14 +221,17 @@
         super().__init__(loop)
         self.local_port = 0
         self.requests_written = 0
-        self._responses_started = 0
+        self._awaits_head = False
 
     @property
     def is_response_due(self) -> bool:
-        """Whether a response to a request that was written has not arrived completely."""
-        if self._responses_started < self.requests_written:
-            return True
-        return self._payload is not None and not self._payload.is_eof()
+        """Whether the response to the last request has not arrived completely."""
+        return self._awaits_head or (self._payload is not None and not self._payload.is_eof())
+
+    def set_response_params(self, **parameters: Any) -> None:
+        """Prepare for the response to the next request, which is about to be written."""
+        self._awaits_head = True
+        super().set_response_params(**parameters)
 
     def data_received(self, data: bytes) -> None:
         """Parse what was received; an empty `data` resumes the parser."""
@@ -239,7 +242,7 @@
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Pass on the head of a response."""
         if data[0].code >= HTTPStatus.OK:  # not an interim response
-            self._responses_started += 1
+            self._awaits_head = False
         super().feed_data(data, size)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
