Dispatcher: a connection is not used again after a rejection that names no job

What callers would see: a job that must run once runs at two servers (shown by a test only; not seen by users). Cause, of the class of the incident: a 503 with X-Not-Processed names no job, so a surplus copy of it, written where the response to the next job on the connection is due, was taken for that response, and the job was sent to the next server. Change: the connection is closed after such a rejection, so that no copy of it can be read. It costs a handshake for each; a rejection that names its job (the line 'returned') keeps its connection. Evidence: test_surplus_rejection_is_not_matched_to_the_next_job fails without the change (FULL instead of SERVED).

--- a/benchmarks/soak/response_faults.py
+++ b/benchmarks/soak/response_faults.py
@@ -1,8 +1,8 @@
 """Faults in the responses of a worker in trouble: surplus bytes, and responses that break off.
 
 Surplus bytes are sent after a complete response and belong to no request. Here they are a copy of a
-rejection, as a whole or up to a place inside its head. They arrive on an idle connection, or where the response
-to the next request is due. A response breaks off anywhere in its head, or before it, by a FIN or a reset.
+rejection, as a whole or up to a place inside its head. They arrive on an idle connection, or where the
+response to the next request is due. A response breaks off in its head, or before it, by a FIN or a reset.
 """
 
 from __future__ import annotations
--- a/hazelbend/transport/http/backend_client.py
+++ b/hazelbend/transport/http/backend_client.py
@@ -8,6 +8,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, replace
 from functools import partial
+from http import HTTPStatus
 
 import aiohttp
 from yarl import URL
@@ -157,7 +158,7 @@
             outcome = Outcome.RESET if progress.is_written else Outcome.CONNECT_FAILED
             return AttemptResult(outcome, stale=progress.reused_connection)
         try:
-            return await self._read_result(response, job, on_progress)
+            result = await self._read_result(response, job, on_progress)
         except (aiohttp.ClientError, OSError):
             return AttemptResult(Outcome.RESET)
         except (ValueError, aiohttp.http_exceptions.HttpProcessingError) as error:
@@ -166,6 +167,10 @@
             return AttemptResult(Outcome.ERROR)
         finally:
             response.close()  # closes the connection, unless the response was read to its end
+        if response.status != HTTPStatus.OK and result.outcome is Outcome.FULL:
+            # Such a rejection names no job: a second copy would reject the next job on the connection.
+            progress.discard_connection()
+        return result
 
     async def _read_result(
         self,
@@ -174,7 +179,7 @@
         on_progress: AttemptCallback,
     ) -> AttemptResult:
         """Read the lines of the response: progress reports, then the result."""
-        if response.status != 200:
+        if response.status != HTTPStatus.OK:
             is_not_processed = response.headers.get("X-Not-Processed") == "1"
             outcome = outcome_of_status(response.status, is_not_processed)
             load = self._pool.settings.report_fields.read_text(response.headers.get("X-Server-Load"))
@@ -202,7 +207,7 @@
                 self._pool.session.get(url, allow_redirects=False) as response,
             ):
                 text = (await response.content.read(MAX_LINE_BYTES)).decode("utf-8", "replace")
-                outcome = Outcome.SERVED if response.status == 200 else Outcome.ERROR
+                outcome = Outcome.SERVED if response.status == HTTPStatus.OK else Outcome.ERROR
                 return AttemptResult(outcome, load=self._pool.settings.report_fields.read_text(text))
         except TimeoutError:
             return AttemptResult(Outcome.TIMED_OUT)
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -13,6 +13,7 @@
 from hazelbend.routing.ports import AttemptWritten, Job, ProgressReport
 from hazelbend.transport.http.backend_client import ConnectionPool, PoolSettings
 from tests.support.race_kit import OK_HEAD, ScriptedBackend, chunk
+from tests.support.scripted_worker import Connection, running_worker
 from tests.support.site_kit import wait_until
 
 JOB = Job("9b", 0, 0, 1_000_000, target="/nearby/%31?q=%20+&x=", body=b"a\0b", idempotency_key="k")
@@ -273,6 +274,28 @@
     assert backend.connections == 2 and len(backend.requests) == 2
 
 
+def test_surplus_rejection_is_not_matched_to_the_next_job():
+    """Guards a job that must not run twice: the copy of a rejection, which names no job, arrived where the
+    response to the next job was due, which had run."""
+    served = OK_HEAD + chunk(DONE) + b"0\r\n\r\n"
+
+    async def script(connection: Connection, number: int) -> None:
+        await connection.request()
+        await connection.send(NOT_PROCESSED if number == 1 else served)
+        await connection.request()
+        await connection.send(NOT_PROCESSED + served)
+
+    async def run():
+        pool = ConnectionPool(PoolSettings(0.25, 60.0, 4, LoadReportFields({})))
+        async with running_worker(script) as backend:
+            client = pool.client(backend.address)
+            results = [await client.attempt(JOB, lambda: 500_000, lambda update: None) for _ in range(2)]
+            await pool.close()
+            return [result.outcome for result in results]
+
+    assert asyncio.run(run()) == [Outcome.FULL, Outcome.SERVED]
+
+
 def test_surplus_head_before_a_response_does_not_turn_it_into_a_rejection():
     """Guards a job that must not run twice: the response was read as the end of a surplus `not processed`."""
     served = OK_HEAD + chunk(DONE) + b"0\r\n\r\n"
