Log lines of failed sends stay on one line, and reason phrases need not be UTF-8

By reading of the changes of this incident: errors of aiohttp's parser contain line breaks, and a reason phrase that is not UTF-8 would have raised UnicodeEncodeError in send_once. test_reason_phrase_that_is_not_utf_8_is_accepted, test_failed_send_is_logged_with_its_error.

--- a/hazelbend/forwarding/send_log.py
+++ b/hazelbend/forwarding/send_log.py
@@ -52,11 +52,11 @@
         return
     record = choice.worker.record
     log.info(
-        "router: request %s: %s worker %s at %s: %s %s",
+        "router: request %s: %s worker %s at %s: %s %r",
         context.request.id,
         outcome,
         record.instance,
         record.address,
         type(error).__name__,
-        error,
+        str(error),
     )
--- a/hazelbend/transport/http/aiohttp_client.py
+++ b/hazelbend/transport/http/aiohttp_client.py
@@ -353,7 +353,7 @@
     Its own status line is then part of the reason phrase or of a header of these bytes, while the headers
     that follow, such as the id of the request, are its own.
     """
-    reason = (response.reason or "").encode()
+    reason = (response.reason or "").encode(errors="surrogateescape")  # as aiohttp has decoded it
     values = [value for _, value in response.raw_headers]
     return STATUS_LINE.search(b"\n".join([reason, *values])) is not None
 
--- a/tests/forwarding/test_send_log.py
+++ b/tests/forwarding/test_send_log.py
@@ -40,7 +40,7 @@
     ("error", "outcome"),
     [
         (WorkerUnreachableError("refused"), "not sent to"),
-        (ResponseBrokenError("cut"), "may have been executed by"),
+        (ResponseBrokenError("cut\nhere"), "may have been executed by"),
     ],
 )
 def test_failed_send_is_logged_with_its_error(log_stream, error, outcome):
@@ -48,7 +48,7 @@
     harness.serve(error, ScriptedResponse())
     [line] = log_stream.getvalue().splitlines()
     assert line.startswith(f"router: request q1: {outcome} worker i-")
-    assert line.endswith(f": {type(error).__name__} {error}")
+    assert line.endswith(f": {type(error).__name__} {str(error)!r}")
 
 
 def test_sends_of_idempotent_requests_are_not_logged(log_stream):
--- a/tests/transport/test_worker_client_faults.py
+++ b/tests/transport/test_worker_client_faults.py
@@ -367,6 +367,15 @@
             assert (response.status, response.not_executed, await response.body()) == (200, False, b"true")
 
 
+async def test_reason_phrase_that_is_not_utf_8_is_accepted(client):
+    async def script(connection: Connection, number: int) -> None:
+        await connection.request()
+        await connection.send(response_to(1, status=b"200 \xe9\xff"))
+
+    async with running_worker(script) as worker:
+        assert await fetch_body(client, call(worker, 1)) == b"ok"
+
+
 async def test_next_send_of_a_request_uses_a_connection_without_late_responses_to_its_earlier_sends(client):
     """Prefill and decode calls of a request, and its retries, have the same id."""
     used_connections: set[object] = set()
