--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -169,8 +169,9 @@
                 headers = {"Host": "orders.test", "Request-Id": request_id, "Deadline-Ms": "3000"}
                 self.observations.sent_at[request_id] = time.monotonic()
                 with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
-                    body = _slow_body() if uploads_slowly else 2 * UPLOAD_PART
-                    headers["Content-Length"] = str(2 * len(UPLOAD_PART))
+                    body = _body(UPLOAD_PAUSE_S if uploads_slowly else 0.0)
+                    if number % 2:  # the others are sent in chunks
+                        headers["Content-Length"] = str(2 * len(UPLOAD_PART))
                     async with session.post(url, data=body, headers=headers) as response:
                         self.observations.statuses[request_id] = response.status
                         await response.read()
@@ -283,9 +284,10 @@
         self.observations.disturb()
 
 
-async def _slow_body() -> AsyncIterator[bytes]:
+async def _body(pause_s: float) -> AsyncIterator[bytes]:
+    """Two parts, with a pause between them."""
     yield UPLOAD_PART
-    await asyncio.sleep(UPLOAD_PAUSE_S)
+    await asyncio.sleep(pause_s)
     yield UPLOAD_PART
 
 
