A request whose connection was closed or answered 408 is never handed on

The eviction of silent connections had the same gap. Change: request_received, the one place where both listeners hand a request on, refuses once the connection has been closed, so that 408 is never followed by a run. And a request that has arrived completely is neither timed out nor evicted: its task is about to run. RequestListener._serve loses its body to _read_request, which raises typed errors with their status.

--- a/hazelbend/transport/http/client_connection.py
+++ b/hazelbend/transport/http/client_connection.py
@@ -39,6 +39,10 @@
 REQUEST_TIMEOUT_RESPONSE = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 
+class ConnectionEndedError(Exception):
+    """The connection of a request was closed before the request could be served."""
+
+
 class ConnectionOwner(Protocol):
     """The listener that a connection belongs to."""
 
@@ -70,6 +74,7 @@
         self.is_responding = False
         self.has_valid_request = False  # the client has sent at least one
         self.invalid_requests = 0
+        self._is_ended = False
 
     # --- events of the connection ---
 
@@ -119,10 +124,24 @@
         return self._loop.time() - self._arrival_times.popleft() if self._arrival_times else 0.0
 
     def request_received(self) -> None:
-        """Record that the request is complete: the client has no deadline until the response starts."""
+        """Record that the request is complete: the client has no deadline until the response starts.
+
+        Raises:
+            ConnectionEndedError: the connection was closed before, perhaps with a response that promises that
+                the request will not be executed.
+        """
+        if self._is_ended:
+            raise ConnectionEndedError
         self.has_partial_request = False
         self.deadline = None
 
+    @property
+    def has_complete_request(self) -> bool:
+        """Whether a request has arrived completely that is not answered; its task may not have run since."""
+        if self._current_request is not None:
+            return bool(self._current_request.content.is_eof())
+        return bool(self._messages) and bool(self._messages[0][1].is_eof())
+
     def begin_response(self, *, is_valid: bool) -> None:
         """Record that a response is about to be written. `is_valid` states whether its request was valid."""
         self.has_valid_request = self.has_valid_request or is_valid
@@ -134,6 +153,11 @@
 
     # --- closing ---
 
+    def force_close(self) -> None:
+        """Close the connection. A request that `request_received` was not called for is never served."""
+        self._is_ended = True
+        super().force_close()
+
     @property
     def was_used(self) -> bool:
         """Whether the connection has carried a request, valid or not."""
@@ -170,6 +194,8 @@
             self.deadline = None  # the response was written; the connection is kept alive
         elif self.has_unread and now < self.deadline + UNREAD_GRACE_S:
             return
+        elif self.has_partial_request and self.has_complete_request:
+            return  # its task is about to run
         elif self.is_responding:
             self.transport.abort()
         else:
--- a/hazelbend/transport/http/client_listener.py
+++ b/hazelbend/transport/http/client_listener.py
@@ -15,7 +15,7 @@
 from hazelbend.protocol.http_fields import BadRequestError, Catalogue, read_job
 from hazelbend.routing.ports import Answer, Job, PendingJob, Verdict
 from hazelbend.routing.router import Router
-from hazelbend.transport.http.client_connection import ClientConnection
+from hazelbend.transport.http.client_connection import ClientConnection, ConnectionEndedError
 from hazelbend.transport.http.draining_listener import DrainingListener
 from hazelbend.transport.http.request_body import BodyTooLargeError, MalformedBodyError, read_body
 
@@ -54,7 +54,10 @@
         if not request.content.is_eof():
             # The body has not arrived yet, so the client has not waited for this process.
             queueing_time_s = 0.0
-        response = await self._respond(request, connection, queueing_time_s)
+        try:
+            response = await self._respond(request, connection, queueing_time_s)
+        except ConnectionEndedError:
+            return web.Response(status=408)  # is not written
         is_valid = not 400 <= response.status < 500
         if not is_valid and connection.invalid_requests:
             # A client that repeats an invalid request without delay would take processing time from others.
--- a/hazelbend/transport/http/http_listener.py
+++ b/hazelbend/transport/http/http_listener.py
@@ -225,7 +225,9 @@
     """Return whether the connection has sent no valid request and is not about to complete one."""
     if connection.has_valid_request:
         return False
-    if connection.has_partial_request:
+    if connection.has_complete_request:
+        is_stalled = False
+    elif connection.has_partial_request:
         is_stalled = now > connection.last_active_at + MIN_PARTIAL_REQUEST_AGE_S
     else:
         is_stalled = connection.is_idle
--- a/hazelbend/transport/http/request_listener.py
+++ b/hazelbend/transport/http/request_listener.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import TypeAlias
 
 from aiohttp import web
 
 from hazelbend.forwarding.ports import ClientRequest, ClientResponse, Headers
-from hazelbend.transport.http.client_connection import ClientConnection
+from hazelbend.transport.http.client_connection import ClientConnection, ConnectionEndedError
 from hazelbend.transport.http.draining_listener import DrainingListener
 from hazelbend.transport.http.request_body import BodyTooLargeError, MalformedBodyError, read_body
 from hazelbend.transport.http.worker_client import HOP_BY_HOP_HEADERS
@@ -33,7 +34,11 @@
 
 
 class InvalidRequestError(Exception):
-    """The headers of a request cannot be accepted. The text is sent to the client."""
+    """A request cannot be accepted. The text is sent to the client."""
+
+    def __init__(self, status: HTTPStatus, text: str) -> None:
+        super().__init__(text)
+        self.status = status
 
 
 class _ClientResponse:
@@ -90,23 +95,13 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
         assert isinstance(connection, ClientConnection)
-        received_at = self._clock()
-        queueing_time_s = connection.take_queueing_time()
         client_response = _ClientResponse(request, lambda: not self.allows_keep_alive)
-        if _header_bytes(request) > self.max_header_bytes:
-            return _invalid(connection, 431, "the head is too large")
-        try:
-            body = await read_body(request, self.max_body_bytes)
-        except BodyTooLargeError as error:
-            return _invalid(connection, 413, str(error))
-        except MalformedBodyError as error:
-            return _invalid(connection, 400, str(error))
-        connection.request_received()
         try:
-            arrived_at = received_at - round(queueing_time_s * 1e6)
-            client_request = _client_request(request, body, arrived_at)
+            client_request = await self._read_request(request, connection)
+        except ConnectionEndedError:
+            return web.Response(status=HTTPStatus.REQUEST_TIMEOUT)  # is not written
         except InvalidRequestError as error:
-            return _invalid(connection, 400, str(error))
+            return _close_after(connection, web.Response(status=error.status, text=f"{error}\n"))
         await self._serve_request(client_request, client_response)
         response = client_response.response
         if response is None or client_response.aborted:
@@ -116,10 +111,24 @@
             response.force_close()
         return response
 
+    async def _read_request(self, request: web.BaseRequest, connection: ClientConnection) -> ClientRequest:
+        """Return the request once it is complete.
 
-def _invalid(connection: ClientConnection, status: int, text: str) -> web.StreamResponse:
-    connection.request_received()
-    return _close_after(connection, web.Response(status=status, text=f"{text}\n"))
+        Raises:
+            ConnectionEndedError: its connection was closed meanwhile.
+            InvalidRequestError: it cannot be accepted.
+        """
+        arrived_at = self._clock() - round(connection.take_queueing_time() * 1e6)
+        if _header_bytes(request) > self.max_header_bytes:
+            raise InvalidRequestError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
+        try:
+            body = await read_body(request, self.max_body_bytes)
+        except BodyTooLargeError as error:
+            raise InvalidRequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, str(error)) from None
+        except MalformedBodyError as error:
+            raise InvalidRequestError(HTTPStatus.BAD_REQUEST, str(error)) from None
+        connection.request_received()
+        return _client_request(request, body, arrived_at)
 
 
 def _close_after(connection: ClientConnection, response: web.StreamResponse) -> web.StreamResponse:
@@ -141,11 +150,11 @@
     headers = request.headers
     ids = headers.getall("Request-Id", [])
     if len(ids) != 1 or not ids[0]:
-        raise InvalidRequestError("Request-Id has to stand there once")
+        raise InvalidRequestError(HTTPStatus.BAD_REQUEST, "Request-Id has to stand there once")
     timeout_us = _timeout_us(headers.get("Deadline-Ms"))
     target = request.raw_path
     if not target.startswith("/"):
-        raise InvalidRequestError("the target is no path")
+        raise InvalidRequestError(HTTPStatus.BAD_REQUEST, "the target is no path")
     connection_options = {name.strip().lower() for name in headers.get("Connection", "").split(",")}
     forwarded_headers = tuple(
         (name, value)
@@ -171,5 +180,5 @@
         return None
     is_number = deadline_ms.isascii() and deadline_ms.isdecimal()
     if not is_number or len(deadline_ms) > MAX_DEADLINE_DIGITS:
-        raise InvalidRequestError("Deadline-Ms: no whole number")
+        raise InvalidRequestError(HTTPStatus.BAD_REQUEST, "Deadline-Ms: no whole number")
     return int(deadline_ms) * 1_000
--- a/tests/transport/test_request_listener.py
+++ b/tests/transport/test_request_listener.py
@@ -122,3 +122,49 @@
     writer.close()
     async with asyncio.timeout(TIMEOUT_S):
         await ended.wait()
+
+
+# --- uploads that end as their connection is about to be closed ---
+
+UPLOAD = HEAD + b"Content-Length: 4\r\n\r\nab"
+
+
+async def upload_in_progress(listener):
+    """Begin an upload; returns the client's streams and the listener's connection."""
+
+    async def serve(request: ClientRequest, response: ClientResponse) -> None:
+        await response.answer(201, (), b"done")
+
+    listener.serve = serve
+    reader, writer = await asyncio.open_connection(HOST, listener.port)
+    writer.write(UPLOAD)
+    await eventually(lambda: any(connection._current_request for connection in listener._open))
+    [connection] = listener._open
+    return reader, writer, connection
+
+
+@pytest.mark.parametrize("close", ["time out", "evict"])
+async def test_upload_whose_end_has_just_been_read_is_served_and_gets_no_408(listener, close):
+    """Guards a machine that stood still, and one that drains: the request got 408 and was served."""
+    reader, writer, connection = await upload_in_progress(listener)
+    connection.data_received(b"cd")
+    if close == "time out":
+        connection.enforce_deadline(connection.deadline + 100.0)
+    else:
+        connection.last_active_at -= 100.0
+        listener._evict_connection()
+    async with asyncio.timeout(TIMEOUT_S):
+        assert (await reader.readuntil(b"done")).startswith(b"HTTP/1.1 201")
+    assert len(listener.received) == 1
+    writer.close()
+
+
+async def test_request_whose_connection_was_closed_before_it_was_handed_on_is_not_served(listener):
+    """Guards an unsafe request whose client was told that it would not be executed."""
+    reader, writer, connection = await upload_in_progress(listener)
+    connection.data_received(b"cd")
+    connection.force_close()
+    async with asyncio.timeout(TIMEOUT_S):
+        assert await reader.read() == b""
+    assert listener.received == []
+    writer.close()
