--- a/hazelbend/forwarding/ports.py
+++ b/hazelbend/forwarding/ports.py
@@ -39,7 +39,7 @@
 
     `used_connections` are those on which this request was written before, in calls to any worker. The client
     adds the connection of this call, and does not write the request on any of them again: a response is
-    matched to a request by its id, so a late response to an earlier call could be taken for that to this one.
+    matched to a request by its id, so a late response to an earlier call could be matched to this one.
     """
 
     address: str
