--- a/hazelbend/transport/http/worker_client.py
+++ b/hazelbend/transport/http/worker_client.py
@@ -19,6 +19,7 @@
     RequestProgress,
     RequestWithdrawnError,
     StaleConnectionError,
+    SurplusBytesError,
     open_checked_session,
     raw_url,
     send_once,
@@ -118,6 +119,8 @@
             )
         except RequestWithdrawnError:
             raise SendWithdrawnError from None
+        except SurplusBytesError as error:
+            raise InvalidResponseError(str(error)) from None
         except CALL_ERRORS as error:
             if progress.is_permitted:
                 raise ResponseBrokenError(str(error)) from None
--- a/tests/golden/golden_shown.py
+++ b/tests/golden/golden_shown.py
@@ -98,7 +98,9 @@
         Counter({end: n for n, end in enumerate(AttemptOutcome, 1)}), histogram(2), histogram(5), 70, 80
     )
     refusals = Counter({reason: n for n, reason in enumerate(statistics.Refusal, 1)})
-    results = statistics.Statistics({"w-1": worker, "w-2": statistics.WorkerStatistics()}, refusals, 9)
+    unknown_outcomes = Counter({"ResponseBrokenError": 3, "InvalidResponseError": 1})
+    workers = {"w-1": worker, "w-2": statistics.WorkerStatistics()}
+    results = statistics.Statistics(workers, refusals, 9, unknown_outcomes)
     return metrics.render(results, metrics.ConfigVersions(in_force=7, unreadable=0)).decode()
 
 
--- a/tests/transport/test_worker_client_faults.py
+++ b/tests/transport/test_worker_client_faults.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from hazelbend.forwarding.errors import NotSentError, OutcomeUnknownError
+from hazelbend.forwarding.errors import InvalidResponseError, NotSentError, OutcomeUnknownError
 from hazelbend.forwarding.ports import ClientRequest, WorkerCall
 from hazelbend.transport.http import aiohttp_client
 from hazelbend.transport.http.worker_client import HttpWorkerClient
@@ -340,6 +340,17 @@
 
 # --- surplus bytes ---
 
+
+async def test_head_with_a_second_status_line_is_an_invalid_response(client):
+    async def script(connection: Connection, number: int) -> None:
+        await connection.request()
+        await connection.send(b"HTTP/1.1 421 Mis" + response_to(1))
+
+    async with running_worker(script) as worker:
+        with pytest.raises(InvalidResponseError):
+            await client.send(call(worker, 1), lambda: 1_000_000)
+
+
 SURPLUS_HEADS = [
     response_to(1, b"", b"421 Misdirected Request", b"Instance-Id: i-2\r\n"),
     response_to(1, b"", b"503 Busy", b"Not-Executed: 1\r\nRetry-After: 1\r\n"),
