--- a/benchmarks/soak/soak.py
+++ b/benchmarks/soak/soak.py
@@ -68,6 +68,8 @@
         `log_file` takes the output of all processes.
         """
         self._rng = random.Random(seed)
+        # Apart from the faults' generator: how often workers draw depends on the requests that they get.
+        self._worker_rng = random.Random(f"workers {seed}")
         # Not drawn from the seed: two soaks may run beside each other.
         network = f"127.{10 + secrets.randbelow(240)}.{1 + secrets.randbelow(250)}"
         self._fleet = ExampleFleet(folder, log_file.fileno(), network, HEARTBEAT_MS)
@@ -134,7 +136,8 @@
         settings = FakeModelWorkerSettings(
             SERVICE, self._worker_ip, port, "z1", "", self._fleet.control_addresses, events=2
         )
-        worker = SoakWorker(settings, self.observations, self._rng)
+        worker_rng = random.Random(self._worker_rng.getrandbits(64))
+        worker = SoakWorker(settings, self.observations, worker_rng)
         await worker.start()
         self.workers.append(worker)
         return worker
@@ -142,8 +145,8 @@
     async def _restart_workers(self) -> None:
         """Let workers crash and start again at their addresses, as new instances."""
         while not self._is_over:
-            await asyncio.sleep(self._rng.uniform(*WORKER_RESTART_RANGE_S))
-            index = self._rng.randrange(len(self._staying_workers))
+            await asyncio.sleep(self._worker_rng.uniform(*WORKER_RESTART_RANGE_S))
+            index = self._worker_rng.randrange(len(self._staying_workers))
             crashed = self._staying_workers[index]
             await crashed.crash()
             restarted = await self._start_instance(crashed.settings.port)
--- a/hazelbend/forwarding/send_log.py
+++ b/hazelbend/forwarding/send_log.py
@@ -2,7 +2,7 @@
 
 If such a request has run more than once, the question is why it was sent again. Each send that did not end
 with a response for the client leaves a line with the id of the request: the worker, how the send ended, and
-what shows that. A request without such a line was sent once at most.
+what shows that. A request without such a line was sent once at most, apart from its prefill calls.
 """
 
 from __future__ import annotations
