--- a/example/fleet/run.py
+++ b/example/fleet/run.py
@@ -11,6 +11,7 @@
 import json
 import sys
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 
 import aiohttp
@@ -26,7 +27,7 @@
 NETWORK = "127.0.0"
 MACHINE_HOSTS = (2, 3, 4)  # last parts of their addresses
 MACHINES = tuple(f"{NETWORK}.{host}" for host in MACHINE_HOSTS)
-WORKER_IP = "127.0.0.9"
+WORKER_HOST = 9  # last part of the address of all workers
 ROLES = ("control", "router")
 WORKER_PHASES = ("prefill", "prefill", "decode", "decode", "decode")
 HEARTBEAT_MS = 300
@@ -51,6 +52,7 @@
 dataDir: "{data}"
 heartbeatMs: {heartbeat_ms}
 faultTolerance: {{machines: 1}}
+limits: {limits}
 """
 
 CONFIGURATION = json.loads((Path(__file__).parent / "configuration.json").read_text())
@@ -65,12 +67,15 @@
         output: int | None = None,
         network: str = NETWORK,
         heartbeat_ms: int = HEARTBEAT_MS,
+        limits: dict[str, float] | None = None,
     ) -> None:
         """`folder` holds settings and data; `output` is the standard output and error of the processes.
 
         `network`: the first three parts of all addresses. `heartbeat_ms`: the period of workers' heartbeats
-        that the control processes expect.
+        that the control processes expect. `limits`: the table of this name in the processes' settings.
         """
+        self._limits = json.dumps(limits or {})  # JSON is YAML
+        self._worker_ip = f"{network}.{WORKER_HOST}"
         self._heartbeat_ms = heartbeat_ms
         self.machines = tuple(f"{network}.{host}" for host in MACHINE_HOSTS)
         self._folder = folder
@@ -78,12 +83,14 @@
         self.processes: dict[tuple[str, str], asyncio.subprocess.Process] = {}  # by role and IP
         self.workers: list[FakeModelWorker] = []
 
-    async def start(self) -> None:
+    async def start(self, configuration: dict[str, object] = CONFIGURATION) -> None:
         """Start everything, put a first configuration, and wait until all routers are ready."""
         await self.start_processes()
         for index, phase in enumerate(WORKER_PHASES):
-            await self._start_worker(FIRST_WORKER_PORT + index, phase)
-        await self.configure(CONFIGURATION)
+            await self.start_worker(
+                FakeModelWorkerSettings("llm", self._worker_ip, FIRST_WORKER_PORT + index, "z1", phase)
+            )
+        await self.configure(configuration)
 
     async def start_processes(self) -> None:
         """Start the processes of all machines for the first time."""
@@ -97,9 +104,9 @@
         for ip in self.machines:
             await self._wait_until_ready(ip)
 
-    async def _start_worker(self, port: int, phase: str) -> None:
-        settings = FakeModelWorkerSettings("llm", WORKER_IP, port, "z1", phase, self.control_addresses)
-        worker = FakeModelWorker(settings)
+    async def start_worker(self, settings: FakeModelWorkerSettings) -> None:
+        """Start a worker that sends its heartbeats to this fleet."""
+        worker = FakeModelWorker(replace(settings, controls=self.control_addresses))
         await worker.start()
         self.workers.append(worker)
 
@@ -125,6 +132,7 @@
             bootstrap=str(bootstrap).lower(),
             data=self._folder / f"data-{number}",
             heartbeat_ms=self._heartbeat_ms,
+            limits=self._limits,
         )
         settings_path.write_text(text)
         self.processes[role, ip] = await asyncio.create_subprocess_exec(
--- a/hazelbend/fakes/model_worker.py
+++ b/hazelbend/fakes/model_worker.py
@@ -37,6 +37,8 @@
     token_s: float = 0.01
     events: int = 5
     """The number of events in a response, one token each."""
+    result_bytes: int = 0
+    """If not 0, a response is one body of this size instead of a series of events."""
 
 
 @dataclass(slots=True)
@@ -140,7 +142,8 @@
         request_id = request.headers["Request-Id"]
         if request.headers.get("Expect-Instance", self.instance) != self.instance:
             return _misdirected({"Request-Id": request_id, "Instance-Id": self.instance})
-        await request.read()
+        while await request.content.readany():  # the body is not used, whatever its size
+            pass
         is_prefill = request.headers.get("Phase") == PREFILL
         if is_prefill != (self.settings.phase == PREFILL):
             return _misdirected({"Request-Id": request_id})
@@ -159,13 +162,10 @@
     async def _decode(self, request: web.BaseRequest) -> web.StreamResponse:
         request_id = request.headers["Request-Id"]
         self.received.decode.append(request_id)
-        response = web.StreamResponse(
-            headers={
-                "Request-Id": request_id,
-                "Server-Signature": f"{self.instance}.{request_id}",
-                "Content-Type": "text/event-stream",
-            }
-        )
+        headers = {"Request-Id": request_id, "Server-Signature": f"{self.instance}.{request_id}"}
+        if self.settings.result_bytes:
+            return web.Response(body=bytes(self.settings.result_bytes), headers=headers)
+        response = web.StreamResponse(headers=headers | {"Content-Type": "text/event-stream"})
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.settings.events + 1):
