One bound for what all connections of a router or dispatcher hold

Callers saw a router that is killed for its memory: bodies that stop short of their end, heads and empty lines without end, bytes behind a request, and answers that nobody reads, each within the limits of its own connection.

Cause: each limit was one connection's, memoryMb was read and used nowhere, and the kernel's receive buffers grew by themselves. ConnectionMemory owns the sum now. Input is charged until its request is answered, and a response until it is written; the body of a worker's response is read only as there is room for it. If a charge does not fit, connections that have made no progress for longest are evicted (503, or an abort of a response that is not read); then the request is rejected with 503, before any byte went to a worker. SO_RCVBUF of the listening sockets bounds unread bytes; uploads get a larger buffer as long as there is room.

Golden text of the settings: the new value memory_mb. Callers of the listeners' constructors pass the memory.

--- a/benchmarks/configuration_mutations.py
+++ b/benchmarks/configuration_mutations.py
@@ -150,6 +150,7 @@
     headers: Headers = (("Server-Signature", "x"),)
     not_executed = False
     reported_in_flight: int | None = None
+    body_bytes: int | None = None
     reason = ""
     connection = UNKNOWN_CONNECTION
 
@@ -186,6 +187,8 @@
     status = 0
     complete = False
 
+    async def allocate(self, size: int) -> None: ...
+
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         self.status, self.complete = status, True
 
--- a/benchmarks/router_sim.py
+++ b/benchmarks/router_sim.py
@@ -81,6 +81,7 @@
     headers: Headers = (("Server-Signature", "x"),)
     not_executed: bool = False
     reported_in_flight: int | None = None
+    body_bytes: int | None = None
     is_cut: bool = False
     reason: str = ""
     connection: ConnectionUse = UNKNOWN_CONNECTION
@@ -113,6 +114,9 @@
     headers: dict[str, str] = field(default_factory=dict)
     ended_at: int | None = None
 
+    async def allocate(self, size: int) -> None:
+        """There is always room."""
+
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Receive a complete response."""
         self._begin(status, headers)
--- a/hazelbend/dispatcher/admin_endpoint.py
+++ b/hazelbend/dispatcher/admin_endpoint.py
@@ -6,6 +6,7 @@
 import logging
 from collections.abc import Callable
 
+from hazelbend.transport.connection_memory import ConnectionMemory
 from hazelbend.transport.http.admin_listener import AdminListener, Operations
 
 log = logging.getLogger("hazelbend")
@@ -16,11 +17,17 @@
 class AdminEndpoint:
     """Opens, moves and closes the admin listener."""
 
-    def __init__(self, operations: Operations, configured_address: Callable[[], Address | None]) -> None:
+    def __init__(
+        self,
+        operations: Operations,
+        configured_address: Callable[[], Address | None],
+        memory: ConnectionMemory,
+    ) -> None:
         """`configured_address` returns the address in the current configuration; None: no listener."""
         self.listener: AdminListener | None = None
         self.address: Address | None = None  # the address of `listener`
         self._operations = operations
+        self._memory = memory
         self._configured_address = configured_address
         self._lock = asyncio.Lock()
         self._moving: asyncio.Task[None] | None = None
@@ -37,7 +44,7 @@
                 return
             listener = None
             if address is not None:
-                listener = AdminListener(self._operations)
+                listener = AdminListener(self._operations, self._memory)
                 await listener.listen(*address)
                 log.info("admin listener: listening on %s:%d", address[0], listener.port)
             previous = self.listener
--- a/hazelbend/dispatcher/app.py
+++ b/hazelbend/dispatcher/app.py
@@ -28,6 +28,7 @@
 from hazelbend.routing.router import Router
 from hazelbend.routing.table import Backend, BackendTable
 from hazelbend.transport.background_work import FAILURES, count_loop_errors
+from hazelbend.transport.connection_memory import ConnectionMemory, connection_limits
 from hazelbend.transport.http.backend_client import ConnectionPool, PoolSettings
 from hazelbend.transport.http.client_listener import ClientListener
 from hazelbend.transport.http.discovery_watch import DiscoveryWatch
@@ -77,7 +78,10 @@
         self.router.discovery = self
         self._closing: set[asyncio.Task[None]] = set()
         self._server_lines = RateLimitedLog(log, SERVER_LOG_LINES)
-        self.client_listener = ClientListener(self.router, conf.catalogue, _descriptors_of_one_side(conf))
+        memory = ConnectionMemory(connection_limits(conf.memory_mb))
+        self.client_listener = ClientListener(
+            self.router, conf.catalogue, _descriptors_of_one_side(conf), memory
+        )
         self.stomp_workers = WorkerRegistry(self.router, conf.catalogue, conf.load_fields)
         self.stomp: StompListener | None = None
         if conf.stomp is not None:
@@ -98,7 +102,7 @@
                 self.extensions[name] = load_extension(name, self)
         self._drain = Drain(self)
         self._final_deadlines: dict[str, int] = {}  # by reason, in microseconds of the router's clock
-        self.admin = AdminEndpoint(self, lambda: self.conf.ops)
+        self.admin = AdminEndpoint(self, lambda: self.conf.ops, memory)
         self._siblings = 0  # other running processes of this dispatcher, during an upgrade
         self.handover: Handover | None = None
         if conf.handover is not None:
--- a/hazelbend/dispatcher/config.py
+++ b/hazelbend/dispatcher/config.py
@@ -52,6 +52,7 @@
     discovery: str | None
     seed: int
     sockets: int  # limit of open file descriptors
+    memory_mb: float  # limit of the memory of the process, in 10^6 bytes
     known: EndpointList
     settings: Settings
     catalogue: Catalogue
@@ -175,6 +176,7 @@
         discovery=discovery or None,
         seed=seed,
         sockets=table.sub("limits").number("sockets", 1_024, 128, 1_000_000),
+        memory_mb=table.sub("limits").number("memory_mb", 256, 1, 1_000_000),
         known=known,
         settings=platform.settings,
         catalogue=platform.catalogue,
--- a/hazelbend/dispatcher/fleet.py
+++ b/hazelbend/dispatcher/fleet.py
@@ -30,7 +30,11 @@
         self._clock = context.router.clock.now
         self.driver = LeaseNodeDriver(conf.name, conf.fleet, conf.seed, self._clock)
         self.listener = FleetListener(
-            self.driver.receive, self.driver.submit, self.driver.start_new_epoch, self.driver.view
+            self.driver.receive,
+            self.driver.submit,
+            self.driver.start_new_epoch,
+            self.driver.view,
+            context.client_listener.memory,
         )
         self.snapshot: SnapshotTask | None = None
 
--- a/hazelbend/forwarding/ports.py
+++ b/hazelbend/forwarding/ports.py
@@ -67,6 +67,7 @@
     headers: Headers
     not_executed: bool  # the worker guarantees that it has not executed the request and will not
     reported_in_flight: int | None  # requests that the worker reports as running or queued
+    body_bytes: int | None  # the size of the body, if the worker tells it
     connection: ConnectionUse
 
     def chunks(self) -> AsyncIterator[bytes]:
@@ -105,6 +106,9 @@
 class ClientResponse(Protocol):
     """The response to the client."""
 
+    async def allocate(self, size: int) -> None:
+        """Wait until the process has room for `size` more bytes of a response that is sent at once."""
+
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """Send the complete response at once."""
 
--- a/hazelbend/forwarding/response_relay.py
+++ b/hazelbend/forwarding/response_relay.py
@@ -64,7 +64,7 @@
         if status in NOT_EXECUTED_STATUSES:
             raise InvalidResponseError("the status says not executed, but the worker does not confirm that")
         timeout.response_started()
-        body = await worker_response.body()
+        body = await _read_body(worker_response, client_response)
         await client_response.answer(status, worker_response.headers, body)
 
     async def _begin_stream(
@@ -96,6 +96,18 @@
             placement.observe_first_event(attempt, now)
 
 
+async def _read_body(worker_response: WorkerResponse, client_response: ClientResponse) -> bytes:
+    """Return the complete body of a worker's response, read only as there is room for it."""
+    if worker_response.body_bytes is not None:
+        await client_response.allocate(worker_response.body_bytes)
+        return await worker_response.body()
+    chunks = []
+    async for chunk in worker_response.chunks():
+        await client_response.allocate(len(chunk))
+        chunks.append(chunk)
+    return b"".join(chunks)
+
+
 async def _copy_chunks(chunks: AsyncIterator[bytes], client_response: ClientResponse) -> None:
     """Forward chunks as they arrive, even if they end within an event."""
     tail = b""
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -19,6 +19,7 @@
 from hazelbend.system.load_reporter import LoadReporter
 from hazelbend.system.router_update_handler import RouterUpdateHandler
 from hazelbend.system.settings import Settings, split_address
+from hazelbend.transport.connection_memory import ConnectionMemory, connection_limits
 from hazelbend.transport.http.asgi_server import AsgiServer, HttpRequest, HttpResponse
 from hazelbend.transport.http.request_listener import RequestListener
 from hazelbend.transport.http.worker_client import HttpWorkerClient
@@ -41,6 +42,7 @@
         self._settings = settings
         self._seed = seed
         self._max_connections = (settings.max_file_descriptors - RESERVED_FILE_DESCRIPTORS) // 2
+        self._memory = ConnectionMemory(connection_limits(settings.memory_mb))
         self._placement = PlacementEngine(settings.zone, seed)
         self._state = FleetState(self._placement)
         self._client: HttpWorkerClient
@@ -62,7 +64,7 @@
         """Start serving. The router is ready once it has a configuration."""
         self._client = HttpWorkerClient(self._max_connections)
         self._forwarder = Forwarder(self._state, self._client, clock, self._new_retry_budget, self._seed)
-        self._listener = RequestListener(self._forwarder.serve, clock, self._max_connections)
+        self._listener = RequestListener(self._forwarder.serve, clock, self._max_connections, self._memory)
         self._subscriptions.start()
         await self._listener.listen(*split_address(self._settings.http_address))
         await self._readiness.listen(*split_address(self._settings.readiness_address))
--- a/hazelbend/system/settings.py
+++ b/hazelbend/system/settings.py
@@ -51,7 +51,9 @@
 
 class _LimitsSchema(_Table):
     cpu_share = fields.Float(data_key="cpuShare", load_default=1.0)
-    memory_mb = fields.Float(data_key="memoryMb", load_default=256.0)
+    memory_mb = fields.Float(
+        data_key="memoryMb", load_default=256.0, validate=validate.Range(min=0, min_inclusive=False)
+    )
     max_fds = fields.Integer(data_key="maxFds", load_default=1024, validate=validate.Range(min=64))
 
 
@@ -115,6 +117,7 @@
     bootstrap: bool  # whether it may bootstrap a new cluster
     counts_for_quorum: bool  # whether it may become a voter
     max_file_descriptors: int
+    memory_mb: float  # of this process, in 10^6 bytes
     data_dir: Path | None
     heartbeat_us: int  # between heartbeats of a worker
     tolerated_losses: int  # machines that may fail at the same time
@@ -197,6 +200,7 @@
         bootstrap=table["bootstrap"],
         counts_for_quorum=table["counts_for_quorum"],
         max_file_descriptors=table["limits"]["max_fds"],
+        memory_mb=table["limits"]["memory_mb"],
         data_dir=Path(data_dir) if data_dir else None,
         heartbeat_us=round(table["heartbeat_ms"] * MILLISECOND_US),
         tolerated_losses=table["fault_tolerance"]["machines"],
--- a/hazelbend/transport/http/admin_listener.py
+++ b/hazelbend/transport/http/admin_listener.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from hazelbend.routing.overview import Figures
+from hazelbend.transport.connection_memory import ConnectionMemory
 from hazelbend.transport.http.client_connection import ClientConnection
 from hazelbend.transport.http.http_listener import HttpListener
 
@@ -39,8 +40,8 @@
 class AdminListener(HttpListener):
     """Serves the `/ops` requests."""
 
-    def __init__(self, operations: Operations) -> None:
-        super().__init__(CONNECTION_LIMIT)
+    def __init__(self, operations: Operations, memory: ConnectionMemory) -> None:
+        super().__init__(CONNECTION_LIMIT, memory)
         self._operations = operations
         self._calls: dict[str, tuple[str, Callable[[], web.Response]]] = {
             "/ops/readiness": ("GET", self._readiness),
--- a/hazelbend/transport/http/client_listener.py
+++ b/hazelbend/transport/http/client_listener.py
@@ -15,6 +15,7 @@
 from hazelbend.protocol.http_fields import BadRequestError, Catalogue, read_job
 from hazelbend.routing.ports import Answer, Job, PendingJob, Verdict
 from hazelbend.routing.router import Router
+from hazelbend.transport.connection_memory import ConnectionMemory
 from hazelbend.transport.http.client_connection import ClientConnection, ConnectionEndedError
 from hazelbend.transport.http.draining_listener import DrainingListener
 from hazelbend.transport.http.request_body import BodyTooLargeError, MalformedBodyError, read_body
@@ -41,8 +42,14 @@
 class ClientListener(DrainingListener):
     """Reads jobs from requests and passes them to the router, or to the gate if there is a job queue."""
 
-    def __init__(self, router: Router, catalogue: Catalogue, connection_limit: int) -> None:
-        super().__init__(connection_limit)
+    def __init__(
+        self,
+        router: Router,
+        catalogue: Catalogue,
+        connection_limit: int,
+        memory: ConnectionMemory,
+    ) -> None:
+        super().__init__(min(connection_limit, memory.limits.connections), memory)
         self._router = router
         self.catalogue = catalogue
         self.gate: HttpGate | None = None
@@ -55,6 +62,7 @@
             # The body has not arrived yet, so the client has not waited for this process.
             queueing_time_s = 0.0
         try:
+            await connection.previous_response_written()
             response = await self._respond(request, connection, queueing_time_s)
         except ConnectionEndedError:
             return web.Response(status=408)  # is not written
@@ -63,7 +71,7 @@
             # A client that repeats an invalid request without delay would take processing time from others.
             delay = INVALID_REQUEST_DELAY_S * connection.invalid_requests
             await asyncio.sleep(min(delay, MAX_INVALID_REQUEST_DELAY_S))
-        connection.begin_response(is_valid=is_valid)
+        connection.begin_response(is_valid=is_valid, response=response)
         if not self.allows_keep_alive:
             response.force_close()
         return response
--- a/hazelbend/transport/http/draining_listener.py
+++ b/hazelbend/transport/http/draining_listener.py
@@ -4,6 +4,7 @@
 
 import math
 
+from hazelbend.transport.connection_memory import ConnectionMemory
 from hazelbend.transport.http.client_connection import ClientConnection
 from hazelbend.transport.http.http_listener import HttpListener
 
@@ -14,8 +15,8 @@
     Times are in seconds of the event loop's clock.
     """
 
-    def __init__(self, connection_limit: int) -> None:
-        super().__init__(connection_limit)
+    def __init__(self, connection_limit: int, memory: ConnectionMemory) -> None:
+        super().__init__(connection_limit, memory)
         self.is_closing = False
         self.is_draining = False
         self.idle_deadline = math.inf  # when idle connections that have carried a request are closed
--- a/hazelbend/transport/http/half_close.py
+++ b/hazelbend/transport/http/half_close.py
@@ -6,7 +6,8 @@
 `LINGER_S` has passed.
 
 A paused reader does not detect the peer's close either. `pause_reading` therefore continues to read and
-buffers up to `READ_AHEAD_BYTES`; a peer that sends more violates the protocol, and `on_overflow` ends its
+buffers up to `READ_AHEAD_BYTES`. If more arrives for the request that is being read, the wrapped transport is
+paused; a peer that sends more behind a complete request is not read any further, and `on_overflow` ends its
 connection.
 """
 
@@ -18,7 +19,7 @@
 
 LINGER_S = 1.0  # for which a half-closed connection is read, once everything is written
 MAX_LINGER_S = 10.0  # after which the connection is aborted if the peer reads nothing
-READ_AHEAD_BYTES = 64 * 1024  # buffered while reading is paused: the largest body of a request
+READ_AHEAD_BYTES = 64 * 1024  # buffered while reading is paused: the largest body of a job
 
 
 Buffer: TypeAlias = bytes | bytearray | memoryview
@@ -32,17 +33,20 @@
         inner: asyncio.Transport,
         on_data: Callable[[bytes], None],
         on_overflow: Callable[[], None],
+        may_pause: Callable[[], bool],
         may_linger: Callable[[], bool],
     ) -> None:
         """`on_data` receives the input while reading is not paused.
 
-        `on_overflow` is called when the read-ahead buffer is full. `may_linger` is called once, when the
-        writing side ends; it returns False if the connection must be closed at once.
+        `may_pause` and, if that returns False, `on_overflow` are called when the read-ahead buffer is full.
+        `may_linger` is called once, when the writing side ends; it returns False if the connection must be
+        closed at once.
         """
         super().__init__()
         self._inner = inner
         self._on_data = on_data
         self._on_overflow = on_overflow
+        self._may_pause = may_pause
         self._may_linger = may_linger
         self._loop = asyncio.get_running_loop()
         self._closing = False
@@ -61,6 +65,9 @@
             self._on_data(data)
         elif len(self._read_ahead) + len(data) <= READ_AHEAD_BYTES:
             self._read_ahead += data
+        elif self._may_pause():
+            self._read_ahead += data
+            self._inner.pause_reading()
         else:
             self._read_ahead.clear()
             self._on_overflow()
@@ -83,6 +90,7 @@
         if self._read_ahead and not self._paused and not self._closing:
             data = bytes(self._read_ahead)
             self._read_ahead.clear()
+            self._inner.resume_reading()
             self._on_data(data)
 
     # --- closing ---
@@ -95,6 +103,7 @@
         self._read_ahead.clear()
         if self._inner.is_closing():
             return
+        self._inner.resume_reading()  # to detect the peer's close
         if not self._may_linger():
             self._inner.close()
             return
--- a/hazelbend/transport/http/http_listener.py
+++ b/hazelbend/transport/http/http_listener.py
@@ -10,6 +10,10 @@
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
+from hazelbend.transport.connection_memory import (
+    ConnectionMemory,
+    bound_receive_buffer,
+)
 from hazelbend.transport.http.client_connection import REQUEST_TIMEOUT_S, ClientConnection
 from hazelbend.transport.http.half_close import LINGER_S
 
@@ -17,12 +21,15 @@
 
 SWEEP_PERIOD_S = 0.2  # between two checks of the connections' deadlines
 MIN_PARTIAL_REQUEST_AGE_S = 0.25  # a connection with a younger partial request is not evicted
-ACCEPT_BACKLOG = 1_024  # connections that wait in the kernel to be accepted
+ACCEPT_BACKLOG = 1_024  # connections that wait in the kernel to be accepted, at most
+MIN_ACCEPT_BACKLOG = 128  # the same for a listener of few connections
 ACCEPTS_PER_TURN = 16  # in one iteration of the event loop, so that connections can be evicted in between
 MAX_LINGERING = 32  # half-closed connections beside the open ones; they use the reserved descriptors
 MAX_EXCESS = 16  # connections above the limit if none can be evicted; further new ones are closed
 CLOSED_POLL_S = 0.02  # between two checks whether all connections are closed
 SHUTDOWN_TIMEOUT_S = 1.0  # for responses in progress to be written at shutdown
+READ_BUFFER_BYTES = 16 * 1024  # of a body that its task has not read yet; the parser stops above twice that
+DEFAULT_MAX_HEADER_BYTES = 64 * 1024
 AIOHTTP_LINGERING_S = 0.5  # for which aiohttp reads the rest of a body whose request is already answered
 
 
@@ -59,8 +66,11 @@
     Above `connection_limit`, one connection is evicted for each new one, as `_evict_connection` selects it.
     """
 
-    def __init__(self, connection_limit: int) -> None:
+    def __init__(self, connection_limit: int, memory: ConnectionMemory) -> None:
+        """`memory` bounds what all connections of the process hold together."""
         self.connection_limit = connection_limit
+        self.memory = memory
+        self.max_header_bytes = DEFAULT_MAX_HEADER_BYTES
         self.request_timeout_s = REQUEST_TIMEOUT_S
         self._open: dict[ClientConnection, None] = {}  # in the order in which they were accepted
         self._lingering: set[ClientConnection] = set()  # half-closed
@@ -71,6 +81,7 @@
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
             lingering_time=AIOHTTP_LINGERING_S,
         )
         self._listener: asyncio.Server | None = None
@@ -107,9 +118,12 @@
             )
         # asyncio uses one number for both the backlog and the accepts in one loop iteration. Here many
         # connections may wait, but few are accepted at once.
+        backlog = min(ACCEPT_BACKLOG, max(self.connection_limit, MIN_ACCEPT_BACKLOG))
+        self.memory.add_small_buffers(self.connection_limit + MAX_EXCESS + MAX_LINGERING + backlog)
         for listening in self._listener.sockets:
             with socket.socket(fileno=socket.dup(listening.fileno())) as duplicate:
-                duplicate.listen(ACCEPT_BACKLOG)
+                bound_receive_buffer(duplicate)
+                duplicate.listen(backlog)
         self._sweep()
 
     def stop_accepting(self) -> None:
--- a/hazelbend/transport/http/request_body.py
+++ b/hazelbend/transport/http/request_body.py
@@ -5,6 +5,8 @@
 from aiohttp import http_exceptions, web
 from aiohttp.web_protocol import RequestPayloadError
 
+from hazelbend.transport.http.client_connection import ClientConnection, ConnectionEndedError
+
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -26,7 +28,10 @@
     Raises:
         BodyTooLargeError: the body is larger than the limit.
         MalformedBodyError: the body does not match its headers.
+        ConnectionEndedError: its connection was closed meanwhile.
     """
+    connection = request.protocol
+    assert isinstance(connection, ClientConnection)
     if (request.content_length or 0) > limit_bytes:
         raise BodyTooLargeError("the body is too large")
     if request.headers.get("Expect", "").lower() == "100-continue":
@@ -36,8 +41,12 @@
     try:
         while chunk := await request.content.readany():
             body += chunk
+            connection.body_read(len(body))
             if len(body) > limit_bytes:
                 raise BodyTooLargeError("the body is too large")
+    except ConnectionEndedError:
+        body.clear()  # the exception, which the connection keeps, refers to this frame
+        raise
     except (RequestPayloadError, http_exceptions.HttpProcessingError):
         raise MalformedBodyError("the body is not as its head says") from None
     return bytes(body)
--- a/hazelbend/transport/http/request_listener.py
+++ b/hazelbend/transport/http/request_listener.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from hazelbend.forwarding.ports import ClientRequest, ClientResponse, Headers
+from hazelbend.transport.connection_memory import ConnectionMemory
 from hazelbend.transport.http.client_connection import ClientConnection, ConnectionEndedError
 from hazelbend.transport.http.draining_listener import DrainingListener
 from hazelbend.transport.http.request_body import BodyTooLargeError, MalformedBodyError, read_body
@@ -48,9 +49,15 @@
         """`is_last` returns whether the connection closes after this response."""
         self._request = request
         self._is_last = is_last
+        assert isinstance(request.protocol, ClientConnection)
+        self._connection = request.protocol
         self.response: web.StreamResponse | None = None
         self.aborted = False
 
+    async def allocate(self, size: int) -> None:
+        """See the Protocol."""
+        await self._connection.charge_response(size)
+
     async def answer(self, status: int, headers: Headers, body: bytes) -> None:
         """See the Protocol."""
         self.response = web.Response(status=status, headers=list(headers), body=body)
@@ -84,9 +91,15 @@
 class RequestListener(DrainingListener):
     """Reads complete requests and passes them to `serve_request`."""
 
-    def __init__(self, serve_request: ServeRequest, clock: Callable[[], int], connection_limit: int) -> None:
+    def __init__(
+        self,
+        serve_request: ServeRequest,
+        clock: Callable[[], int],
+        connection_limit: int,
+        memory: ConnectionMemory,
+    ) -> None:
         """`clock` returns the current time in microseconds."""
-        super().__init__(connection_limit)
+        super().__init__(min(connection_limit, memory.limits.connections), memory)
         self._serve_request = serve_request
         self._clock = clock
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
@@ -97,6 +110,7 @@
         assert isinstance(connection, ClientConnection)
         client_response = _ClientResponse(request, lambda: not self.allows_keep_alive)
         try:
+            await connection.previous_response_written()
             client_request = await self._read_request(request, connection)
         except ConnectionEndedError:
             return web.Response(status=HTTPStatus.REQUEST_TIMEOUT)  # is not written
@@ -106,7 +120,7 @@
         response = client_response.response
         if response is None or client_response.aborted:
             return _close_after(connection, response or web.Response(status=502))
-        connection.begin_response(is_valid=response.status != 400)
+        connection.begin_response(is_valid=response.status != 400, response=response)
         if not self.allows_keep_alive:
             response.force_close()
         return response
--- a/hazelbend/transport/http/worker_client.py
+++ b/hazelbend/transport/http/worker_client.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 
 import aiohttp
+from aiohttp.connector import AddrInfoType
 
 from hazelbend.forwarding.errors import (
     InvalidResponseError,
@@ -15,6 +17,7 @@
     WorkerUnreachableError,
 )
 from hazelbend.forwarding.ports import UNKNOWN_CONNECTION, BeforeFirstByte, ConnectionUse, Headers, WorkerCall
+from hazelbend.transport.connection_memory import bound_receive_buffer
 from hazelbend.transport.http.aiohttp_client import (
     RequestProgress,
     RequestWithdrawnError,
@@ -29,7 +32,8 @@
 CONNECT_TIMEOUT_S = 0.35
 DEFAULT_KEEPALIVE_S = 4.0  # how long an idle connection stays open, unless a worker announces a shorter time
 KEEPALIVE_RATIO = 0.6  # of the announced time: the worker must not close while a request is in transit
-READ_BUFFER_BYTES = 64 * 1024
+READ_BUFFER_BYTES = 16 * 1024  # of a response; reading pauses above twice that
+RECEIVE_BUFFER_BYTES = 32 * 1024  # in the kernel, while reading pauses
 FREE_HANDLE_TIMEOUT_S = 1.0
 DEADLINE_HEADER = "Deadline-Ms"
 # Not forwarded (RFC 9110, section 7.6.1); Content-Length is set again from the body.
@@ -63,6 +67,7 @@
         )
         self.not_executed = response.status == 421 or "Not-Executed" in response.headers
         self.reported_in_flight = _requests_in_flight(response.headers.get("Server-Load"))
+        self.body_bytes = response.content_length
 
     async def chunks(self) -> AsyncIterator[bytes]:
         """See the Protocol."""
@@ -93,6 +98,7 @@
             keepalive_timeout=DEFAULT_KEEPALIVE_S,
             use_dns_cache=False,
             force_close=False,
+            socket_factory=_bounded_socket,
         )
         self._keepalive_s = DEFAULT_KEEPALIVE_S
         self.session = open_checked_session(connector, CONNECT_TIMEOUT_S, READ_BUFFER_BYTES)
@@ -158,6 +164,14 @@
         await self.session.close()
 
 
+def _bounded_socket(address: AddrInfoType) -> socket.socket:
+    """Create a socket whose receive buffer does not grow by itself."""
+    family, kind, protocol, *_ = address
+    sock = socket.socket(family, kind, protocol)
+    bound_receive_buffer(sock, RECEIVE_BUFFER_BYTES)
+    return sock
+
+
 def _is_response_to(request_id: str, response: aiohttp.ClientResponse, *, on_reused_connection: bool) -> bool:
     """Return whether this is the response to the request.
 
--- a/hazelbend/transport/peer/fleet_listener.py
+++ b/hazelbend/transport/peer/fleet_listener.py
@@ -16,18 +16,16 @@
 from hazelbend.leases.lease_node import PeerMessage, Reply
 from hazelbend.leases.operations import Operation
 from hazelbend.leases.views import FleetView
-from hazelbend.transport.http.client_connection import ClientConnection
+from hazelbend.transport.connection_memory import ConnectionMemory
+from hazelbend.transport.http.client_connection import ClientConnection, ConnectionEndedError
 from hazelbend.transport.http.http_listener import HttpListener
+from hazelbend.transport.http.request_body import RequestBodyError, read_body
 from hazelbend.transport.peer import fleet_codec
 
 MAX_CONNECTIONS = 256  # from peers and commands together
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
-class BodyTooLargeError(ValueError):
-    """The body of a request is larger than the listener accepts."""
-
-
 class FleetListener(HttpListener):
     """Accepts the calls of peers and commands and passes them to the program."""
 
@@ -37,11 +35,12 @@
         submit: Callable[[Operation], Awaitable[Reply]],
         start_new_epoch: Callable[[bool], Awaitable[str]],
         view: Callable[[], FleetView],
+        memory: ConnectionMemory,
     ) -> None:
         """`start_new_epoch` takes whether to start it even if there is a leader. It returns the new epoch, or
         raises ValueError with the reason for the refusal.
         """
-        super().__init__(MAX_CONNECTIONS)
+        super().__init__(MAX_CONNECTIONS, memory)
         self._receive = receive
         self._submit = submit
         self._start_new_epoch = start_new_epoch
@@ -51,26 +50,18 @@
         connection = request.protocol
         assert isinstance(connection, ClientConnection)
         try:
-            body = await self._body(request)
+            body = await read_body(request, MAX_BODY_BYTES)
             connection.request_received()
             response = await self._call(request, body)
-        except (msgspec.DecodeError, ValueError) as error:
-            connection.request_received()
+        except ConnectionEndedError:
+            return web.Response(status=408)  # is not written
+        except (RequestBodyError, msgspec.DecodeError, ValueError) as error:
             response = web.Response(status=400, text=f"{error}\n")
         connection.begin_response(is_valid=response.status < 400)
         if response.status >= 400:
             response.force_close()
         return response
 
-    @staticmethod
-    async def _body(request: web.BaseRequest) -> bytes:
-        body = bytearray()
-        async for chunk in request.content.iter_any():
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                raise BodyTooLargeError(f"more than {MAX_BODY_BYTES} bytes")
-        return bytes(body)
-
     async def _call(self, request: web.BaseRequest, body: bytes) -> web.Response:
         match (request.method, request.path):
             case ("POST", "/fleet/tell"):
--- a/tests/dispatcher/test_upgrade.py
+++ b/tests/dispatcher/test_upgrade.py
@@ -143,7 +143,9 @@
                 listener = app.client_listener
                 if passed:
                     await listener.close()
-                    listener = type(listener)(app.router, listener.catalogue, listener.connection_limit)
+                    listener = type(listener)(
+                        app.router, listener.catalogue, listener.connection_limit, listener.memory
+                    )
                     await listener.listen("", 0, inherited_listener(socket.dup(platform_listener.fileno())))
                 loop = asyncio.get_running_loop()
                 client = socket.create_connection(("127.0.0.1", listener.port))
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -43,6 +43,7 @@
     headers: tuple[tuple[str, str], ...] = (("Server-Signature", "x"),)
     not_executed: bool = False
     reported_in_flight: int | None = None
+    body_bytes: int | None = None
     reason: str = "Busy"
     connection: ConnectionUse = KEPT_CONNECTION
     broken: bool = False
@@ -75,6 +76,8 @@
     body: bytes = b""
     ended: str = ""
 
+    async def allocate(self, size) -> None: ...
+
     async def answer(self, status, headers, body) -> None:
         assert not self.ended and not self.status, "a second final response"
         self.status, self.headers, self.body, self.ended = status, dict(headers), body, "complete"
--- a/tests/golden/golden_shown.py
+++ b/tests/golden/golden_shown.py
@@ -52,6 +52,7 @@
 from hazelbend.system import main as system_main
 from hazelbend.system import metrics
 from hazelbend.system import settings as system_settings
+from hazelbend.transport.connection_memory import ConnectionMemory, connection_limits
 from hazelbend.transport.http import admin_listener
 from hazelbend.transport.snmp import hazelbend_mib
 from tests.golden import golden_kit as kit
@@ -153,7 +154,10 @@
 
 def ops_stats() -> str:
     async def ask() -> list[Any]:
-        listener = admin_listener.AdminListener(SimpleNamespace(figures=lambda: sample_overview().figures))  # type: ignore[arg-type]
+        listener = admin_listener.AdminListener(
+            SimpleNamespace(figures=lambda: sample_overview().figures),
+            ConnectionMemory(connection_limits(256)),
+        )  # type: ignore[arg-type]
         calls = {path: method for path, (method, _) in listener._calls.items()}
         return [calls, listener._calls["/ops/stats"][1]().text]
 
--- a/tests/transport/test_request_listener.py
+++ b/tests/transport/test_request_listener.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hazelbend.forwarding.ports import ClientRequest, ClientResponse
+from hazelbend.transport.connection_memory import ConnectionMemory, connection_limits
 from hazelbend.transport.http.request_listener import RequestListener
 from tests.support.socket_kit import HOST, TIMEOUT_S, eventually, exchange
 
@@ -36,7 +37,9 @@
 
     created = ScriptedListener.__new__(ScriptedListener)
     created.received = []
-    RequestListener.__init__(created, created.forward, lambda: 0, 100)
+    RequestListener.__init__(
+        created, created.forward, lambda: 0, 100, ConnectionMemory(connection_limits(256))
+    )
     await created.listen(HOST, 0)
     yield created
     await created.close()
