A head within maxHeaderBytes is accepted however its fields are divided

Callers saw: a proper request got 431 for a field of over 8,190 bytes, and 400 for more than 128 fields, though its head stayed within maxHeaderBytes (16,384 in PROTOCOL.md).

Cause: aiohttp's own limits of a line and of the number of fields held before the configured limit was applied, and no longer protected anything since heads are measured as they arrive.

The parser of the router's client port takes lines of maxHeaderBytes, and a field for each 16 bytes of it (1,024 by default). As each field costs objects, a head is charged 24 times its size. Sockets that listen get their options in one place.

--- a/hazelbend/transport/connection_memory.py
+++ b/hazelbend/transport/connection_memory.py
@@ -13,10 +13,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+import math
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 
+log = logging.getLogger("hazelbend.connections")
+
 BYTES_PER_MB = 1_000_000
 PROCESS_MB = 64.0  # of a process without connections, with room for its own data
 MIN_CONNECTIONS_RATIO = 0.25  # of the memory of a small process that is left to connections all the same
@@ -27,8 +31,10 @@
 LARGE_RECEIVE_BUFFER_BYTES = 64 * 1024
 KERNEL_BUFFER_FACTOR = 2  # the kernel doubles the value of SO_RCVBUF (man 7 socket)
 COPIES = 2  # of a body at the same time: as it is kept, and in the buffer of the connection it is written to
+HEAD_COPIES = 24  # the same of a head: objects for each of its fields, of 16 bytes or more on average
 LARGE_REQUEST_BYTES = 64 * 1024
 LARGE_RATIO = 0.75  # of the bound for requests above that size, so that small ones find room
+LOG_PERIOD_S = 10.0  # between two log lines about a lack of memory
 MIN_STALL_S = 0.25  # without progress; a connection that has progressed since is not evicted
 
 
@@ -102,6 +108,7 @@
         self._holders: dict[MemoryAccount, None] = {}
         self._released = asyncio.Event()
         self._waiting = 0
+        self._logged_at = -math.inf
 
     def open_account(self, evict: Callable[[], None]) -> MemoryAccount:
         """Return an empty account of a connection."""
@@ -131,6 +138,7 @@
             self._evict_stalled(account, limit - size, now)
         if self.held_bytes + size > limit:
             self.refusals += 1
+            self._log_shortage(now)
             return False
         account.held_bytes += size
         self.held_bytes += size
@@ -161,6 +169,18 @@
             finally:
                 self._waiting -= 1
 
+    def _log_shortage(self, now: float) -> None:
+        if now < self._logged_at + LOG_PERIOD_S:
+            return
+        self._logged_at = now
+        log.warning(
+            "connections hold %d of %d bytes: evicted %d and refused %d charges so far",
+            self.held_bytes,
+            self.limits.held_bytes,
+            self.evictions,
+            self.refusals,
+        )
+
     def _limit(self, size: int) -> int:
         is_large = size > LARGE_REQUEST_BYTES * COPIES
         return round(self.limits.held_bytes * LARGE_RATIO) if is_large else self.limits.held_bytes
--- a/hazelbend/transport/http/client_connection.py
+++ b/hazelbend/transport/http/client_connection.py
@@ -33,6 +33,7 @@
 
 from hazelbend.transport.connection_memory import (
     COPIES,
+    HEAD_COPIES,
     SMALL_RECEIVE_BUFFER_BYTES,
     ConnectionMemory,
     MemoryAccount,
@@ -101,6 +102,7 @@
         self._head_bytes = 0  # received of a head that is not complete
         self._account: MemoryAccount = owner.memory.open_account(self._give_up_memory)
         self._input_bytes = 0  # charged for requests that are not answered
+        self._kept_head_bytes = 0  # of these, for the head of the request that is being read
         self._response_bytes = 0  # charged for a response that is not written
         self._response: web.Response | None = None  # the last one, with its body
         self._unsent_bytes = 0  # of it, when that was last checked
@@ -218,7 +220,7 @@
         self.last_active_at = self._loop.time()
         self.deadline = self.last_active_at + RESPONSE_TIMEOUT_S
         self._account.release(self._input_bytes)
-        self._input_bytes = 0
+        self._input_bytes = self._kept_head_bytes = 0
         self._account.progressed_at = self.last_active_at
         self._account.is_evictable = True
 
@@ -238,10 +240,11 @@
 
     def _charge_input(self, size: int) -> bool:
         """Charge input. If there is no room for it, reject its request or read nothing more."""
-        if self._account.charge(COPIES * size, self._loop.time()):
-            self._input_bytes += COPIES * size
-            if not self._has_large_buffer and self._input_bytes > COPIES * SMALL_RECEIVE_BUFFER_BYTES:
-                self._enlarge_buffer()
+        cost = COPIES * size
+        if self.is_idle or self.has_complete_request:  # it begins with a head
+            cost += HEAD_COPIES * min(size, self._owner.max_header_bytes)
+        if self._account.charge(cost, self._loop.time()):
+            self._input_bytes += cost
             return True
         if self._has_incomplete_request:
             self.reject(NO_MEMORY_RESPONSE)
@@ -255,11 +258,17 @@
         if sock is not None and sock.fileno() >= 0:
             self._has_large_buffer = self._owner.memory.enlarge_buffer(sock)
 
+    def head_read(self, header_bytes: int) -> None:
+        """Record the size of the head of the request whose body is about to be read."""
+        self._kept_head_bytes = HEAD_COPIES * header_bytes
+
     def body_read(self, body_bytes: int) -> None:
-        """Record how much of a body is kept so far: of its input nothing else is."""
-        kept_bytes = min(COPIES * body_bytes, self._input_bytes)
+        """Record how much of a body is kept so far: beside the head, nothing else of the input is."""
+        kept_bytes = min(self._kept_head_bytes + COPIES * body_bytes, self._input_bytes)
         self._account.release(self._input_bytes - kept_bytes)
         self._input_bytes = kept_bytes
+        if body_bytes > SMALL_RECEIVE_BUFFER_BYTES and not self._has_large_buffer:
+            self._enlarge_buffer()
 
     async def charge_response(self, size: int) -> None:
         """Charge `size` bytes of a response once there is room for them. The caller limits the time."""
--- a/hazelbend/transport/http/http_listener.py
+++ b/hazelbend/transport/http/http_listener.py
@@ -5,17 +5,16 @@
 import asyncio
 import logging
 import socket
+from dataclasses import dataclass
 from typing import Any
 
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
-from hazelbend.transport.connection_memory import (
-    ConnectionMemory,
-    bound_receive_buffer,
-)
+from hazelbend.transport.connection_memory import ConnectionMemory
 from hazelbend.transport.http.client_connection import REQUEST_TIMEOUT_S, ClientConnection
 from hazelbend.transport.http.half_close import LINGER_S
+from hazelbend.transport.listening_sockets import ACCEPTS_PER_TURN, prepare_listener
 
 log = logging.getLogger("hazelbend.client_listener")
 
@@ -23,7 +22,6 @@
 MIN_PARTIAL_REQUEST_AGE_S = 0.25  # a connection with a younger partial request is not evicted
 ACCEPT_BACKLOG = 1_024  # connections that wait in the kernel to be accepted, at most
 MIN_ACCEPT_BACKLOG = 128  # the same for a listener of few connections
-ACCEPTS_PER_TURN = 16  # in one iteration of the event loop, so that connections can be evicted in between
 MAX_LINGERING = 32  # half-closed connections beside the open ones; they use the reserved descriptors
 MAX_EXCESS = 16  # connections above the limit if none can be evicted; further new ones are closed
 CLOSED_POLL_S = 0.02  # between two checks whether all connections are closed
@@ -33,13 +31,30 @@
 AIOHTTP_LINGERING_S = 0.5  # for which aiohttp reads the rest of a body whose request is already answered
 
 
+@dataclass(slots=True, frozen=True)
+class ParserLimits:
+    """What aiohttp's parser accepts in a head."""
+
+    line_bytes: int = 8_190  # of the first line, or of a field
+    fields: int = 128
+
+
 class _Server(web.Server):
     def __init__(self, owner: HttpListener, **options: Any) -> None:
         super().__init__(owner._serve, **options)
         self._owner = owner
 
     def __call__(self) -> RequestHandler:
-        return ClientConnection(self._owner, self, loop=self._loop, **self._kwargs)
+        limits = self._owner.parser_limits
+        return ClientConnection(
+            self._owner,
+            self,
+            loop=self._loop,
+            max_line_size=limits.line_bytes,
+            max_field_size=limits.line_bytes,
+            max_headers=limits.fields,
+            **self._kwargs,
+        )
 
 
 def inherited_listener(descriptor: int) -> socket.socket:
@@ -88,6 +103,11 @@
         self._closing_listener: asyncio.Handle | None = None  # runs one loop iteration after the last accept
         self._sweep_timer: asyncio.TimerHandle | None = None
 
+    @property
+    def parser_limits(self) -> ParserLimits:
+        """The limits of connections that are accepted from now on."""
+        return ParserLimits()
+
     @property
     def connections(self) -> int:
         """The number of open connections, without half-closed ones."""
@@ -116,14 +136,10 @@
             self._listener = await loop.create_server(
                 self._server, host, port, backlog=ACCEPTS_PER_TURN, reuse_address=True
             )
-        # asyncio uses one number for both the backlog and the accepts in one loop iteration. Here many
-        # connections may wait, but few are accepted at once.
         backlog = min(ACCEPT_BACKLOG, max(self.connection_limit, MIN_ACCEPT_BACKLOG))
         self.memory.add_small_buffers(self.connection_limit + MAX_EXCESS + MAX_LINGERING + backlog)
         for listening in self._listener.sockets:
-            with socket.socket(fileno=socket.dup(listening.fileno())) as duplicate:
-                bound_receive_buffer(duplicate)
-                duplicate.listen(backlog)
+            prepare_listener(listening, backlog)
         self._sweep()
 
     def stop_accepting(self) -> None:
--- a/hazelbend/transport/http/request_listener.py
+++ b/hazelbend/transport/http/request_listener.py
@@ -12,6 +12,7 @@
 from hazelbend.transport.connection_memory import ConnectionMemory
 from hazelbend.transport.http.client_connection import ClientConnection, ConnectionEndedError
 from hazelbend.transport.http.draining_listener import DrainingListener
+from hazelbend.transport.http.http_listener import ParserLimits
 from hazelbend.transport.http.request_body import BodyTooLargeError, MalformedBodyError, read_body
 from hazelbend.transport.http.worker_client import HOP_BY_HOP_HEADERS
 
@@ -30,6 +31,7 @@
 # In use until a configuration sets the limits:
 DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
 DEFAULT_MAX_HEADER_BYTES = 16 * 1024
+MIN_MEAN_FIELD_BYTES = 16  # of a field with the end of its line, in a head of the largest size
 HEADER_LINE_OVERHEAD_BYTES = 4  # a colon, a space and the end of the line
 MAX_DEADLINE_DIGITS = 9
 
@@ -105,6 +107,15 @@
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
         self.max_header_bytes = DEFAULT_MAX_HEADER_BYTES
 
+    @property
+    def parser_limits(self) -> ParserLimits:
+        """What heads of `max_header_bytes` can contain, beside aiohttp's own limits."""
+        default = ParserLimits()
+        return ParserLimits(
+            line_bytes=max(self.max_header_bytes, default.line_bytes),
+            fields=max(self.max_header_bytes // MIN_MEAN_FIELD_BYTES, default.fields),
+        )
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         connection = request.protocol
         assert isinstance(connection, ClientConnection)
@@ -133,8 +144,10 @@
             InvalidRequestError: it cannot be accepted.
         """
         arrived_at = self._clock() - round(connection.take_queueing_time() * 1e6)
-        if _header_bytes(request) > self.max_header_bytes:
+        header_bytes = _header_bytes(request)
+        if header_bytes > self.max_header_bytes:
             raise InvalidRequestError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "the head is too large")
+        connection.head_read(header_bytes)
         try:
             body = await read_body(request, self.max_body_bytes)
         except BodyTooLargeError as error:
--- a/tests/crowds/test_router_crowds.py
+++ b/tests/crowds/test_router_crowds.py
@@ -76,6 +76,10 @@
     "chunks_of_one_byte": (200, [inputs.small_chunks(BODY_HEAD, 4 * MB)]),
     "a_field_without_end": (300, [inputs.endless_field(BODY_HEAD, 4 * MB)]),
     "fields_without_end": (400, [inputs.endless_fields(BODY_HEAD, 4 * MB)]),
+    "heads_of_many_fields": (
+        400,
+        [inputs.body(BODY_HEAD + b"".join(b"f%03d: 123456789\r\n" % each for each in range(900)), 1_000)],
+    ),
     "empty_lines_without_end": (100, [inputs.empty_lines(4 * MB)]),
     "surplus_after_a_request": (100, [inputs.surplus(SMALL_REQUEST, 4 * MB)]),
     "answers_that_nobody_reads": (200, pipelined(200, 8)),
--- a/tests/transport/test_request_listener.py
+++ b/tests/transport/test_request_listener.py
@@ -8,7 +8,11 @@
 import pytest
 
 from hazelbend.forwarding.ports import ClientRequest, ClientResponse
-from hazelbend.transport.connection_memory import ConnectionMemory, connection_limits
+from hazelbend.transport.connection_memory import (
+    MIN_STALL_S,
+    ConnectionMemory,
+    connection_limits,
+)
 from hazelbend.transport.http.request_listener import RequestListener
 from tests.support.socket_kit import HOST, TIMEOUT_S, eventually, exchange
 
@@ -171,3 +175,79 @@
         assert await reader.read() == b""
     assert listener.received == []
     writer.close()
+
+
+async def test_body_that_finds_no_memory_is_rejected_with_a_promise_that_it_is_not_executed(listener):
+    """Guards against many bodies at once that take more memory than the process has."""
+    other = listener.memory.open_account(lambda: None)
+    assert other.charge(1_000_000, 0.0)
+    other.is_evictable = False
+    listener.memory.held_bytes = listener.memory.limits.held_bytes - 1_000
+    raw_response = await exchange(listener.port, HEAD + b"Content-Length: 9000\r\n\r\n" + b"x" * 8_000)
+    assert raw_response.startswith(b"HTTP/1.1 503") and b"Retry-After: " in raw_response
+    assert not listener.received
+
+
+async def test_stalled_body_is_evicted_for_a_request_that_finds_no_memory(listener):
+    """Guards against bodies that stop short of their end and keep ordinary requests out."""
+
+    async def serve(request: ClientRequest, response: ClientResponse) -> None:
+        await response.answer(200, (), b"done")
+
+    listener.serve = serve
+    stalled_reader, stalled_writer = await asyncio.open_connection(HOST, listener.port)
+    stalled_writer.write(HEAD + b"Content-Length: 9000\r\n\r\n" + b"x" * 8_000)
+    await eventually(lambda: listener.memory.held_bytes > 8_000)
+    [connection] = listener._open
+    connection._account.progressed_at -= MIN_STALL_S
+    rest = listener.memory.open_account(lambda: None)
+    rest.is_evictable = False
+    listener.memory.held_bytes = listener.memory.limits.held_bytes
+    raw_response = await exchange(listener.port, HEAD + b"Connection: close\r\nContent-Length: 2\r\n\r\nab")
+    assert raw_response.startswith(b"HTTP/1.1 200")
+    assert (await stalled_reader.read()).startswith(b"HTTP/1.1 503")
+    stalled_writer.close()
+
+
+@pytest.mark.parametrize("endless", [b"\r\n", b"Name: %s\r\n" % (b"v" * 200)], ids=["empty lines", "fields"])
+async def test_head_without_end_is_rejected_once_it_exceeds_its_limit(listener, endless):
+    """Guards against a head that is measured only once it is complete."""
+    listener.max_header_bytes = 1_000
+    start = b"" if endless == b"\r\n" else HEAD
+    raw_response = await exchange(listener.port, start + endless * (10_000 // len(endless)))
+    assert raw_response.startswith(b"HTTP/1.1 431")
+
+
+async def test_large_bodies_arrive_whole_on_a_kept_connection_while_reading_is_paused(listener):
+    """Guards against input that was dropped when a body arrived faster than it was read."""
+    size = 2_000_000
+
+    async def serve(request: ClientRequest, response: ClientResponse) -> None:
+        await response.answer(200, (), b"%d" % len(request.body))
+
+    listener.serve = serve
+    reader, writer = await asyncio.open_connection(HOST, listener.port)
+    chunk = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
+    for _ in range(3):
+        writer.write(HEAD + b"Content-Length: %d\r\n\r\n" % size + b"x" * size)
+        assert (await reader.readuntil(b"%d" % size)).startswith(b"HTTP/1.1 200")
+        writer.write(HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk * 32 + b"0\r\n\r\n")
+        assert (await reader.readuntil(b"%d" % (32 * 65_536))).startswith(b"HTTP/1.1 200")
+    writer.close()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [b"Long: " + b"x" * 16_000 + b"\r\n", b"".join(b"f%d: %9d\r\n" % (each, each) for each in range(900))],
+    ids=["one long field", "many short fields"],
+)
+async def test_head_within_its_limit_is_accepted_however_its_fields_are_divided(listener, fields):
+    """Guards proper requests: a field of over 8,190 bytes got 431, and more than 128 fields 400."""
+
+    async def serve(request: ClientRequest, response: ClientResponse) -> None:
+        await response.answer(200, (), b"%d" % len(request.headers))
+
+    listener.serve = serve
+    raw_response = await exchange(listener.port, HEAD + fields + b"Content-Length: 2\r\n\r\nab")
+    assert raw_response.startswith(b"HTTP/1.1 200")
+    assert raw_response.endswith(b"%d" % fields.count(b"\r\n"))
