Readiness, control and peer ports: bounds for heads, time, memory and connections

Cause: the same as at the client port, on related paths. uvicorn with httptools bounds neither a head, nor its time, nor pipelined requests, and nothing bounded the connections or the sum of bodies and of frames.

AsgiConnection extends uvicorn's protocol: heads up to 32 KiB (431), 15 s for a request (408), 16 pipelined requests, 10 s to read a response, everything charged to the process's ConnectionMemory (503 or eviction). Above its limit of connections a server closes the oldest that is not being served. Frames that are incomplete are charged too, and a connection that has sent no frame gives way to a new one. asyncio accepted up to a whole backlog in one iteration of the loop; 16 now. A router keeps 128 descriptors for other uses instead of 64: what lingers, what exceeds the limit, probes, links. Router metrics hazelbend_connection_memory_* and _evictions; a log line each 10 s while memory is short.

Golden text of the metrics has five new ones.

--- a/hazelbend/system/control_daemon.py
+++ b/hazelbend/system/control_daemon.py
@@ -18,6 +18,7 @@
 from hazelbend.system.settings import Settings, split_address
 from hazelbend.system.soft_state_saver import SoftStateSaver
 from hazelbend.system.update_publisher import UpdatePublisher
+from hazelbend.transport.connection_memory import ConnectionMemory, connection_limits
 from hazelbend.transport.http.asgi_server import AsgiServer
 from hazelbend.transport.peer.frame_link import FrameConnection, FrameServer
 from hazelbend.transport.storage.control_store import ControlStore
@@ -25,6 +26,7 @@
 log = picologging.getLogger("hazelbend.control")
 
 MAX_CALL_BODY_BYTES = 8 * 1024 * 1024
+RESERVED_FILE_DESCRIPTORS = 128  # for other uses; calls and the fleet's processes get half of the rest each
 SOFT_STATE_FILE = "soft-state"  # in the data directory
 
 
@@ -49,8 +51,13 @@
             self._node, self._publisher.loads.total_loads, announce=self._publisher.publish_fleet_status
         )
         api = ControlApi(self._node, settings.control_address)
-        self._api_server = AsgiServer(api.handle, MAX_CALL_BODY_BYTES)
-        self._frame_server = FrameServer(self._frame_received, self._connection_closed)
+        memory = ConnectionMemory(connection_limits(settings.memory_mb))
+        descriptors = max((settings.max_file_descriptors - RESERVED_FILE_DESCRIPTORS) // 2, 1)
+        max_connections = min(descriptors, memory.limits.connections)
+        self._api_server = AsgiServer(api.handle, MAX_CALL_BODY_BYTES, max_connections, memory)
+        self._frame_server = FrameServer(
+            self._frame_received, self._connection_closed, max_connections, memory
+        )
         self._peer_addresses: dict[FrameConnection, str] = {}  # of processes that have sent `PeerHello`
 
     async def start(self) -> None:
--- a/hazelbend/system/metrics.py
+++ b/hazelbend/system/metrics.py
@@ -14,6 +14,7 @@
 
 from hazelbend.placement.statistics import RatioHistogram, Statistics, WorkerStatistics
 from hazelbend.transport.background_work import FAILURES
+from hazelbend.transport.connection_memory import ConnectionMemory
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
@@ -26,13 +27,50 @@
     unreadable: int  # a newer one that could not be read
 
 
-def render(statistics: Statistics, config: ConfigVersions) -> bytes:
+def render(statistics: Statistics, config: ConfigVersions, memory: ConnectionMemory) -> bytes:
     """Return all metrics of this router with their current values."""
     registry = CollectorRegistry()
     registry.register(_StatisticsCollector(statistics, config))
+    registry.register(_MemoryCollector(memory))
     return generate_latest(registry)
 
 
+class _MemoryCollector:
+    """Implements the library's collector protocol for what the connections of the process hold."""
+
+    def __init__(self, memory: ConnectionMemory) -> None:
+        self._memory = memory
+
+    def collect(self) -> Iterator[Metric]:
+        """Create all metric families."""
+        memory = self._memory
+        yield GaugeMetricFamily(
+            "hazelbend_connection_memory_bytes",
+            "What all connections of clients hold together",
+            value=memory.held_bytes,
+        )
+        yield GaugeMetricFamily(
+            "hazelbend_connection_memory_peak_bytes",
+            "The most that they have held",
+            value=memory.peak_bytes,
+        )
+        yield GaugeMetricFamily(
+            "hazelbend_connection_memory_limit_bytes",
+            "The most that they may hold",
+            value=memory.limits.held_bytes,
+        )
+        yield CounterMetricFamily(
+            "hazelbend_connection_evictions",
+            "Connections that made no progress and were ended to make room for others",
+            value=memory.evictions,
+        )
+        yield CounterMetricFamily(
+            "hazelbend_connection_memory_refusals",
+            "Times that there was no room: requests were rejected, or responses had to wait",
+            value=memory.refusals,
+        )
+
+
 class _StatisticsCollector:
     """Implements the library's collector protocol for the router's own counters."""
 
--- a/hazelbend/system/router_daemon.py
+++ b/hazelbend/system/router_daemon.py
@@ -26,7 +26,8 @@
 
 log = picologging.getLogger("hazelbend.router")
 
-RESERVED_FILE_DESCRIPTORS = 64  # for other uses; clients and workers get half of the rest each
+RESERVED_FILE_DESCRIPTORS = 128  # for other uses; clients and workers get half of the rest each
+MAX_PROBE_CONNECTIONS = 32
 READINESS_PROPAGATION_S = 2.6  # until the platform sends no new connections to a router that is not ready
 SHUTDOWN_RESERVE_S = 0.8  # part of the grace period that is reserved for closing connections
 DRAIN_POLL_S = 0.02
@@ -41,14 +42,16 @@
         seed = secrets.randbits(63)
         self._settings = settings
         self._seed = seed
-        self._max_connections = (settings.max_file_descriptors - RESERVED_FILE_DESCRIPTORS) // 2
+        self._max_connections = max((settings.max_file_descriptors - RESERVED_FILE_DESCRIPTORS) // 2, 1)
         self._memory = ConnectionMemory(connection_limits(settings.memory_mb))
         self._placement = PlacementEngine(settings.zone, seed)
         self._state = FleetState(self._placement)
         self._client: HttpWorkerClient
         self._forwarder: Forwarder
         self._listener: RequestListener
-        self._readiness = AsgiServer(self._answer_probe, MAX_PROBE_BODY_BYTES)
+        self._readiness = AsgiServer(
+            self._answer_probe, MAX_PROBE_BODY_BYTES, MAX_PROBE_CONNECTIONS, self._memory
+        )
         self._updates = RouterUpdateHandler(
             settings, self._state, on_limits=self._set_limits, on_fleet_status=self._fleet_status_received
         )
@@ -107,7 +110,7 @@
 
                 updates = self._updates
                 config = metrics.ConfigVersions(updates.config_version(), updates.unreadable_version)
-                content = metrics.render(self._placement.statistics, config)
+                content = metrics.render(self._placement.statistics, config, self._memory)
                 return HttpResponse(200, content, metrics.CONTENT_TYPE)
             case "/readyz" if self._is_ready:
                 return HttpResponse(200, b"ready\n")
--- a/hazelbend/transport/http/asgi_server.py
+++ b/hazelbend/transport/http/asgi_server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import functools
 import socket
 from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass, field
@@ -14,6 +15,10 @@
 
 import uvicorn
 
+from hazelbend.transport.connection_memory import ConnectionMemory, bound_receive_buffer
+from hazelbend.transport.http.asgi_connection import AsgiConnection
+from hazelbend.transport.listening_sockets import ACCEPTS_PER_TURN, prepare_listener
+
 BACKLOG = 512  # connections that wait in the kernel to be accepted
 KEEP_ALIVE_TIMEOUT_S = 30
 STARTED_POLL_S = 0.005  # between two checks whether uvicorn has started
@@ -65,21 +70,33 @@
 
 
 class AsgiServer:
-    """Serves one address. `handler` answers each request with a body of at most `max_body_bytes`."""
+    """Serves one address. `handler` answers each request with a body of at most `max_body_bytes`.
+
+    Above `connection_limit`, the oldest connection that is not being served is closed for each new one.
+    """
 
-    def __init__(self, handler: RequestHandler, max_body_bytes: int) -> None:
+    def __init__(
+        self, handler: RequestHandler, max_body_bytes: int, connection_limit: int, memory: ConnectionMemory
+    ) -> None:
+        """`memory` bounds what all connections of the process hold together."""
         self._handler = handler
         self._max_body_bytes = max_body_bytes
+        self._connection_limit = connection_limit
+        self.memory = memory
+        self._open: dict[AsgiConnection, None] = {}  # in the order in which they were accepted
         self._server: _UvicornServer | None = None
         self._task: asyncio.Task[None] | None = None
 
     async def listen(self, host: str, port: int) -> None:
         """Start serving. Raises OSError if the address cannot be bound."""
         listener = _bound_socket(host, port)
+        bound_receive_buffer(listener)  # before the first connection
+        self.memory.add_small_buffers(self._connection_limit + BACKLOG)
+        protocol: Any = functools.partial(AsgiConnection, self)  # uvicorn only calls it
         config = uvicorn.Config(
             self._serve,
             loop="none",
-            http="httptools",
+            http=protocol,
             ws="none",
             lifespan="off",
             interface="asgi3",
@@ -87,7 +104,7 @@
             log_config=None,
             server_header=False,
             date_header=False,
-            backlog=BACKLOG,
+            backlog=ACCEPTS_PER_TURN,
             timeout_keep_alive=KEEP_ALIVE_TIMEOUT_S,
             timeout_graceful_shutdown=round(SHUTDOWN_TIMEOUT_S),
         )
@@ -95,6 +112,7 @@
         self._task = asyncio.create_task(self._server.serve(sockets=[listener]))
         while not self._server.started and not self._task.done():  # noqa: ASYNC110 (uvicorn has only a flag)
             await asyncio.sleep(STARTED_POLL_S)
+        prepare_listener(listener, BACKLOG)
 
     async def close(self) -> None:
         """Accept no more connections and let requests in flight finish."""
@@ -103,13 +121,32 @@
             self._server.stopping.set()
             await asyncio.wait([self._task], timeout=2 * SHUTDOWN_TIMEOUT_S)
 
+    # --- connections: implements `asgi_connection.ConnectionOwner` ---
+
+    def connection_opened(self, connection: AsgiConnection) -> None:
+        """Add an accepted connection, and close another one if there are too many."""
+        self._open[connection] = None
+        if len(self._open) > self._connection_limit:
+            victim = next(candidate for candidate in self._open if not candidate.is_being_served)
+            del self._open[victim]  # its end is reported one iteration of the event loop later
+            victim.transport.abort()
+
+    def connection_closed(self, connection: AsgiConnection) -> None:
+        """Remove a connection that is closed."""
+        self._open.pop(connection, None)
+
+    # --- requests ---
+
     async def _serve(self, scope: dict[str, Any], receive: AsgiReceive, send: AsgiSend) -> None:
         """The ASGI application (https://asgi.readthedocs.io, "HTTP Connection Scope")."""
         body = await self._read_body(receive)
         if body is None:
             return  # the client has disconnected
         if len(body) > self._max_body_bytes:
-            response = HttpResponse(PAYLOAD_TOO_LARGE, b"the body is too large\n")
+            # The connection is closed, as the rest of the body would have to be read.
+            response = HttpResponse(
+                PAYLOAD_TOO_LARGE, b"the body is too large\n", headers={"Connection": "close"}
+            )
         else:
             headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]}
             response = await self._handler(HttpRequest(scope["method"], scope["path"], headers, body))
--- a/hazelbend/transport/peer/frame_link.py
+++ b/hazelbend/transport/peer/frame_link.py
@@ -13,10 +13,17 @@
 from collections.abc import Callable
 
 from hazelbend.transport.background_work import start_background_task
+from hazelbend.transport.connection_memory import (
+    COPIES,
+    ConnectionMemory,
+    MemoryAccount,
+)
+from hazelbend.transport.listening_sockets import ACCEPTS_PER_TURN, prepare_listener
 
 LENGTH_PREFIX_BYTES = 4
 MAX_FRAME_BYTES = 16 * 1024 * 1024  # enough for a configuration of the largest size and its history
 MAX_UNSENT_BYTES = 4 * 1024 * 1024  # above this the peer counts as not reading, and frames are dropped
+BACKLOG = 100  # connections that wait in the kernel to be accepted
 MAX_PENDING_FRAMES = 16  # frames that wait while a connection is being established
 USER_TIMEOUT_MS = 1_200  # after which the kernel ends a connection whose data is not acknowledged
 KEEPALIVE_S = 1  # idle time before the first TCP keepalive, and the interval between two
@@ -67,7 +74,11 @@
                 return
             content = bytes(self._buffer[LENGTH_PREFIX_BYTES:end])
             del self._buffer[:end]
-            self._on_frame(self, content)
+            self.frame_received(content)
+
+    def frame_received(self, content: bytes) -> None:
+        """Pass on the content of a complete frame."""
+        self._on_frame(self, content)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report the end of the connection; called by asyncio."""
@@ -211,24 +222,75 @@
         self._on_close()
 
 
+class AcceptedFrameConnection(FrameConnection):
+    """A connection that may be a stranger's: what it has sent of an incomplete frame is charged."""
+
+    def __init__(
+        self,
+        on_frame: Callable[[FrameConnection, bytes], None],
+        on_open: Callable[[FrameConnection], None],
+        on_close: Callable[[FrameConnection], None],
+        memory: ConnectionMemory,
+    ) -> None:
+        """`memory` bounds what all connections of the process hold together."""
+        super().__init__(on_frame, on_open, on_close)
+        self._memory = memory
+        self._account: MemoryAccount = memory.open_account(self.close)
+        self._has_large_buffer = False  # the kernel's, for input
+        self.has_sent_frame = False
+
+    def data_received(self, data: bytes) -> None:
+        """Pass on each complete frame; called by asyncio. Close the connection if there is no room."""
+        if not self._account.charge(COPIES * len(data), asyncio.get_running_loop().time()):
+            self.close()
+            return
+        super().data_received(data)
+        self._account.release(self._account.held_bytes - COPIES * len(self._buffer))
+
+    def frame_received(self, content: bytes) -> None:
+        """Pass on a complete frame. A connection that remains open after its first one is no stranger's."""
+        super().frame_received(content)
+        if not self.has_sent_frame and self._transport is not None and self.is_open:
+            self.has_sent_frame = True
+            self._has_large_buffer = self._memory.enlarge_buffer(self._transport.get_extra_info("socket"))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Release what the connection holds; called by asyncio."""
+        self._account.close()
+        if self._has_large_buffer:
+            self._memory.large_buffer_closed()
+        super().connection_lost(error)
+
+
 class FrameServer:
-    """Accepts connections on one address. `on_close` is called once for each connection that has ended."""
+    """Accepts connections on one address. `on_close` is called once for each connection that has ended.
+
+    Above `connection_limit`, the oldest connection that has sent no frame is closed for each new one.
+    """
 
     def __init__(
         self,
         on_frame: Callable[[FrameConnection, bytes], None],
         on_close: Callable[[FrameConnection], None],
+        connection_limit: int,
+        memory: ConnectionMemory,
     ) -> None:
+        """`memory` bounds what all connections of the process hold together."""
         self._on_frame = on_frame
         self._on_close = on_close
+        self._connection_limit = connection_limit
+        self._memory = memory
         self._server: asyncio.Server | None = None
-        self.connections: set[FrameConnection] = set()
+        self.connections: dict[AcceptedFrameConnection, None] = {}  # in the order of their acceptance
 
     async def listen(self, host: str, port: int) -> None:
         """Start to accept connections. Raises OSError if the address cannot be bound."""
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: FrameConnection(self._on_frame, self.connections.add, self._connection_lost), host, port
+            self._new_connection, host, port, backlog=ACCEPTS_PER_TURN
         )
+        self._memory.add_small_buffers(self._connection_limit + BACKLOG)
+        for listening in self._server.sockets:
+            prepare_listener(listening, BACKLOG)
 
     async def close(self) -> None:
         """Stop accepting connections and abort the open ones."""
@@ -237,6 +299,21 @@
         for connection in list(self.connections):
             connection.close()
 
+    def _new_connection(self) -> AcceptedFrameConnection:
+        return AcceptedFrameConnection(
+            self._on_frame, self._connection_opened, self._connection_lost, self._memory
+        )
+
+    def _connection_opened(self, connection: FrameConnection) -> None:
+        assert isinstance(connection, AcceptedFrameConnection)
+        self.connections[connection] = None
+        if len(self.connections) > self._connection_limit:
+            strangers = (each for each in self.connections if not each.has_sent_frame)
+            victim = next(strangers)
+            del self.connections[victim]  # its end is reported one iteration of the event loop later
+            victim.close()
+
     def _connection_lost(self, connection: FrameConnection) -> None:
-        self.connections.discard(connection)
+        assert isinstance(connection, AcceptedFrameConnection)
+        self.connections.pop(connection, None)
         self._on_close(connection)
--- a/hazelbend/transport/stomp/stomp_listener.py
+++ b/hazelbend/transport/stomp/stomp_listener.py
@@ -5,14 +5,13 @@
 import asyncio
 import hmac
 import logging
-import socket
 from collections.abc import Callable
 from hashlib import sha256
 
 from hazelbend.protocol.http_fields import Catalogue
 from hazelbend.protocol.stomp import Frame, StompError
 from hazelbend.routing.router import Router
-from hazelbend.transport.connection_memory import bound_receive_buffer
+from hazelbend.transport.listening_sockets import ACCEPTS_PER_TURN, prepare_listener
 from hazelbend.transport.stomp.stomp_mailbox import Mailbox, StompGate, StoredBytes
 from hazelbend.transport.stomp.stomp_session import Session
 from hazelbend.transport.stomp.stomp_settings import ClientAccount, StompSettings, WorkerAccount
@@ -20,6 +19,7 @@
 
 log = logging.getLogger("hazelbend.stomp")
 
+BACKLOG = 100  # connections that wait in the kernel to be accepted
 RECEIVE_BUFFER_BYTES = 16 * 1024  # in the kernel, for each connection
 MAX_MAILBOXES = 1_024  # clients choose their identities, and each identity has its own mailbox
 
@@ -71,11 +71,10 @@
             OSError: the address is not available.
         """
         self._listener = await asyncio.start_server(
-            self._on_connection, self.settings.host, self.settings.port
+            self._on_connection, self.settings.host, self.settings.port, backlog=ACCEPTS_PER_TURN
         )
         for listening in self._listener.sockets:
-            with socket.socket(fileno=socket.dup(listening.fileno())) as duplicate:
-                bound_receive_buffer(duplicate, RECEIVE_BUFFER_BYTES)
+            prepare_listener(listening, BACKLOG, RECEIVE_BUFFER_BYTES)
         log.info("listening on %s:%d", self.settings.host, self.port)
 
     def change(self, catalogue: Catalogue) -> None:
--- a/tests/forwarding/test_reliability.py
+++ b/tests/forwarding/test_reliability.py
@@ -17,6 +17,7 @@
 from hazelbend.placement.retry_budget import RetryBudget
 from hazelbend.placement.statistics import RatioHistogram
 from hazelbend.system import metrics
+from hazelbend.transport.connection_memory import ConnectionMemory, connection_limits
 from tests.forwarding.test_forwarding import (
     EVENTS,
     PREFILL_RESULT,
@@ -300,7 +301,8 @@
     )
     harness.state.placement.workers.clear()
     harness.serve()
-    text = metrics.render(harness.state.placement.statistics, metrics.ConfigVersions(1, 0)).decode()
+    memory = ConnectionMemory(connection_limits(256))
+    text = metrics.render(harness.state.placement.statistics, metrics.ConfigVersions(1, 0), memory).decode()
     prefill_worker = extra_headers(harness.calls[0])["Expect-Instance"]
     assert f'hazelbend_sends_total{{end="served",worker="{prefill_worker}"}} 1.0' in text
     counts = harness.state.placement.statistics.for_worker(prefill_worker)
--- a/tests/golden/golden_shown.py
+++ b/tests/golden/golden_shown.py
@@ -102,7 +102,9 @@
     unknown_outcomes = Counter({"ResponseBrokenError": 3, "InvalidResponseError": 1})
     workers = {"w-1": worker, "w-2": statistics.WorkerStatistics()}
     results = statistics.Statistics(workers, refusals, 9, unknown_outcomes)
-    return metrics.render(results, metrics.ConfigVersions(in_force=7, unreadable=0)).decode()
+    return metrics.render(
+        results, metrics.ConfigVersions(in_force=7, unreadable=0), ConnectionMemory(connection_limits(256))
+    ).decode()
 
 
 def sample_overview() -> overview.Overview:
--- a/tests/system/test_control_subscriptions.py
+++ b/tests/system/test_control_subscriptions.py
@@ -11,6 +11,7 @@
 from hazelbend.control.load_table import CachedPrefix, Load, LoadUpdate, RouterLoad
 from hazelbend.system import control_subscriptions
 from hazelbend.system.control_subscriptions import ControlSubscriptions
+from hazelbend.transport.connection_memory import ConnectionMemory, connection_limits
 from hazelbend.transport.peer.frame_link import FrameConnection, FrameServer
 
 pytestmark = pytest.mark.anyio
@@ -50,7 +51,10 @@
         self.loads: list[RouterLoad] = []
         self.resync_requests = 0
         self.server = FrameServer(
-            self._frame_received, lambda connection: self.subscribers.pop(connection, None)
+            self._frame_received,
+            lambda connection: self.subscribers.pop(connection, None),
+            10,
+            ConnectionMemory(connection_limits(256)),
         )
         self.address = ""
 
--- a/tests/transport/test_asgi_server.py
+++ b/tests/transport/test_asgi_server.py
@@ -2,8 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from hazelbend.transport.connection_memory import (
+    LARGE_REQUEST_BYTES,
+    ConnectionMemory,
+    connection_limits,
+)
+from hazelbend.transport.http.asgi_connection import MAX_HEAD_BYTES, MAX_PIPELINED_REQUESTS
 from hazelbend.transport.http.asgi_server import AsgiServer, HttpRequest, HttpResponse
 from tests.support.socket_kit import HOST, exchange
 
@@ -20,7 +28,7 @@
     async def handle(request: HttpRequest) -> HttpResponse:
         return HttpResponse(200, request.body + request.headers["x-a"].encode(), headers={"X-B": "c"})
 
-    server = AsgiServer(handle, max_body_bytes=10)
+    server = AsgiServer(handle, 10, 4, ConnectionMemory(connection_limits(256)))
     await server.listen(HOST, 0)
     port = server._server.servers[0].sockets[0].getsockname()[1]
     response = await exchange(port, b"POST /p HTTP/1.1\r\nHost: h\r\nX-A: z\r\nContent-Length: 2\r\n\r\nab")
@@ -28,3 +36,61 @@
     too_large = await exchange(port, b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n" + b"x" * 11)
     assert too_large.startswith(b"HTTP/1.1 413")
     await server.close()
+
+
+async def answer_ok(request: HttpRequest) -> HttpResponse:
+    return HttpResponse(200, b"ok")
+
+
+def free_memory() -> ConnectionMemory:
+    return ConnectionMemory(connection_limits(256))
+
+
+def full_memory(free_bytes: int) -> ConnectionMemory:
+    """A memory in which a request that is being served leaves this much to others."""
+    memory = ConnectionMemory(connection_limits(256))
+    account = memory.open_account(lambda: None)
+    assert account.charge(LARGE_REQUEST_BYTES, 0.0)
+    memory.held_bytes = memory.limits.held_bytes - free_bytes
+    account.is_evictable = False
+    return memory
+
+
+@pytest.mark.parametrize(
+    ("memory", "sent", "status"),
+    [
+        (full_memory(100), b"POST /p HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + b"x" * 100, b"503"),
+        (free_memory(), b"\r\n" * MAX_HEAD_BYTES, b"431"),
+        (
+            ConnectionMemory(connection_limits(256)),
+            b"GET /p HTTP/1.1\r\nA: " + b"x" * 2 * MAX_HEAD_BYTES,
+            b"431",
+        ),
+    ],
+    ids=["no memory", "empty lines", "a field without end"],
+)
+async def test_request_beyond_a_limit_is_rejected_before_it_is_complete(memory, sent, status):
+    """Guards against heads without end, and bodies that no memory is left for."""
+    server = AsgiServer(answer_ok, 1_000, 4, memory)
+    await server.listen(HOST, 0)
+    port = server._server.servers[0].sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(sent)
+    assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 " + status)
+    writer.close()
+    await server.close()
+
+
+async def test_connection_with_too_many_pipelined_requests_is_closed():
+    """Guards against requests that are queued without a bound behind one that is being served."""
+    server = AsgiServer(answer_ok, 1_000, 4, ConnectionMemory(connection_limits(256)))
+    await server.listen(HOST, 0)
+    port = server._server.servers[0].sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection(HOST, port)
+    writer.write(b"GET /p HTTP/1.1\r\n\r\n" * (MAX_PIPELINED_REQUESTS + 10))
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+        await asyncio.wait_for(reader.readexactly(100_000), 10)
+    writer.close()
+    response = await exchange(port, b"GET /p HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+    assert response.endswith(b"ok")
+    await server.close()
--- a/tests/transport/test_frame_link.py
+++ b/tests/transport/test_frame_link.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from hazelbend.transport.connection_memory import ConnectionMemory, connection_limits
 from hazelbend.transport.peer.frame_link import FrameConnection, FrameLink, FrameServer
 from tests.support.socket_kit import HOST, eventually
 
@@ -18,9 +19,34 @@
     return "asyncio"
 
 
+def frame_server(on_frame, connection_limit: int = 10) -> FrameServer:
+    memory = ConnectionMemory(connection_limits(256))
+    return FrameServer(on_frame, lambda connection: None, connection_limit, memory)
+
+
+async def test_connections_that_sent_no_frame_are_closed_for_new_ones():
+    """Guards against strangers at the port for the fleet's processes that take all its connections."""
+    received: list[bytes] = []
+    server = frame_server(lambda connection, frame: received.append(frame), connection_limit=2)
+    await server.listen(HOST, 0)
+    port = server._server.sockets[0].getsockname()[1]
+    link = FrameLink(f"{HOST}:{port}", lambda frame: None)
+    link.send(b"known")
+    await eventually(lambda: received == [b"known"])
+    silent = [await asyncio.open_connection(HOST, port) for _ in range(4)]
+    for reader, _ in silent[:3]:
+        with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+            await asyncio.wait_for(reader.readexactly(1), 10)
+    assert link.is_open and len(server.connections) == 2
+    for _, writer in silent:
+        writer.close()
+    await link.close()
+    await server.close()
+
+
 async def test_frames_arrive_in_order_including_those_sent_while_connecting():
     received: list[bytes] = []
-    server = FrameServer(lambda connection, frame: received.append(frame), lambda connection: None)
+    server = frame_server(lambda connection, frame: received.append(frame))
     await server.listen(HOST, 0)
     port = server._server.sockets[0].getsockname()[1]
     link = FrameLink(f"{HOST}:{port}", lambda frame: None)
@@ -42,7 +68,7 @@
         connections.append(connection)
         connection.send(frame)
 
-    server = FrameServer(echo, lambda connection: None)
+    server = frame_server(echo)
     await server.listen(HOST, 0)
     port = server._server.sockets[0].getsockname()[1]
     opened: list[int] = []
@@ -59,12 +85,12 @@
 
 
 async def test_too_large_frame_closes_the_connection():
-    server = FrameServer(lambda connection, frame: None, lambda connection: None)
+    server = frame_server(lambda connection, frame: None)
     await server.listen(HOST, 0)
     port = server._server.sockets[0].getsockname()[1]
     reader, writer = await asyncio.open_connection(HOST, port)
     writer.write(b"\xff\xff\xff\xff")
-    with pytest.raises(ConnectionError):
+    with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
         if await reader.read() == b"":
             raise ConnectionResetError
     writer.close()
@@ -73,7 +99,7 @@
 
 # Guards against a task that goes on after its cancellation: the link that it closed took that for its own.
 async def test_caller_that_is_cancelled_while_it_closes_a_link_ends_and_the_link_is_closed():
-    server = FrameServer(lambda connection, frame: None, lambda connection: None)
+    server = frame_server(lambda connection, frame: None)
     await server.listen(HOST, 0)
     link = FrameLink(f"{HOST}:{server._server.sockets[0].getsockname()[1]}", lambda frame: None)
     await eventually(lambda: link.is_open)
