--- a/hazelbend/transport/connection_memory.py
+++ b/hazelbend/transport/connection_memory.py
@@ -65,15 +65,21 @@
 
 
 class MemoryAccount:
-    """What one connection holds, in bytes. `evict` is called once it must give that up."""
+    """What one connection holds, in bytes.
 
-    __slots__ = ("_evict", "_memory", "held_bytes", "is_evictable", "progressed_at")
+    `evict` is called once it must give that up, and `may_evict` before; it returns False while a request is
+    being served or about to be.
+    """
 
-    def __init__(self, memory: ConnectionMemory, evict: Callable[[], None]) -> None:
+    __slots__ = ("_evict", "_may_evict", "_memory", "held_bytes", "progressed_at")
+
+    def __init__(
+        self, memory: ConnectionMemory, evict: Callable[[], None], may_evict: Callable[[], bool]
+    ) -> None:
         self._memory = memory
         self._evict = evict
+        self._may_evict = may_evict
         self.held_bytes = 0
-        self.is_evictable = True  # False while its request is being served
         self.progressed_at = 0.0  # when bytes were last received or sent
 
     def charge(self, size: int, now: float) -> bool:
@@ -89,6 +95,10 @@
         """Release all bytes: the connection is closed."""
         self.release(self.held_bytes)
 
+    def is_stalled(self, now: float) -> bool:
+        """Whether the connection has made no progress of late and may be evicted."""
+        return now >= self.progressed_at + MIN_STALL_S and self._may_evict()
+
     def evict(self) -> None:
         """End the connection, or its request. All bytes count as released."""
         self.close()
@@ -110,9 +120,9 @@
         self._waiting = 0
         self._logged_at = -math.inf
 
-    def open_account(self, evict: Callable[[], None]) -> MemoryAccount:
-        """Return an empty account of a connection."""
-        return MemoryAccount(self, evict)
+    def open_account(self, evict: Callable[[], None], may_evict: Callable[[], bool]) -> MemoryAccount:
+        """Return an empty account of a connection; see `MemoryAccount`."""
+        return MemoryAccount(self, evict, may_evict)
 
     def add_small_buffers(self, connections: int) -> None:
         """Count the receive buffers of a listener's connections, accepted ones and those that wait for it."""
@@ -187,11 +197,7 @@
 
     def _evict_stalled(self, charged: MemoryAccount, target_bytes: int, now: float) -> None:
         """Evict the accounts that have stalled for longest, until `target_bytes` or fewer are held."""
-        stalled = [
-            account
-            for account in self._holders
-            if account is not charged and account.is_evictable and now >= account.progressed_at + MIN_STALL_S
-        ]
+        stalled = [each for each in self._holders if each is not charged and each.is_stalled(now)]
         stalled.sort(key=lambda account: account.progressed_at)
         for account in stalled:
             if self.held_bytes <= target_bytes:
--- a/hazelbend/transport/http/asgi_connection.py
+++ b/hazelbend/transport/http/asgi_connection.py
@@ -53,7 +53,7 @@
     def __init__(self, owner: ConnectionOwner, **options: Any) -> None:
         super().__init__(**options)
         self._owner = owner
-        self._account = owner.memory.open_account(self._give_up_memory)
+        self._account = owner.memory.open_account(self._give_up_memory, lambda: not self.is_being_served)
         self._timer: asyncio.TimerHandle | None = None
         self._is_reading_head = True
         self._head_bytes = 0  # received of a head that is not complete
@@ -132,7 +132,6 @@
         self._is_reading_head = True
         self._body_bytes = 0
         self._open_requests += 1
-        self._account.is_evictable = False
         if not self.transport.get_write_buffer_size():
             self._stop_timer()
         super().on_message_complete()
@@ -141,7 +140,6 @@
         """Release the request, and charge what the client has not read of the response."""
         self._served_requests += 1
         self._open_requests = max(self._open_requests - 1, 0)  # 413 answers an incomplete request
-        self._account.is_evictable = not self._open_requests
         self._account.close()
         unsent_bytes = self.transport.get_write_buffer_size()
         if unsent_bytes and not self._account.charge(unsent_bytes, self.loop.time()):
--- a/hazelbend/transport/http/client_connection.py
+++ b/hazelbend/transport/http/client_connection.py
@@ -100,7 +100,10 @@
         self._is_ended = False
         self._has_invalid_input = False  # what follows is not parsed
         self._head_bytes = 0  # received of a head that is not complete
-        self._account: MemoryAccount = owner.memory.open_account(self._give_up_memory)
+        self._account: MemoryAccount = owner.memory.open_account(
+            self._give_up_memory, self._may_give_up_memory
+        )
+        self._is_being_served = False  # its complete request is not answered
         self._input_bytes = 0  # charged for requests that are not answered
         self._kept_head_bytes = 0  # of these, for the head of the request that is being read
         self._response_bytes = 0  # charged for a response that is not written
@@ -150,7 +153,6 @@
         if data and not self.has_partial_request and self.is_idle:
             self.has_partial_request = True
             self.is_responding = False
-            self._account.is_evictable = True
             if self.has_valid_request or self.invalid_requests:
                 self.deadline = self._loop.time() + self._owner.request_timeout_s
         if not self._charge_input(len(data)):
@@ -197,7 +199,7 @@
             raise ConnectionEndedError
         self.has_partial_request = False
         self.deadline = None
-        self._account.is_evictable = False
+        self._is_being_served = True
 
     @property
     def has_complete_request(self) -> bool:
@@ -222,7 +224,7 @@
         self._account.release(self._input_bytes)
         self._input_bytes = self._kept_head_bytes = 0
         self._account.progressed_at = self.last_active_at
-        self._account.is_evictable = True
+        self._is_being_served = False
 
     async def previous_response_written(self) -> None:
         """Wait until the client has read the responses to its earlier requests, up to what is buffered.
@@ -296,6 +298,12 @@
         self._account.release(released_bytes)
         self._response_bytes -= released_bytes
 
+    def _may_give_up_memory(self) -> bool:
+        """Whether it waits for its client: no request is being served or about to be, and no input unread."""
+        if self._is_being_served:
+            return False
+        return not (self.has_partial_request and (self.has_complete_request or self.has_unread))
+
     def _give_up_memory(self) -> None:
         """Reject the request that is incomplete, or abort a response that the client does not read."""
         self._input_bytes = self._response_bytes = 0
--- a/hazelbend/transport/peer/frame_link.py
+++ b/hazelbend/transport/peer/frame_link.py
@@ -235,7 +235,7 @@
         """`memory` bounds what all connections of the process hold together."""
         super().__init__(on_frame, on_open, on_close)
         self._memory = memory
-        self._account: MemoryAccount = memory.open_account(self.close)
+        self._account: MemoryAccount = memory.open_account(self.close, may_evict=lambda: True)
         self._has_large_buffer = False  # the kernel's, for input
         self.has_sent_frame = False
 
--- a/tests/transport/test_asgi_server.py
+++ b/tests/transport/test_asgi_server.py
@@ -49,10 +49,9 @@
 def full_memory(free_bytes: int) -> ConnectionMemory:
     """A memory in which a request that is being served leaves this much to others."""
     memory = ConnectionMemory(connection_limits(256))
-    account = memory.open_account(lambda: None)
+    account = memory.open_account(lambda: None, lambda: False)
     assert account.charge(LARGE_REQUEST_BYTES, 0.0)
     memory.held_bytes = memory.limits.held_bytes - free_bytes
-    account.is_evictable = False
     return memory
 
 
--- a/tests/transport/test_connection_memory.py
+++ b/tests/transport/test_connection_memory.py
@@ -28,8 +28,8 @@
         self.memory = ConnectionMemory(ConnectionLimits(LIMIT, unread_bytes, 10))
         self.evicted: list[str] = []
 
-    def open(self, name: str):
-        return self.memory.open_account(lambda: self.evicted.append(name))
+    def open(self, name: str, may_evict: bool = True):
+        return self.memory.open_account(lambda: self.evicted.append(name), lambda: may_evict)
 
 
 def test_sum_of_all_charges_is_bounded_and_releases_make_room():
@@ -56,9 +56,8 @@
 
 def test_request_that_is_being_served_is_not_evicted():
     holders = Holders()
-    served = holders.open("served")
+    served = holders.open("served", may_evict=False)
     assert served.charge(round(LIMIT * LARGE_RATIO), 0.0)
-    served.is_evictable = False
     assert not holders.open("other").charge(LARGE, 100.0)
     assert not holders.evicted
 
@@ -73,8 +72,7 @@
 def test_waiting_charge_is_made_once_others_release():
     async def run() -> None:
         holders = Holders()
-        first, second = holders.open("first"), holders.open("second")
-        first.is_evictable = False
+        first, second = holders.open("first", may_evict=False), holders.open("second")
         assert first.charge(round(LIMIT * LARGE_RATIO), asyncio.get_running_loop().time())
         waiting = asyncio.create_task(holders.memory.charge_when_possible(second, LARGE))
         await asyncio.sleep(0)
--- a/tests/transport/test_request_listener.py
+++ b/tests/transport/test_request_listener.py
@@ -179,9 +179,8 @@
 
 async def test_body_that_finds_no_memory_is_rejected_with_a_promise_that_it_is_not_executed(listener):
     """Guards against many bodies at once that take more memory than the process has."""
-    other = listener.memory.open_account(lambda: None)
+    other = listener.memory.open_account(lambda: None, lambda: False)
     assert other.charge(1_000_000, 0.0)
-    other.is_evictable = False
     listener.memory.held_bytes = listener.memory.limits.held_bytes - 1_000
     raw_response = await exchange(listener.port, HEAD + b"Content-Length: 9000\r\n\r\n" + b"x" * 8_000)
     assert raw_response.startswith(b"HTTP/1.1 503") and b"Retry-After: " in raw_response
@@ -200,8 +199,6 @@
     await eventually(lambda: listener.memory.held_bytes > 8_000)
     [connection] = listener._open
     connection._account.progressed_at -= MIN_STALL_S
-    rest = listener.memory.open_account(lambda: None)
-    rest.is_evictable = False
     listener.memory.held_bytes = listener.memory.limits.held_bytes
     raw_response = await exchange(listener.port, HEAD + b"Connection: close\r\nContent-Length: 2\r\n\r\nab")
     assert raw_response.startswith(b"HTTP/1.1 200")
@@ -251,3 +248,23 @@
     raw_response = await exchange(listener.port, HEAD + fields + b"Content-Length: 2\r\n\r\nab")
     assert raw_response.startswith(b"HTTP/1.1 200")
     assert raw_response.endswith(b"%d" % fields.count(b"\r\n"))
+
+
+async def test_request_that_is_being_served_keeps_its_memory_while_others_are_rejected(listener):
+    """Guards requests that a worker may be executing: they were read completely, and must not be ended."""
+    may_answer = asyncio.Event()
+
+    async def serve(request: ClientRequest, response: ClientResponse) -> None:
+        await may_answer.wait()
+        await response.answer(200, (), b"%d" % len(request.body))
+
+    listener.serve = serve
+    body = b"Content-Length: 8000\r\n\r\n" + b"x" * 8_000
+    served = asyncio.create_task(exchange(listener.port, HEAD + body))
+    await eventually(lambda: listener.received)
+    [connection] = listener._open
+    connection._account.progressed_at -= MIN_STALL_S
+    listener.memory.held_bytes = listener.memory.limits.held_bytes
+    assert (await exchange(listener.port, HEAD + body)).startswith(b"HTTP/1.1 503")
+    may_answer.set()
+    assert (await served).endswith(b"8000")
