Requests behind others stay charged until they are answered

An equal part for each queued request stays charged now. The new test failed without the change (0 bytes charged where three heads wait) and passes with it.

--- a/hazelbend/transport/http/client_connection.py
+++ b/hazelbend/transport/http/client_connection.py
@@ -221,8 +221,8 @@
         self.is_responding = True
         self.last_active_at = self._loop.time()
         self.deadline = self.last_active_at + RESPONSE_TIMEOUT_S
-        self._account.release(self._input_bytes)
-        self._input_bytes = self._kept_head_bytes = 0
+        self._kept_head_bytes = 0
+        self._release_answered_input()
         self._account.progressed_at = self.last_active_at
         self._is_being_served = False
 
@@ -264,8 +264,23 @@
         """Record the size of the head of the request whose body is about to be read."""
         self._kept_head_bytes = HEAD_COPIES * header_bytes
 
+    def _release_answered_input(self) -> None:
+        """Release the input of the request that is being answered: an equal part of what is charged.
+
+        Which bytes belong to which request is known to the parser alone.
+        """
+        waiting_requests = len(self._messages)
+        kept_bytes = self._input_bytes * waiting_requests // (waiting_requests + 1)
+        self._account.release(self._input_bytes - kept_bytes)
+        self._input_bytes = kept_bytes
+
     def body_read(self, body_bytes: int) -> None:
-        """Record how much of a body is kept so far: beside the head, nothing else of the input is."""
+        """Record how much of a body is kept so far: beside the head, nothing else of the input is.
+
+        If requests wait behind this one, their input stays charged, and so does all of its own.
+        """
+        if self._messages:
+            return
         kept_bytes = min(self._kept_head_bytes + COPIES * body_bytes, self._input_bytes)
         self._account.release(self._input_bytes - kept_bytes)
         self._input_bytes = kept_bytes
--- a/tests/crowds/test_router_crowds.py
+++ b/tests/crowds/test_router_crowds.py
@@ -63,6 +63,14 @@
     return [Input(b"".join(each[start : start + requests])) for start in range(0, len(each), requests)]
 
 
+def pipelined_heads(members: int, requests: int) -> list[Input]:
+    """As `pipelined`, with heads of many fields."""
+    fields = b"".join(b"f%03d: 123456789\r\n" % each for each in range(900))
+    ids = [f"h{member}-{number}" for member in range(members) for number in range(requests)]
+    each = [head("/file/1", request_id) + fields + b"\r\n" for request_id in ids]
+    return [Input(b"".join(each[start : start + requests])) for start in range(0, len(each), requests)]
+
+
 SMALL_REQUEST = head("/chat/1", "small") + b"Content-Length: 1\r\n\r\nx"
 BODY_HEAD = head("/chat/1", "body")
 CROWDS = {
@@ -83,6 +91,7 @@
     "empty_lines_without_end": (100, [inputs.empty_lines(4 * MB)]),
     "surplus_after_a_request": (100, [inputs.surplus(SMALL_REQUEST, 4 * MB)]),
     "answers_that_nobody_reads": (200, pipelined(200, 8)),
+    "many_heads_behind_an_answer_that_nobody_reads": (400, pipelined_heads(400, 30)),
     "silent_connections": (1_200, [Input()]),
     "all_kinds": (
         280,
--- a/tests/transport/test_request_listener.py
+++ b/tests/transport/test_request_listener.py
@@ -9,6 +9,7 @@
 
 from hazelbend.forwarding.ports import ClientRequest, ClientResponse
 from hazelbend.transport.connection_memory import (
+    HEAD_COPIES,
     MIN_STALL_S,
     ConnectionMemory,
     connection_limits,
@@ -268,3 +269,25 @@
     assert (await exchange(listener.port, HEAD + body)).startswith(b"HTTP/1.1 503")
     may_answer.set()
     assert (await served).endswith(b"8000")
+
+
+async def test_requests_that_wait_behind_others_stay_charged_until_they_are_answered(listener):
+    """Guards against memory of pipelined requests that nobody counts once the first one is answered."""
+    may_answer = asyncio.Semaphore(1)
+
+    async def serve(request: ClientRequest, response: ClientResponse) -> None:
+        await may_answer.acquire()
+        await response.answer(200, (), b"done")
+
+    listener.serve = serve
+    long_head = HEAD + b"Long: " + b"x" * 1_000 + b"\r\nContent-Length: 0\r\n\r\n"
+    reader, writer = await asyncio.open_connection(HOST, listener.port)
+    writer.write(long_head * 4)
+    await eventually(lambda: len(listener.received) == 2)
+    assert listener.memory.held_bytes >= 3 * HEAD_COPIES * 1_000
+    for _ in range(3):
+        may_answer.release()
+    await eventually(lambda: len(listener.received) == 4)
+    writer.close()
+    assert await asyncio.wait_for(reader.read(), TIMEOUT_S)
+    await eventually(lambda: listener.memory.held_bytes == 0)
