--- a/hazelbend/fakes/model_worker.py
+++ b/hazelbend/fakes/model_worker.py
@@ -18,6 +18,7 @@
 HEARTBEAT_PERIOD_S = 0.3
 CONTROL_CALL_TIMEOUT_S = 1.0
 PREFILL = "prefill"
+ENDLESS_EVENT = b"data: " + b"x" * 60_000 + b"\n\n"
 
 
 @dataclass(slots=True)
@@ -39,6 +40,8 @@
     """The number of events in a response, one token each."""
     result_bytes: int = 0
     """If not 0, a response is one body of this size instead of a series of events."""
+    is_endless: bool = False
+    """Whether a response goes on until its connection is closed."""
 
 
 @dataclass(slots=True)
@@ -167,6 +170,8 @@
             return web.Response(body=bytes(self.settings.result_bytes), headers=headers)
         response = web.StreamResponse(headers=headers | {"Content-Type": "text/event-stream"})
         await response.prepare(request)
+        while self.settings.is_endless:
+            await response.write(ENDLESS_EVENT)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, self.settings.events + 1):
             await asyncio.sleep(self.settings.token_s)
--- a/tests/crowds/test_router_crowds.py
+++ b/tests/crowds/test_router_crowds.py
@@ -31,6 +31,10 @@
     "backend": "files",
     "retries": 0,
 }
+ENDLESS_ROUTES = [
+    FILE_ROUTE | {"name": "endless", "prefix": "/endless/", "backend": "endless"},
+    FILE_ROUTE | {"name": "stream", "prefix": "/stream/", "backend": "endless", "kind": "stream"},
+]
 LIMITS = {
     "maxHeaderBytes": 16_384,
     "maxBodyBytes": MAX_BODY_BYTES,
@@ -38,8 +42,8 @@
     "idleTimeoutMs": 15_000,
 }
 CONFIG = CONFIGURATION | {
-    "routes": [*CONFIGURATION["routes"], FILE_ROUTE],
-    "services": [*CONFIGURATION["services"], {"name": "files"}],
+    "routes": [*CONFIGURATION["routes"], FILE_ROUTE, *ENDLESS_ROUTES],
+    "services": [*CONFIGURATION["services"], {"name": "files"}, {"name": "endless"}],
     "limits": LIMITS,
 }
 
@@ -63,6 +67,11 @@
     return [Input(b"".join(each[start : start + requests])) for start in range(0, len(each), requests)]
 
 
+def requests_for(path: str, members: int) -> list[Input]:
+    """One whole small request on each connection, whose answer nobody reads."""
+    return [Input(head(path, f"{path}{number}") + b"Content-Length: 0\r\n\r\n") for number in range(members)]
+
+
 def pipelined_heads(members: int, requests: int) -> list[Input]:
     """As `pipelined`, with heads of many fields."""
     fields = b"".join(b"f%03d: 123456789\r\n" % each for each in range(900))
@@ -92,6 +101,8 @@
     "surplus_after_a_request": (100, [inputs.surplus(SMALL_REQUEST, 4 * MB)]),
     "answers_that_nobody_reads": (200, pipelined(200, 8)),
     "many_heads_behind_an_answer_that_nobody_reads": (400, pipelined_heads(400, 30)),
+    "answers_without_end": (300, requests_for("/endless/1", 300)),
+    "streams_without_end_that_nobody_reads": (300, requests_for("/stream/1", 300)),
     "silent_connections": (1_200, [Input()]),
     "all_kinds": (
         280,
@@ -134,6 +145,9 @@
         files = FakeModelWorkerSettings("files", worker_ip, FIRST_WORKER_PORT + 50, "z1")
         files.result_bytes = FILE_BYTES
         await example.start_worker(files)
+        endless = FakeModelWorkerSettings("endless", worker_ip, FIRST_WORKER_PORT + 51, "z1")
+        endless.is_endless = True
+        await example.start_worker(endless)
         await eventually(lambda: is_served(example, "/file/1"))
         yield example
     finally:
