A change of limits.memory_mb waits for a restart, and the log says so

Found in a second reading: after SIGHUP the dispatcher logged memory_mb as reloaded, while its listeners keep the bound of their start. The new test failed without the change (512 where 256 is in force) and passes with it.

--- a/hazelbend/dispatcher/config.py
+++ b/hazelbend/dispatcher/config.py
@@ -243,6 +243,6 @@
     names = () if extends else ("settings", "catalogue", "reader")
     return [
         name
-        for name in ("listen", "seed", "known", "stomp", "snmp", "console", "fleet", *names)
+        for name in ("listen", "seed", "known", "memory_mb", "stomp", "snmp", "console", "fleet", *names)
         if getattr(old, name) != getattr(new, name)
     ]
--- a/tests/dispatcher/test_reload.py
+++ b/tests/dispatcher/test_reload.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import orjson
 
@@ -175,3 +176,16 @@
     response = running.getresponse()
     assert (response.status, response.read()) == (200, b"toy did long")
     assert program.wait(10) == 0
+
+
+def test_reload_logs_that_another_limit_of_memory_needs_a_restart(tmp_path, caplog):
+    """Guards against a log line that claims a limit is in force which the open listeners do not have."""
+
+    async def run():
+        async with running_app(tmp_path, stomp="") as (app, _):
+            before = app.conf.memory_mb
+            app.apply(replace(app.conf, memory_mb=before * 2))
+            assert app.conf.memory_mb == before
+            assert "wait for a restart: memory_mb" in caplog.text
+
+    asyncio.run(run())
