Control port: what completes a request is not counted as part of the next head

A caller with a kept connection whose next head arrived in two parts after a body could get 431, and an idle connection counted as one with an incomplete request.

--- a/hazelbend/transport/http/asgi_connection.py
+++ b/hazelbend/transport/http/asgi_connection.py
@@ -59,6 +59,7 @@
         self._head_bytes = 0  # received of a head that is not complete
         self._body_bytes = 0  # received of a body that is not complete
         self._has_large_buffer = False  # the kernel's, for input
+        self._complete_requests = 0
         self._served_requests = 0
         self._open_requests = 0  # complete ones that are not answered
 
@@ -100,8 +101,9 @@
             self._has_large_buffer = self._owner.memory.enlarge_buffer(sock)
         if self._timer is None:
             self._start_timer(REQUEST_TIMEOUT_S)
+        complete_requests = self._complete_requests
         super().data_received(data)
-        if self._is_reading_head:
+        if self._is_reading_head and self._complete_requests == complete_requests:
             self._check_head(len(data))
 
     def _check_head(self, received_bytes: int) -> None:
@@ -130,6 +132,7 @@
         The deadline for reading an earlier response stays.
         """
         self._is_reading_head = True
+        self._complete_requests += 1
         self._body_bytes = 0
         self._open_requests += 1
         if not self.transport.get_write_buffer_size():
--- a/tests/transport/test_asgi_server.py
+++ b/tests/transport/test_asgi_server.py
@@ -93,3 +93,25 @@
     response = await exchange(port, b"GET /p HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
     assert response.endswith(b"ok")
     await server.close()
+
+
+async def test_head_that_follows_a_large_request_is_measured_by_itself():
+    """Guards callers with kept connections: what completes a request is not part of the next head."""
+    server = AsgiServer(answer_ok, 100_000, 4, free_memory())
+    await server.listen(HOST, 0)
+    port = server._server.servers[0].sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection(HOST, port)
+    for _ in range(3):
+        writer.write(b"POST /p HTTP/1.1\r\nContent-Length: 90000\r\n\r\n" + b"x" * 90_000)
+        assert (await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200")
+        [connection] = server._open
+        assert connection._is_idle
+        received_bytes = connection._head_bytes
+        writer.write(b"GET /p HTTP/1.1\r\nA: b\r\n")
+        async with asyncio.timeout(10):
+            while connection._head_bytes == received_bytes:
+                await asyncio.sleep(0)
+        writer.write(b"\r\n")
+        assert (await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200")
+    writer.close()
+    await server.close()
