--- a/hazelbend/transport/http/asgi_connection.py
+++ b/hazelbend/transport/http/asgi_connection.py
@@ -143,7 +143,9 @@
         """Release the request, and charge what the client has not read of the response."""
         self._served_requests += 1
         self._open_requests = max(self._open_requests - 1, 0)  # 413 answers an incomplete request
-        self._account.close()
+        waiting_requests = len(self.pipeline)  # an equal part of what is charged is for each of them
+        kept_bytes = self._account.held_bytes * waiting_requests // (waiting_requests + 1)
+        self._account.release(self._account.held_bytes - kept_bytes)
         unsent_bytes = self.transport.get_write_buffer_size()
         if unsent_bytes and not self._account.charge(unsent_bytes, self.loop.time()):
             self.transport.abort()
--- a/tests/transport/test_asgi_server.py
+++ b/tests/transport/test_asgi_server.py
@@ -7,13 +7,14 @@
 import pytest
 
 from hazelbend.transport.connection_memory import (
+    HEAD_COPIES,
     LARGE_REQUEST_BYTES,
     ConnectionMemory,
     connection_limits,
 )
 from hazelbend.transport.http.asgi_connection import MAX_HEAD_BYTES, MAX_PIPELINED_REQUESTS
 from hazelbend.transport.http.asgi_server import AsgiServer, HttpRequest, HttpResponse
-from tests.support.socket_kit import HOST, exchange
+from tests.support.socket_kit import HOST, eventually, exchange
 
 pytestmark = pytest.mark.anyio
 
@@ -115,3 +116,27 @@
         assert (await reader.readuntil(b"ok")).startswith(b"HTTP/1.1 200")
     writer.close()
     await server.close()
+
+
+async def test_requests_that_wait_behind_others_stay_charged_until_they_are_answered():
+    """Guards against memory of pipelined requests that nobody counts once the first one is answered."""
+    may_answer = asyncio.Semaphore(1)
+    received: list[HttpRequest] = []
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        received.append(request)
+        await may_answer.acquire()
+        return HttpResponse(200, b"ok")
+
+    server = AsgiServer(handle, 1_000, 4, free_memory())
+    await server.listen(HOST, 0)
+    port = server._server.servers[0].sockets[0].getsockname()[1]
+    _, writer = await asyncio.open_connection(HOST, port)
+    writer.write((b"GET /p HTTP/1.1\r\nLong: " + b"x" * 500 + b"\r\n\r\n") * 4)
+    await eventually(lambda: len(received) == 2)
+    assert server.memory.held_bytes >= 3 * HEAD_COPIES * 500
+    for _ in range(3):
+        may_answer.release()
+    await eventually(lambda: len(received) == 4 and server.memory.held_bytes == 0)
+    writer.close()
+    await server.close()
