--- /dev/null
+++ b/hazelbend/transport/http/response_handler.py
@@ -0,0 +1,65 @@
+"""The receiving side of a client connection, based on aiohttp's handler and on its private attributes."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import RawResponseMessage
+from aiohttp.streams import StreamReader
+
+
+class StrictResponseHandler(ResponseHandler):
+    """A connection that is stricter than aiohttp's about which bytes belong to a response.
+
+    A reset never completes a response that has no length. aiohttp treats such a response as complete however
+    its connection was lost; only a FIN may end it (RFC 9112, section 8).
+
+    Bytes that arrive while no response is due belong to no request, and the connection is not used again.
+    aiohttp notices that only if they are a complete head.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self.local_port = 0
+        self.requests_written = 0
+        self._awaits_head = False
+
+    @property
+    def is_response_due(self) -> bool:
+        """Whether the response to the last request has not arrived completely."""
+        return self._awaits_head or (self._payload is not None and not self._payload.is_eof())
+
+    def set_response_params(self, **parameters: Any) -> None:
+        """Prepare for the response to the next request, which is about to be written."""
+        self._awaits_head = True
+        super().set_response_params(**parameters)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what was received; an empty `data` resumes the parser."""
+        if data and not self.is_response_due:
+            self.force_close()
+        super().data_received(data)
+
+    def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
+        """Pass on the head of a response."""
+        if data[0].code >= HTTPStatus.OK:  # not an interim response
+            self._awaits_head = False
+        super().feed_data(data, size)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Record the local port of the connection."""
+        super().connection_made(transport)
+        self.local_port = (transport.get_extra_info("sockname") or (None, 0))[1]
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an unfinished response if the connection was reset; `exc` is None after a FIN of the peer."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(
+                aiohttp.ClientPayloadError(f"connection reset before the end of the response: {exc!r}")
+            )
+        super().connection_lost(exc)
