A response whose status is in no class is no response: 502, and never repeated

What callers saw: a back end's answer with status 000, 001, 099, 600 or 999 reached the client as an answer ("HTTP/1.1 0"), and so did 101, which no router had asked for. Worse, such bytes were believed: with Not-Executed in them, a request that must not be repeated was sent to a second worker, and ran twice.

Cause: aiohttp's parsers take any three digits for a status and hand the head on; nothing of ours held it to the grammar (RFC 9110, section 15), so the relay's "anything else" included statuses that don't exist.

Fix: StrictResponseHandler checks each head, interim ones too, before any of it is passed on. A malformed one closes the connection and ends the request with MalformedResponseError, which is an unknown outcome: 502, or another worker where the request may be repeated. The check is a pure function beside the other codecs, and knows nothing of workers, so that every client which uses the handler has it: router, dispatcher, probes, lists.

Unknown statuses of the classes, no reason and interim responses are accepted as before.

--- a/hazelbend/transport/http/aiohttp_client.py
+++ b/hazelbend/transport/http/aiohttp_client.py
@@ -260,6 +260,7 @@
         RequestWithdrawnError: `before_first_byte` returned None, or this process was stopped while the
             request was connecting, so that its connect timeout does not show a fault of the server.
         SurplusBytesError: the response can't be told from bytes that belong to no request.
+        MalformedResponseError: what was received is not a response.
         aiohttp.ClientError, OSError: no connection, or no response.
     """
     loop = asyncio.get_running_loop()
--- a/hazelbend/transport/http/response_handler.py
+++ b/hazelbend/transport/http/response_handler.py
@@ -11,9 +11,17 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from hazelbend.protocol.http_response_head import MalformedHeadError, ResponseHead, check_head
+
+
+class MalformedResponseError(aiohttp.ClientError):
+    """What was received is not an HTTP response, although the parser accepts it."""
+
 
 class StrictResponseHandler(ResponseHandler):
-    """A connection that is stricter than aiohttp's about which bytes belong to a response.
+    """A connection that is stricter than aiohttp's about what is a response, and which bytes belong to it.
+
+    A head that is not valid HTTP is not passed on: it ends the connection with `MalformedResponseError`.
 
     A reset never completes a response that has no length. aiohttp treats such a response as complete however
     its connection was lost; only a FIN may end it (RFC 9112, section 8).
@@ -27,6 +35,7 @@
         self.local_port = 0
         self.requests_written = 0
         self._awaits_head = False
+        self._is_malformed = False  # nothing more is passed on
 
     @property
     def is_response_due(self) -> bool:
@@ -45,11 +54,25 @@
         super().data_received(data)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
-        """Pass on the head of a response."""
+        """Pass on the head of a response, if it is valid."""
+        if self._is_malformed:
+            return
+        try:
+            check_head(_response_head(data[0]))
+        except MalformedHeadError as error:
+            self._reject(error)
+            return
         if data[0].code >= HTTPStatus.OK:  # not an interim response
             self._awaits_head = False
         super().feed_data(data, size)
 
+    def _reject(self, error: MalformedHeadError) -> None:
+        """Close the connection: the request that awaits its response fails."""
+        self._is_malformed = True
+        if self.transport is not None:
+            self.transport.close()
+        self.set_exception(MalformedResponseError(str(error)))  # it is not kept for other requests either
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Record the local port of the connection."""
         super().connection_made(transport)
@@ -63,3 +86,7 @@
                 aiohttp.ClientPayloadError(f"connection reset before the end of the response: {exc!r}")
             )
         super().connection_lost(exc)
+
+
+def _response_head(message: RawResponseMessage) -> ResponseHead:
+    return ResponseHead(message.code)
--- a/hazelbend/transport/http/worker_client.py
+++ b/hazelbend/transport/http/worker_client.py
@@ -28,6 +28,7 @@
     send_once,
     set_keepalive,
 )
+from hazelbend.transport.http.response_handler import MalformedResponseError
 
 CONNECT_TIMEOUT_S = 0.35
 DEFAULT_KEEPALIVE_S = 4.0  # how long an idle connection stays open, unless a worker announces a shorter time
@@ -125,7 +126,7 @@
             )
         except RequestWithdrawnError:
             raise SendWithdrawnError from None
-        except SurplusBytesError as error:
+        except (SurplusBytesError, MalformedResponseError) as error:
             raise InvalidResponseError(str(error)) from None
         except CALL_ERRORS as error:
             if progress.is_permitted:
--- /dev/null
+++ b/tests/system/test_broken_responses.py
@@ -0,0 +1,132 @@
+"""Responses of workers that are not valid HTTP, through a router's listener, forwarder and client."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+import pytest
+
+from tests.support.router_kit import RouterUnderTest, Runs, header, listening_router, other_worker
+from tests.support.scripted_worker import Connection, ScriptedWorker, running_worker
+
+pytestmark = pytest.mark.anyio
+
+# A response that claims everything that a router acts on: a signature, and that the request was not executed.
+CLAIMS = b"Request-Id: %b\r\nServer-Signature: s\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
+SIGNED = b"Request-Id: %b\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+INVALID_STATUSES = [b"000", b"001", b"099", b"101", b"600", b"999"]
+BROKEN_HEADS = {
+    **{f"status {status.decode()}": b"HTTP/1.1 %b Trouble\r\n" % status for status in INVALID_STATUSES},
+}
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """The event loop that these tests run on."""
+    return "asyncio"
+
+
+def body_of(answer: bytes) -> bytes:
+    """The body of the answer that a client got."""
+    return answer.partition(b"\r\n\r\n")[2]
+
+
+class BrokenWorker:
+    """Runs every request; its first response is `response`."""
+
+    def __init__(self, response: bytes) -> None:
+        self.runs = Runs()
+        self.on_first_request: Callable[[], None] = lambda: None
+        self._response = response
+
+    async def script(self, connection: Connection, number: int) -> None:
+        while True:
+            request = await connection.request()
+            if self.runs.request_ids:
+                await self.runs.run(connection, request)
+                continue
+            self.on_first_request()
+            request_id = header(request, b"Request-Id")
+            self.runs.request_ids.append(request_id)
+            await connection.send(self._response.replace(b"%b", request_id))
+
+
+@dataclass
+class Deployment:
+    """A router before a broken worker and another one, which it learns of during the first request."""
+
+    router: RouterUnderTest
+    broken: BrokenWorker
+    worker: ScriptedWorker
+    other_runs: Runs
+
+    @property
+    def runs(self) -> list[bytes]:
+        """All requests that were run."""
+        return self.broken.runs.request_ids + self.other_runs.request_ids
+
+
+@asynccontextmanager
+async def deployment(response: bytes, **route: object) -> AsyncIterator[Deployment]:
+    broken = BrokenWorker(response)
+    other_runs = Runs()
+    async with (
+        running_worker(broken.script) as worker,
+        running_worker(other_worker(other_runs)) as other,
+        listening_router(**route) as router,
+    ):
+        router.add_worker("i-1", worker)
+        broken.on_first_request = lambda: router.add_worker("i-2", other)
+        yield Deployment(router, broken, worker, other_runs)
+
+
+@pytest.mark.parametrize("fields", [CLAIMS, SIGNED], ids=["not executed", "signed"])
+@pytest.mark.parametrize("head", BROKEN_HEADS.values(), ids=BROKEN_HEADS.keys())
+async def test_broken_response_proves_nothing_and_its_client_gets_502(head, fields):
+    async with deployment(head + fields) as fleet:
+        answers = [await fleet.router.post(b"q%d" % number) for number in range(1, 7)]
+    assert answers[0].startswith(b"HTTP/1.1 502 ")
+    assert [body_of(answer) for answer in answers[1:]] == [b"ran q%d" % number for number in range(2, 7)]
+    assert sorted(fleet.runs) == [b"q%d" % number for number in range(1, 7)]
+
+
+@pytest.mark.parametrize("head", BROKEN_HEADS.values(), ids=BROKEN_HEADS.keys())
+async def test_connection_of_a_broken_response_is_not_used_again(head):
+    broken = BrokenWorker(head + SIGNED)
+    async with running_worker(broken.script) as worker, listening_router() as router:
+        router.add_worker("i-1", worker)
+        assert (await router.post(b"q1")).startswith(b"HTTP/1.1 502 ")
+        assert body_of(await router.post(b"q2")) == b"ran q2"
+        assert worker.connections == 2
+
+
+@pytest.mark.parametrize("head", BROKEN_HEADS.values(), ids=BROKEN_HEADS.keys())
+async def test_safe_request_with_a_broken_response_is_served_by_another_worker(head):
+    async with deployment(head + SIGNED, kind="safe", retries=2) as fleet:
+        assert body_of(await fleet.router.post(b"q1")) == b"ran q1"
+    assert fleet.broken.runs.request_ids == fleet.other_runs.request_ids == [b"q1"]
+
+
+ODD_RESPONSES = {
+    **{
+        f"status {status}": b"HTTP/1.1 %d Odd\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok" % status
+        for status in (299, 399, 418, 499, 599)
+    },
+    "no reason": b"HTTP/1.1 418 \r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
+    "no reason, no blank": b"HTTP/1.1 418\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
+    "interim responses": b"HTTP/1.1 103 A\r\nX: y\r\n\r\nHTTP/1.1 199 B\r\n\r\n"
+    b"HTTP/1.1 418 T\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
+}
+
+
+@pytest.mark.parametrize("response", ODD_RESPONSES.values(), ids=ODD_RESPONSES.keys())
+async def test_unusual_but_valid_response_reaches_the_client(response):
+    response = response.replace(b"\r\nRequest-Id", b"\r\nServer-Signature: s\r\nRequest-Id")
+    async with deployment(response) as fleet:
+        answer = await fleet.router.post(b"q1")
+    head, _, body = answer.partition(b"\r\n\r\n")
+    final_response = response[response.rindex(b"HTTP/1.1 ") :]
+    assert head.split()[1] == final_response.split()[1]
+    assert b"Server-Signature: s" in head and body == b"ok"
