A response with control bytes in its head is no response: 502, and never repeated

What callers saw: a worker's success with a control byte (0x01, ESC, DEL) in a value closed the client's connection without a word, as aiohttp's server refuses to write such a head, and found that out when the request was over. With such a byte in the reason the client got the answer. Either way a Not-Executed in the head was believed, and a request that must not be repeated ran at two workers.

Cause: aiohttp parses responses in its lenient mode, which lets control bytes through in values and reasons, and the head was held to no grammar before it was acted on (RFC 9110, section 5.5; RFC 9112, section 4).

Fix: check_head rejects names that are not tokens, and control bytes in values and reasons. What the writer of the front refuses is a part of that, so it is found while the client can still get 502.

Control bytes and blanks in names, before the colon, no name and no colon: refused before by the parser, their tests passed before and stay. Tabs, bytes over 127, names of all token characters, empty and folded values, lines that end with LF: accepted as before. Not mended: a byte over 127 that is not UTF-8 is left out of a value on the way to the client, by aiohttp's writer.

--- a/hazelbend/protocol/http_response_head.py
+++ b/hazelbend/protocol/http_response_head.py
@@ -6,11 +6,16 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from http import HTTPStatus
 
 MIN_STATUS = 100  # the classes of statuses are 1xx to 5xx (RFC 9110, section 15)
 MAX_STATUS = 599
+FIELD_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")  # a token (RFC 9110, section 5.6.2)
+# In values and reasons, a tab, a blank, printable characters and bytes over 127 are allowed (section 5.5).
+CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+CONTROL_BYTE = re.compile(CONTROL_CHARACTER.pattern.encode())
 
 
 class MalformedHeadError(ValueError):
@@ -22,6 +27,8 @@
     """The head of a response, in the parts that a parser returns."""
 
     status: int
+    reason: str
+    fields: tuple[tuple[bytes, bytes], ...]  # names and values, in the order of the head
 
 
 def check_head(head: ResponseHead) -> None:
@@ -31,6 +38,9 @@
         MalformedHeadError: it is not.
     """
     _check_status(head.status)
+    if CONTROL_CHARACTER.search(head.reason):
+        raise MalformedHeadError("a control byte in the reason")
+    _check_fields(head.fields)
 
 
 def _check_status(status: int) -> None:
@@ -39,3 +49,11 @@
         raise MalformedHeadError(f"status {status:03} is in no class")
     if status == HTTPStatus.SWITCHING_PROTOCOLS:
         raise MalformedHeadError("status 101, but no upgrade was requested")
+
+
+def _check_fields(fields: tuple[tuple[bytes, bytes], ...]) -> None:
+    for name, value in fields:
+        if not FIELD_NAME.fullmatch(name):
+            raise MalformedHeadError("the name of a field is not a token")
+        if CONTROL_BYTE.search(value):
+            raise MalformedHeadError(f"a control byte in the value of {name.decode()}")
--- a/hazelbend/transport/http/response_handler.py
+++ b/hazelbend/transport/http/response_handler.py
@@ -89,4 +89,4 @@
 
 
 def _response_head(message: RawResponseMessage) -> ResponseHead:
-    return ResponseHead(message.code)
+    return ResponseHead(message.code, message.reason, message.raw_headers)
--- a/tests/system/test_broken_responses.py
+++ b/tests/system/test_broken_responses.py
@@ -13,12 +13,25 @@
 
 pytestmark = pytest.mark.anyio
 
-# A response that claims everything that a router acts on: a signature, and that the request was not executed.
-CLAIMS = b"Request-Id: %b\r\nServer-Signature: s\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
+# What follows a broken head claims what a router acts on: that the request was not executed, or a success.
+NOT_EXECUTED = b"Request-Id: %b\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\nno"
 SIGNED = b"Request-Id: %b\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nok"
+CONTROL_BYTES = [b"\0", b"\x01", b"\r", b"\x1b", b"\x7f"]
 INVALID_STATUSES = [b"000", b"001", b"099", b"101", b"600", b"999"]
 BROKEN_HEADS = {
     **{f"status {status.decode()}": b"HTTP/1.1 %b Trouble\r\n" % status for status in INVALID_STATUSES},
+    **{f"{byte!r} in the reason": b"HTTP/1.1 503 A%bB\r\n" % byte for byte in CONTROL_BYTES},
+    **{
+        f"{byte!r} in a name": b"HTTP/1.1 503 Busy\r\nA%bB: c\r\n" % byte
+        for byte in [b" ", b"\t", *CONTROL_BYTES]
+    },
+    **{f"{byte!r} in a value": b"HTTP/1.1 503 Busy\r\nA: b%bc\r\n" % byte for byte in CONTROL_BYTES},
+    "a control byte in an interim response": b"HTTP/1.1 103 A\r\nB: \x01\r\n\r\nHTTP/1.1 503 Busy\r\n",
+    "a blank before the colon": b"HTTP/1.1 503 Busy\r\nA : b\r\n",
+    "a name that is not a token": b"HTTP/1.1 503 Busy\r\nA(b): c\r\n",
+    "a byte over 127 in a name": b"HTTP/1.1 503 Busy\r\nA\xe4: c\r\n",
+    "no name": b"HTTP/1.1 503 Busy\r\n: a\r\n",
+    "no colon": b"HTTP/1.1 503 Busy\r\nA\r\n",
 }
 
 
@@ -28,6 +41,11 @@
     return "asyncio"
 
 
+def success(broken_head: bytes) -> bytes:
+    """A response with this head that claims to be a success, unless its status is what is broken."""
+    return broken_head.replace(b" 503 ", b" 200 ") + SIGNED
+
+
 def body_of(answer: bytes) -> bytes:
     """The body of the answer that a client got."""
     return answer.partition(b"\r\n\r\n")[2]
@@ -82,10 +100,11 @@
         yield Deployment(router, broken, worker, other_runs)
 
 
-@pytest.mark.parametrize("fields", [CLAIMS, SIGNED], ids=["not executed", "signed"])
+@pytest.mark.parametrize("claims_success", [False, True], ids=["not executed", "success"])
 @pytest.mark.parametrize("head", BROKEN_HEADS.values(), ids=BROKEN_HEADS.keys())
-async def test_broken_response_proves_nothing_and_its_client_gets_502(head, fields):
-    async with deployment(head + fields) as fleet:
+async def test_broken_response_proves_nothing_and_its_client_gets_502(head, claims_success):
+    response = success(head) if claims_success else head + NOT_EXECUTED
+    async with deployment(response) as fleet:
         answers = [await fleet.router.post(b"q%d" % number) for number in range(1, 7)]
     assert answers[0].startswith(b"HTTP/1.1 502 ")
     assert [body_of(answer) for answer in answers[1:]] == [b"ran q%d" % number for number in range(2, 7)]
@@ -94,7 +113,7 @@
 
 @pytest.mark.parametrize("head", BROKEN_HEADS.values(), ids=BROKEN_HEADS.keys())
 async def test_connection_of_a_broken_response_is_not_used_again(head):
-    broken = BrokenWorker(head + SIGNED)
+    broken = BrokenWorker(success(head))
     async with running_worker(broken.script) as worker, listening_router() as router:
         router.add_worker("i-1", worker)
         assert (await router.post(b"q1")).startswith(b"HTTP/1.1 502 ")
@@ -104,7 +123,7 @@
 
 @pytest.mark.parametrize("head", BROKEN_HEADS.values(), ids=BROKEN_HEADS.keys())
 async def test_safe_request_with_a_broken_response_is_served_by_another_worker(head):
-    async with deployment(head + SIGNED, kind="safe", retries=2) as fleet:
+    async with deployment(success(head), kind="safe", retries=2) as fleet:
         assert body_of(await fleet.router.post(b"q1")) == b"ran q1"
     assert fleet.broken.runs.request_ids == fleet.other_runs.request_ids == [b"q1"]
 
@@ -116,6 +135,15 @@
     },
     "no reason": b"HTTP/1.1 418 \r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
     "no reason, no blank": b"HTTP/1.1 418\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
+    "a name of all token characters": b"HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~9: z\r\n"
+    b"Content-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
+    "a tab and bytes over 127 in a value": b"HTTP/1.1 200 OK\r\nA: \tb\tc\xc3\xbcd\xff\r\n"
+    b"Content-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
+    "a tab and bytes over 127 in the reason": b"HTTP/1.1 200 \t\xff\r\n"
+    b"Content-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
+    "an empty value": b"HTTP/1.1 200 OK\r\nA:\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
+    "a folded value": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: q1\r\nA: b\r\n c\r\n\r\nok",
+    "lines that end with LF alone": b"HTTP/1.1 200 OK\nContent-Length: 2\r\nRequest-Id: q1\n\nok",
     "interim responses": b"HTTP/1.1 103 A\r\nX: y\r\n\r\nHTTP/1.1 199 B\r\n\r\n"
     b"HTTP/1.1 418 T\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
 }
