A response must begin with a status line of HTTP/1 and a field: 502 where it does not

Where that line held a blank alone, the worker's other fields reached the client as the body of its 500. Status lines of RTSP/1.0, ICE/1.0, HTTP/0.9 and HTTP/2.0 passed as well. What stood in such a head was believed: with Not-Executed, a request that must not be repeated ran at two workers.

Cause: the parser in C reads responses leniently: it skips the blank, ends the head at such a line, and takes other protocols' status lines. What it hands on no longer shows any of that, so check_head can't see it.

Fix: HeadStartChecker sees the bytes before the parser does, cut anywhere and behind interim heads: the status line has to begin with HTTP/1., and the next line with neither a blank nor a tab (RFC 9112, sections 2.2 and 2.3). It does not parse fields, and keeps nothing of a final head.

Folded values, lines that end with LF alone and empty lines before a head: accepted as before.

--- a/hazelbend/transport/http/response_handler.py
+++ b/hazelbend/transport/http/response_handler.py
@@ -11,6 +11,7 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from hazelbend.protocol.http_head_start import HeadStartChecker
 from hazelbend.protocol.http_response_head import MalformedHeadError, ResponseHead, check_head
 
 
@@ -35,6 +36,7 @@
         self.local_port = 0
         self.requests_written = 0
         self._awaits_head = False
+        self._head_start = HeadStartChecker()
         self._is_malformed = False  # nothing more is passed on
 
     @property
@@ -45,13 +47,20 @@
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the response to the next request, which is about to be written."""
         self._awaits_head = True
+        self._head_start = HeadStartChecker()
         super().set_response_params(**parameters)
 
     def data_received(self, data: bytes) -> None:
         """Parse what was received; an empty `data` resumes the parser."""
         if data and not self.is_response_due:
             self.force_close()
-        super().data_received(data)
+        if self._awaits_head:
+            try:
+                self._head_start.feed(data)
+            except MalformedHeadError as error:
+                self._reject(error)
+        if not self._is_malformed:
+            super().data_received(data)
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Pass on the head of a response, if it is valid."""
--- a/tests/system/test_broken_responses.py
+++ b/tests/system/test_broken_responses.py
@@ -27,6 +27,25 @@
     },
     **{f"{byte!r} in a value": b"HTTP/1.1 503 Busy\r\nA: b%bc\r\n" % byte for byte in CONTROL_BYTES},
     "a control byte in an interim response": b"HTTP/1.1 103 A\r\nB: \x01\r\n\r\nHTTP/1.1 503 Busy\r\n",
+    "a blank before the first field": b"HTTP/1.1 503 Busy\r\n A: b\r\n",
+    "a blank before the first field, after LF": b"HTTP/1.1 503 Busy\n A: b\r\n",
+    "a blank before the fields": b"HTTP/1.1 503 Busy\r\n ",
+    "a tab before the first field": b"HTTP/1.1 503 Busy\r\n\tA: b\r\n",
+    "a first line of a blank": b"HTTP/1.1 503 Busy\r\n \r\n",
+    "a blank in an interim response": b"HTTP/1.1 103 A\r\n B: c\r\n\r\nHTTP/1.1 503 Busy\r\n",
+    "a blank after an interim response": b"HTTP/1.1 103 A\r\nB: c\r\n\r\nHTTP/1.1 503 Busy\r\n B: c\r\n",
+    **{
+        f"a status line of {version.decode()}": b"%b 503 Busy\r\n" % version
+        for version in (
+            b"RTSP/1.0",
+            b"ICE/1.0",
+            b"HTTP/0.9",
+            b"HTTP/2.0",
+            b"HTTP/3.7",
+            b"HTTP/11.1",
+            b" HTTP/1.1",
+        )
+    },
     "a blank before the colon": b"HTTP/1.1 503 Busy\r\nA : b\r\n",
     "a name that is not a token": b"HTTP/1.1 503 Busy\r\nA(b): c\r\n",
     "a byte over 127 in a name": b"HTTP/1.1 503 Busy\r\nA\xe4: c\r\n",
@@ -128,6 +147,17 @@
     assert fleet.broken.runs.request_ids == fleet.other_runs.request_ids == [b"q1"]
 
 
+async def test_fields_after_a_line_of_a_blank_do_not_become_the_body():
+    async def script(connection: Connection, number: int) -> None:
+        await connection.request()
+        await connection.send(b"HTTP/1.1 500 Failed\r\n \r\nRequest-Id: q1\r\nContent-Length: 2\r\n\r\nok")
+
+    async with running_worker(script) as worker, listening_router() as router:
+        router.add_worker("i-1", worker)
+        answer = await router.post(b"q1")
+    assert answer.startswith(b"HTTP/1.1 502 ") and b"Length: 2" not in body_of(answer)
+
+
 ODD_RESPONSES = {
     **{
         f"status {status}": b"HTTP/1.1 %d Odd\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok" % status
