A response whose body has no certain end is no response: 502

What callers saw: with a transfer coding that nobody here decodes (gzip, identity, xchunked, "chunked, gzip", "chunked,", an empty one) the client got 200 with the worker's signature and a body that held the framing ("2 ok 0" in chunks), or the coded body without the coding's name. With a length of 2**64 - 1, which the parser in C takes for none, a stream ended at once as complete, without a body; an ordinary request waited for its deadline (504). HTTP/1.0 with a transfer coding passed too.

Cause: the framing was left to the parser, which reads such bodies until the connection ends, or not at all; the router then drops Transfer-Encoding and Content-Length and sends its own.

Fix: check_head holds framing to RFC 9112, section 6: no coding other than one chunked, as none was offered; none beside a length or before HTTP/1.1; no two different lengths; lengths of digits, up to 2**63 - 1. What a parser refuses by itself is asked for too, as the pure Python parser takes two different lengths.

Empty elements beside chunked, chunk extensions, trailers, HTTP/1.0 with a length and leading zeros: accepted as before.

--- a/hazelbend/protocol/http_response_head.py
+++ b/hazelbend/protocol/http_response_head.py
@@ -16,6 +16,10 @@
 # In values and reasons, a tab, a blank, printable characters and bytes over 127 are allowed (section 5.5).
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 CONTROL_BYTE = re.compile(CONTROL_CHARACTER.pattern.encode())
+LENGTH = re.compile(rb"[0-9]+")
+MAX_LENGTH_BYTES = 2**63 - 1  # the parser in C takes 2**64 - 1 for no length
+CHUNKED_VERSION = (1, 1)  # the first one that has transfer codings
+BLANKS = b" \t"
 
 
 class MalformedHeadError(ValueError):
@@ -26,13 +30,17 @@
 class ResponseHead:
     """The head of a response, in the parts that a parser returns."""
 
+    version: tuple[int, int]
     status: int
     reason: str
     fields: tuple[tuple[bytes, bytes], ...]  # names and values, in the order of the head
+    is_chunked: bool  # how the parser reads the body
 
 
 def check_head(head: ResponseHead) -> None:
-    """Check that a head, interim or final, is a valid one to a request that did not ask for an upgrade.
+    """Check that a head is a valid one, interim or final.
+
+    The request must not have asked for an upgrade, nor have offered other transfer codings than chunked.
 
     Raises:
         MalformedHeadError: it is not.
@@ -41,6 +49,7 @@
     if CONTROL_CHARACTER.search(head.reason):
         raise MalformedHeadError("a control byte in the reason")
     _check_fields(head.fields)
+    _check_framing(head)
 
 
 def _check_status(status: int) -> None:
@@ -57,3 +66,32 @@
             raise MalformedHeadError("the name of a field is not a token")
         if CONTROL_BYTE.search(value):
             raise MalformedHeadError(f"a control byte in the value of {name.decode()}")
+
+
+def _check_framing(head: ResponseHead) -> None:
+    """Check that the end of the body is certain (RFC 9112, section 6)."""
+    lengths = _values(head, b"content-length")
+    codings = _values(head, b"transfer-encoding")
+    if codings:
+        if lengths or head.version < CHUNKED_VERSION:
+            raise MalformedHeadError("a transfer coding beside a length, or in HTTP/1.0")
+        _check_codings(codings, is_chunked=head.is_chunked)
+    if len(set(lengths)) > 1:
+        raise MalformedHeadError("several lengths")
+    for length in lengths:
+        if not LENGTH.fullmatch(length) or int(length) > MAX_LENGTH_BYTES:
+            raise MalformedHeadError("the length is not a number, or too large")
+
+
+def _check_codings(values: list[bytes], *, is_chunked: bool) -> None:
+    """Nobody decodes another coding than chunked, so that the body would not be the one that was sent."""
+    elements = [element.strip(BLANKS).lower() for element in b",".join(values).split(b",")]
+    if [element for element in elements if element] != [b"chunked"]:
+        raise MalformedHeadError("another transfer coding than chunked")
+    if not is_chunked:
+        raise MalformedHeadError("the parser does not take the body for chunked")
+
+
+def _values(head: ResponseHead, name: bytes) -> list[bytes]:
+    """The values of all fields of a name, which is in lower case."""
+    return [value for field_name, value in head.fields if field_name.lower() == name]
--- a/hazelbend/transport/http/response_handler.py
+++ b/hazelbend/transport/http/response_handler.py
@@ -98,4 +98,10 @@
 
 
 def _response_head(message: RawResponseMessage) -> ResponseHead:
-    return ResponseHead(message.code, message.reason, message.raw_headers)
+    return ResponseHead(
+        version=(message.version.major, message.version.minor),
+        status=message.code,
+        reason=message.reason,
+        fields=message.raw_headers,
+        is_chunked=bool(message.chunked),
+    )
--- a/tests/protocol/test_http_response_head.py
+++ b/tests/protocol/test_http_response_head.py
@@ -8,7 +8,7 @@
 
 from hazelbend.protocol.http_response_head import MalformedHeadError, ResponseHead, check_head
 
-VALID_HEAD = ResponseHead(200, "OK", ((b"Request-Id", b"q1"),))
+VALID_HEAD = ResponseHead((1, 1), 200, "OK", ((b"Request-Id", b"q1"),), is_chunked=False)
 TOKEN_CHARACTERS = b"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 CONTROL_BYTES = bytes(byte for byte in (*range(0x20), 0x7F) if byte != ord("\t"))
 
@@ -56,3 +56,74 @@
 def test_field_without_a_name_is_rejected():
     with pytest.raises(MalformedHeadError):
         check_head(replace(VALID_HEAD, fields=((b"", b"a"),)))
+
+
+def head_with(*fields: tuple[bytes, bytes], is_chunked: bool = True) -> ResponseHead:
+    return replace(VALID_HEAD, fields=fields, is_chunked=is_chunked)
+
+
+@pytest.mark.parametrize("coding", [b"chunked", b"Chunked", b" chunked\t", b", chunked ,"])
+def test_chunked_coding_is_valid(coding):
+    check_head(head_with((b"TRANSFER-ENCODING", coding)))
+
+
+@pytest.mark.parametrize(
+    "coding",
+    [b"", b"gzip", b"identity", b"xchunked", b"gzip, chunked", b"chunked, gzip", b"chunked, chunked",
+     b"chunked;q=1", b"chunked x"],
+)  # fmt: skip
+def test_other_transfer_codings_are_rejected(coding):
+    with pytest.raises(MalformedHeadError):
+        check_head(head_with((b"Transfer-Encoding", coding)))
+
+
+def test_chunked_coding_that_the_parser_has_not_seen_is_rejected():
+    with pytest.raises(MalformedHeadError):
+        check_head(head_with((b"Transfer-Encoding", b"chunked,"), is_chunked=False))
+
+
+def test_transfer_codings_in_several_fields_are_one_list():
+    chunked = (b"Transfer-Encoding", b"chunked")
+    for other in (b"gzip", b"chunked"):
+        with pytest.raises(MalformedHeadError):
+            check_head(head_with((b"transfer-encoding", other), chunked))
+
+
+def test_transfer_coding_beside_a_length_or_in_an_older_version_is_rejected():
+    chunked = head_with((b"Transfer-Encoding", b"chunked"))
+    for head in (
+        replace(chunked, version=(1, 0)),
+        replace(chunked, fields=(*chunked.fields, (b"Content-Length", b"2"))),
+    ):
+        with pytest.raises(MalformedHeadError):
+            check_head(head)
+
+
+@pytest.mark.parametrize("length", [b"0", b"002", b"9223372036854775807"])
+def test_length_is_valid_also_if_it_is_repeated(length):
+    check_head(head_with((b"Content-Length", length), (b"content-length", length), is_chunked=False))
+
+
+@pytest.mark.parametrize(
+    "length",
+    [
+        b"",
+        b"+2",
+        b"-2",
+        b"2 2",
+        b"2, 2",
+        b"0x2",
+        b"2_0",
+        b"\xd9\xa2",
+        b"9223372036854775808",
+        b"18446744073709551615",
+    ],
+)
+def test_length_that_is_no_number_or_too_large_is_rejected(length):
+    with pytest.raises(MalformedHeadError):
+        check_head(head_with((b"Content-Length", length), is_chunked=False))
+
+
+def test_different_lengths_are_rejected():
+    with pytest.raises(MalformedHeadError):
+        check_head(head_with((b"Content-Length", b"2"), (b"Content-Length", b"1"), is_chunked=False))
--- a/tests/system/test_broken_responses.py
+++ b/tests/system/test_broken_responses.py
@@ -158,6 +158,45 @@
     assert answer.startswith(b"HTTP/1.1 502 ") and b"Length: 2" not in body_of(answer)
 
 
+FRAMING = {
+    **{
+        f"coding {coding.decode()}": (b"Transfer-Encoding: %b\r\n" % coding, b"2\r\nok\r\n0\r\n\r\n")
+        for coding in (
+            b"gzip", b"identity", b"xchunked", b"chunked,", b"gzip, chunked", b"chunked, gzip",
+            b"chunked, chunked", b"chunked;q=1", b"",
+        )
+    },
+    "coding and length": (b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", b"2\r\nok\r\n0\r\n\r\n"),
+    "length that the parser takes for none": (b"Content-Length: 18446744073709551615\r\n", b"ok"),
+    "length beyond all numbers": (b"Content-Length: 99999999999999999999999\r\n", b"ok"),
+    "two lengths": (b"Content-Length: 2\r\nContent-Length: 1\r\n", b"ok"),
+    "length with a sign": (b"Content-Length: +2\r\n", b"ok"),
+    "length with a blank": (b"Content-Length: 2 2\r\n", b"ok"),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("route", [{}, {"kind": "stream"}], ids=["unsafe", "stream"])
+@pytest.mark.parametrize(("fields", "body"), FRAMING.values(), ids=FRAMING.keys())
+async def test_response_whose_body_has_no_certain_end_gives_502(fields, body, route):
+    head = b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Signature: s\r\n"
+
+    async def script(connection: Connection, number: int) -> None:
+        request_id = header(await connection.request(), b"Request-Id")
+        await connection.send(head % request_id + fields + b"\r\n" + body)
+
+    async with running_worker(script) as worker, listening_router(**route) as router:
+        router.add_worker("i-1", worker)
+        assert (await router.post(b"q1")).startswith(b"HTTP/1.1 502 ")
+
+
+async def test_transfer_coding_in_http_1_0_gives_502():
+    response = (
+        b"HTTP/1.0 200 OK\r\nRequest-Id: %b\r\nServer-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    async with deployment(response + b"2\r\nok\r\n0\r\n\r\n") as fleet:
+        assert (await fleet.router.post(b"q1")).startswith(b"HTTP/1.1 502 ")
+
+
 ODD_RESPONSES = {
     **{
         f"status {status}": b"HTTP/1.1 %d Odd\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok" % status
@@ -174,6 +213,12 @@
     "an empty value": b"HTTP/1.1 200 OK\r\nA:\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
     "a folded value": b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nRequest-Id: q1\r\nA: b\r\n c\r\n\r\nok",
     "lines that end with LF alone": b"HTTP/1.1 200 OK\nContent-Length: 2\r\nRequest-Id: q1\n\nok",
+    "an empty element beside chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: ,chunked\r\n"
+    b"Request-Id: q1\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    "chunk extensions and trailers": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    b'Request-Id: q1\r\n\r\n1;a="b"\r\no\r\n1\r\nk\r\n0\r\nA: b\r\n\r\n',
+    "HTTP/1.0": b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
+    "a length with zeros": b"HTTP/1.1 200 OK\r\nContent-Length: 002\r\nRequest-Id: q1\r\n\r\nok",
     "interim responses": b"HTTP/1.1 103 A\r\nX: y\r\n\r\nHTTP/1.1 199 B\r\n\r\n"
     b"HTTP/1.1 418 T\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok",
 }
@@ -185,6 +230,6 @@
     async with deployment(response) as fleet:
         answer = await fleet.router.post(b"q1")
     head, _, body = answer.partition(b"\r\n\r\n")
-    final_response = response[response.rindex(b"HTTP/1.1 ") :]
+    final_response = response[response.rindex(b"HTTP/1.") :]
     assert head.split()[1] == final_response.split()[1]
     assert b"Server-Signature: s" in head and body == b"ok"
