A body whose chunks are malformed fails at once, not at the deadline

What callers saw: a worker that broke the framing of a body after its head had been passed on (a size that is no number, no line end after a chunk, a trailer that is no field) kept its client waiting until the deadline: 504 for an ordinary request, and a stream that stood still instead of being aborted, or resumed at another worker where the route allows it.

Cause: aiohttp closes such a connection and fails the next head that would be read from it, but not the body that is being read: its parser forgets the body before it raises, so that the end of the connection finds none either.

Fix: StrictResponseHandler fails the body as soon as the parser has rejected a part of it.

A length of 5,000 digits is rejected without an exception of int() (a test with it).

--- a/hazelbend/protocol/http_response_head.py
+++ b/hazelbend/protocol/http_response_head.py
@@ -16,7 +16,7 @@
 # In values and reasons, a tab, a blank, printable characters and bytes over 127 are allowed (section 5.5).
 CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 CONTROL_BYTE = re.compile(CONTROL_CHARACTER.pattern.encode())
-LENGTH = re.compile(rb"[0-9]+")
+LENGTH = re.compile(rb"0*([0-9]{1,19})")  # up to the digits of `MAX_LENGTH_BYTES`
 MAX_LENGTH_BYTES = 2**63 - 1  # the parser in C takes 2**64 - 1 for no length
 CHUNKED_VERSION = (1, 1)  # the first one that has transfer codings
 BLANKS = b" \t"
@@ -79,7 +79,8 @@
     if len(set(lengths)) > 1:
         raise MalformedHeadError("several lengths")
     for length in lengths:
-        if not LENGTH.fullmatch(length) or int(length) > MAX_LENGTH_BYTES:
+        number = LENGTH.fullmatch(length)
+        if number is None or int(number[1]) > MAX_LENGTH_BYTES:
             raise MalformedHeadError("the length is not a number, or too large")
 
 
--- a/hazelbend/transport/http/response_handler.py
+++ b/hazelbend/transport/http/response_handler.py
@@ -27,6 +27,8 @@
     A reset never completes a response that has no length. aiohttp treats such a response as complete however
     its connection was lost; only a FIN may end it (RFC 9112, section 8).
 
+    A body whose framing is broken fails at once. aiohttp closes the connection, and lets the reader wait.
+
     Bytes that arrive while no response is due belong to no request, and the connection is not used again.
     aiohttp notices that only if they are a complete head.
     """
@@ -61,6 +63,13 @@
                 self._reject(error)
         if not self._is_malformed:
             super().data_received(data)
+            self._fail_malformed_body()
+
+    def _fail_malformed_body(self) -> None:
+        """Fail the body if the parser has rejected a part of it: aiohttp fails only the next head."""
+        error, payload = self._exception, self._payload
+        if error is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"malformed body: {error!r}"))
 
     def feed_data(self, data: tuple[RawResponseMessage, StreamReader], size: int = 0) -> None:
         """Pass on the head of a response, if it is valid."""
--- a/tests/protocol/test_http_response_head.py
+++ b/tests/protocol/test_http_response_head.py
@@ -99,7 +99,7 @@
             check_head(head)
 
 
-@pytest.mark.parametrize("length", [b"0", b"002", b"9223372036854775807"])
+@pytest.mark.parametrize("length", [b"0", b"00", b"002", b"9223372036854775807", b"0" * 5_000 + b"7"])
 def test_length_is_valid_also_if_it_is_repeated(length):
     check_head(head_with((b"Content-Length", length), (b"content-length", length), is_chunked=False))
 
@@ -117,6 +117,7 @@
         b"\xd9\xa2",
         b"9223372036854775808",
         b"18446744073709551615",
+        b"9" * 5_000,
     ],
 )
 def test_length_that_is_no_number_or_too_large_is_rejected(length):
--- a/tests/support/router_kit.py
+++ b/tests/support/router_kit.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -31,10 +32,12 @@
          "backend": SERVICE, "retries": 1}  # fmt: skip
 SUCCESS = b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Signature: s\r\nContent-Length: %d\r\n\r\n%b"
 REQUEST = (
-    b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %b\r\nDeadline-Ms: 2000\r\n"
+    b"POST /x/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: %b\r\nDeadline-Ms: %d\r\n"
     b"Content-Length: 2\r\n\r\nxy"
 )
 
+DEADLINE_MS = 2_000
+
 
 def header(request: bytes, name: bytes) -> bytes:
     """The value of a header of a request."""
@@ -52,6 +55,7 @@
     """A router with one route; `route` overrides its fields."""
 
     def __init__(self, **route: Any) -> None:
+        self._writers: list[asyncio.StreamWriter] = []  # of clients
         self._placement = PlacementEngine("z", 1)
         self._state = FleetState(self._placement)
         self._state.has_current_config = lambda: True
@@ -80,9 +84,18 @@
 
     async def post(self, request_id: bytes, until: bytes = b"") -> bytes:
         """Send a request on a connection of its own; return the bytes that the client gets."""
-        return await exchange(self._listener.port, REQUEST % request_id, until)
+        return await exchange(self._listener.port, REQUEST % (request_id, DEADLINE_MS), until)
+
+    async def start_post(self, request_id: bytes, deadline_ms: int) -> asyncio.StreamReader:
+        """Send a request on a connection of its own, which ends with the router; return what it receives."""
+        reader, writer = await asyncio.open_connection(HOST, self._listener.port)
+        writer.write(REQUEST % (request_id, deadline_ms))
+        self._writers.append(writer)
+        return reader
 
     async def close(self) -> None:
+        for writer in self._writers:
+            writer.close()
         await self._forwarder.close()
         await self.client.close()
 
--- a/tests/system/test_broken_responses.py
+++ b/tests/system/test_broken_responses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -197,6 +198,73 @@
         assert (await fleet.router.post(b"q1")).startswith(b"HTTP/1.1 502 ")
 
 
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: %b\r\nServer-Signature: s\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+FIRST_EVENT = b"id: 1\ndata: a\n\n"
+SECOND_EVENT = b"id: 2\ndata: b\n\n"
+LONG_TIMEOUT_MS = 60_000  # more than a test may take
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+@asynccontextmanager
+async def stream_that_breaks(
+    **route: object,
+) -> AsyncIterator[tuple[RouterUnderTest, asyncio.StreamReader, asyncio.Event]]:
+    """A stream whose worker breaks the framing on an open connection, after the first event."""
+    first_event_was_read = asyncio.Event()
+
+    async def script(connection: Connection, number: int) -> None:
+        request_id = header(await connection.request(), b"Request-Id")
+        await connection.send(STREAM_HEAD % request_id + chunk(FIRST_EVENT))
+        await first_event_was_read.wait()
+        await connection.send(b"XX\r\n")
+        await connection.request()
+
+    async with (
+        running_worker(script) as worker,
+        listening_router(kind="stream", timeoutMs=LONG_TIMEOUT_MS, **route) as router,
+    ):
+        router.add_worker("i-1", worker)
+        reader = await router.start_post(b"q1", LONG_TIMEOUT_MS)
+        await reader.readuntil(FIRST_EVENT)
+        yield router, reader, first_event_was_read
+
+
+async def test_stream_with_a_malformed_chunk_is_aborted_at_once():
+    async with stream_that_breaks() as (_, reader, first_event_was_read):
+        first_event_was_read.set()
+        assert await reader.read() == b"\r\n"  # the end of the first event's chunk
+
+
+@pytest.mark.parametrize("is_broken_first", [False, True])
+async def test_stream_with_a_malformed_chunk_is_resumed_at_a_worker_with_a_valid_response(is_broken_first):
+    requests = []
+
+    async def resuming_script(connection: Connection, number: int) -> None:
+        request = await connection.request()
+        requests.append(header(request, b"Last-Event-Id"))
+        head = STREAM_HEAD % header(request, b"Request-Id")
+        if is_broken_first and len(requests) == 1:
+            head = head.replace(b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\n A: b\r\n")
+        await connection.send(head + chunk(SECOND_EVENT) + b"0\r\n\r\n")
+
+    async with (
+        stream_that_breaks(resume=True, retries=3) as (router, reader, first_event_was_read),
+        running_worker(resuming_script) as second,
+    ):
+        router.add_worker("i-2", second)
+        router.add_worker("i-3", second)
+        first_event_was_read.set()
+        rest = await reader.readuntil(b"0\r\n\r\n")
+    assert rest == b"\r\n" + chunk(SECOND_EVENT) + b"0\r\n\r\n"
+    assert requests == [b"1", b"1"] if is_broken_first else [b"1"]
+
+
 ODD_RESPONSES = {
     **{
         f"status {status}": b"HTTP/1.1 %d Odd\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok" % status
--- a/tests/transport/test_worker_client_faults.py
+++ b/tests/transport/test_worker_client_faults.py
@@ -14,7 +14,12 @@
 
 import pytest
 
-from hazelbend.forwarding.errors import InvalidResponseError, NotSentError, OutcomeUnknownError
+from hazelbend.forwarding.errors import (
+    InvalidResponseError,
+    NotSentError,
+    OutcomeUnknownError,
+    ResponseBrokenError,
+)
 from hazelbend.forwarding.ports import ClientRequest, WorkerCall
 from hazelbend.transport.http import aiohttp_client
 from hazelbend.transport.http.worker_client import HttpWorkerClient
@@ -225,6 +230,36 @@
     assert all(body == LARGE for body in bodies)
 
 
+@pytest.mark.parametrize(
+    "malformed",
+    [b"XX\r\n", b"-1\r\n", b" 2\r\nok\r\n", b"fffffffffffffffff\r\n", b"2\r\nokXX", b"2;a=\x01\r\nok\r\n",
+     b"0\r\nA\x01: b\r\n\r\n", b"0\r\n A: b\r\n\r\n", b"0\r\nContent-Length: 2\r\n\r\n"],
+)  # fmt: skip
+@pytest.mark.parametrize("reads_chunks", [False, True])
+async def test_malformed_chunk_breaks_the_response_at_once(client, malformed, reads_chunks):
+    # The worker keeps the connection open. The head has been passed on, and the body is being read.
+    head_was_read = asyncio.Event()
+
+    async def script(connection: Connection, number: int) -> None:
+        await connection.request()
+        await connection.send(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n"
+        )
+        await head_was_read.wait()
+        await connection.send(malformed)
+        await connection.request()
+
+    async with running_worker(script) as worker:
+        response = await client.send(call(worker, 1), lambda: 1_000_000)
+        head_was_read.set()
+        with pytest.raises(ResponseBrokenError):
+            if reads_chunks:
+                assert [chunk async for chunk in response.chunks()] == [b"a", b"ok"]
+            else:
+                await response.body()
+        response.close()
+
+
 async def test_reset_within_the_body_means_an_unknown_outcome(client):
     async def script(connection: Connection, number: int) -> None:
         await connection.read_headers()
