--- a/hazelbend/dispatcher/fleet_snapshot.py
+++ b/hazelbend/dispatcher/fleet_snapshot.py
@@ -23,6 +23,7 @@
 from hazelbend.leases.settings import SnapshotSettings
 from hazelbend.leases.views import FleetView
 from hazelbend.transport.background_work import start_background_task
+from hazelbend.transport.http.aiohttp_client import open_session
 from hazelbend.transport.peer.lease_requester import LeaseRequester
 from hazelbend.transport.peer.peer_links import CALL_ERRORS
 
@@ -132,15 +133,9 @@
 
     @staticmethod
     def _open_session() -> aiohttp.ClientSession:
-        session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None),
-            trust_env=False,
-            connector=aiohttp.TCPConnector(limit=1, use_dns_cache=False),
-        )
-        # No automatic retry: the first attempt may have been written. The next write shows the state.
-        session._retry_connection = False
-        return session
+        # Without automatic retries: the first attempt may have been written. The next write shows the state.
+        connector = aiohttp.TCPConnector(limit=1, use_dns_cache=False)
+        return open_session(connector, aiohttp.ClientTimeout(total=None))
 
     def _may_write(self, client: LeaseClient, now: int) -> bool:
         remaining_us = client.expires_at - now
--- a/hazelbend/transport/peer/peer_links.py
+++ b/hazelbend/transport/peer/peer_links.py
@@ -18,6 +18,7 @@
 from hazelbend.leases.lease_node import PeerMessage, Reply
 from hazelbend.leases.operations import LeaseResponse, Operation
 from hazelbend.leases.views import FleetView
+from hazelbend.transport.http.aiohttp_client import open_session
 from hazelbend.transport.peer import fleet_codec
 
 MAX_QUEUED_MESSAGES = 256  # for one peer
@@ -123,15 +124,7 @@
         connector = aiohttp.TCPConnector(
             limit=0, use_dns_cache=False, keepalive_timeout=KEEPALIVE_S, local_addr=self._local_address
         )
-        session = aiohttp.ClientSession(
-            cookie_jar=aiohttp.DummyCookieJar(),
-            timeout=aiohttp.ClientTimeout(total=None),
-            trust_env=False,
-            auto_decompress=False,
-            connector=connector,
-        )
-        session._retry_connection = False  # it is unknown whether the first attempt was executed
-        return session
+        return open_session(connector, aiohttp.ClientTimeout(total=None), auto_decompress=False)
 
     async def close(self) -> None:
         """Stop sending and close all connections."""
