A broken response to an order to a worker leaves its result unknown

What callers saw: an order that a worker answered with status 202 or 409 of HTTP/2.0, or with a control byte in the reason or in a value, counted as accepted or rejected, and one with status 600 as rejected. A rejected order is discarded, so the leader could plan as if the worker had kept its phase.

Cause: h11 parses strictly in most respects, but takes any version, statuses up to 999 and control bytes.

Fix: send_order applies check_head, which asks for the major version now as well.

--- a/hazelbend/protocol/http_response_head.py
+++ b/hazelbend/protocol/http_response_head.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
+MAJOR_VERSION = 1
 MIN_STATUS = 100  # the classes of statuses are 1xx to 5xx (RFC 9110, section 15)
 MAX_STATUS = 599
 FIELD_NAME = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")  # a token (RFC 9110, section 5.6.2)
@@ -45,6 +46,8 @@
     Raises:
         MalformedHeadError: it is not.
     """
+    if head.version[0] != MAJOR_VERSION:
+        raise MalformedHeadError("another version than HTTP/1")
     _check_status(head.status)
     if CONTROL_CHARACTER.search(head.reason):
         raise MalformedHeadError("a control byte in the reason")
--- a/hazelbend/transport/http/worker_orders.py
+++ b/hazelbend/transport/http/worker_orders.py
@@ -8,6 +8,8 @@
 import httpcore
 import msgspec
 
+from hazelbend.protocol.http_response_head import MalformedHeadError, ResponseHead, check_head
+
 ORDER_TIMEOUT_S = 1.0
 _ACCEPTED_STATUSES = (200, 202)
 
@@ -17,7 +19,7 @@
 
     ACCEPTED = "taken"
     REJECTED = "refused"
-    UNKNOWN = "unknown"  # no response: the worker may have accepted the order
+    UNKNOWN = "unknown"  # no valid response: the worker may have accepted the order
 
 
 class WorkerOrder(msgspec.Struct, frozen=True, rename="camel"):
@@ -40,7 +42,9 @@
                     headers={"Content-Type": "application/json", "Expect-Instance": instance},
                     content=msgspec.json.encode(order),
                 )
+            check_head(_head_of(response))
         except (
+            MalformedHeadError,
             TimeoutError,
             OSError,
             httpcore.NetworkError,
@@ -49,3 +53,17 @@
         ):
             return OrderResult.UNKNOWN
     return OrderResult.ACCEPTED if response.status in _ACCEPTED_STATUSES else OrderResult.REJECTED
+
+
+def _head_of(response: httpcore.Response) -> ResponseHead:
+    """Return the head of a response. h11 has checked the framing: it reads no other coding than chunked."""
+    version: bytes = response.extensions["http_version"]  # such as "HTTP/1.1"
+    major, _, minor = version.rpartition(b"/")[2].partition(b".")
+    reason: bytes = response.extensions["reason_phrase"]
+    return ResponseHead(
+        version=(int(major), int(minor)),
+        status=response.status,
+        reason=reason.decode("latin-1"),
+        fields=tuple(response.headers),
+        is_chunked=True,
+    )
--- a/tests/protocol/test_http_response_head.py
+++ b/tests/protocol/test_http_response_head.py
@@ -24,6 +24,13 @@
         check_head(replace(VALID_HEAD, status=status))
 
 
+@pytest.mark.parametrize("version", [(0, 9), (2, 0), (3, 7)])
+def test_other_versions_are_rejected(version):
+    check_head(replace(VALID_HEAD, version=(1, 0)))
+    with pytest.raises(MalformedHeadError):
+        check_head(replace(VALID_HEAD, version=version))
+
+
 @pytest.mark.parametrize("reason", ["", "OK", "a\tb c", "\udcff", "ö", "~!"])
 def test_reason_of_allowed_characters_is_valid(reason):
     check_head(replace(VALID_HEAD, reason=reason))
--- a/tests/transport/test_broken_responses.py
+++ b/tests/transport/test_broken_responses.py
@@ -16,6 +16,7 @@
 from hazelbend.protocol.worker_lines import LoadReportFields
 from hazelbend.transport.http.backend_client import ConnectionPool, PoolSettings
 from hazelbend.transport.http.worker_client import HttpWorkerClient
+from hazelbend.transport.http.worker_orders import OrderResult, WorkerOrder, send_order
 from hazelbend.transport.peer.peer_links import CALL_ERRORS, CallRejectedError, PeerLinks
 from tests.support.scripted_worker import TEST_TIMEOUT_S, Connection, running_worker
 
@@ -98,6 +99,16 @@
 # --- workers and back ends ---
 
 
+@broken
+@pytest.mark.parametrize("status", [b"202", b"409"])
+async def test_order_has_an_unknown_result(head, status):
+    server = BrokenServer(response(head, status, b""))
+    async with running_worker(server.script) as worker:
+        order = WorkerOrder("phase", "prefill", "me", 1)
+        assert await send_order(worker.address, "i-1", order) is OrderResult.UNKNOWN
+    assert len(server.requests) == 1
+
+
 @broken
 async def test_probe_is_not_passed_and_its_load_is_not_believed(head):
     server = BrokenServer(response(head, b"200", b'{"inflight":7}'))
