A load report that no worker can have is ignored; one could stop the router

What callers saw: a worker's answer with a Server-Load of ten digits stopped the whole router: the estimate of what remains of a worker's requests loops over their number, and every choice of a worker computes it (a test of it ran into its limit of 600 s). From 400 digits on the client got the router's own 500, "fault", for a request that the worker had run: the sum overflows a float, and 5,000 digits are refused by int().

Cause: the numbers of a report were believed as they came, however large, also in digits other than ASCII.

Fix: a report counts with two numbers of at most four ASCII digits, as each request takes a connection of the worker; anything else is no report, and the answer goes on. The dispatcher bounds its counts already (MAX_JOB_COUNT).

Evidence: 6 of 15 tests failed before (one each for 9, 10, 400 and 5,000 digits through the router, two of the client); all pass.

--- a/hazelbend/transport/http/worker_client.py
+++ b/hazelbend/transport/http/worker_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import re
 import socket
 from collections.abc import AsyncIterator
 
@@ -36,6 +37,7 @@
 READ_BUFFER_BYTES = 16 * 1024  # of a response; reading pauses above twice that
 RECEIVE_BUFFER_BYTES = 32 * 1024  # in the kernel, while reading pauses
 FREE_HANDLE_TIMEOUT_S = 1.0
+REPORTED_COUNT = re.compile(r"[ \t]*([0-9]{1,4})[ \t]*")  # each request takes a connection of the worker
 DEADLINE_HEADER = "Deadline-Ms"
 # Not forwarded (RFC 9110, section 7.6.1); Content-Length is set again from the body.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -202,9 +204,12 @@
 
 
 def _requests_in_flight(server_load: str | None) -> int | None:
-    """Return the sum of running and queued requests in `Server-Load: running,queued,slots`."""
+    """Return the sum of running and queued requests in `Server-Load: running,queued,slots`.
+
+    A report without two usable numbers counts as none.
+    """
     counts = (server_load or "").split(",")
-    if len(counts) < 2 or not all(count.strip().isdecimal() for count in counts[:2]):
+    numbers = [REPORTED_COUNT.fullmatch(count) for count in counts[:2]]
+    if len(numbers) < 2 or None in numbers:
         return None
-    running, queued = counts[:2]
-    return int(running) + int(queued)
+    return sum(int(number[1]) for number in numbers if number is not None)
--- a/tests/system/test_broken_responses.py
+++ b/tests/system/test_broken_responses.py
@@ -265,6 +265,15 @@
     assert requests == [b"1", b"1"] if is_broken_first else [b"1"]
 
 
+@pytest.mark.parametrize("digits", [5, 9, 10, 400, 5_000])
+async def test_load_report_that_no_worker_can_have_is_ignored(digits):
+    response = b"HTTP/1.1 200 OK\r\nServer-Load: %b,1,8\r\n" % (b"9" * digits) + SIGNED
+    async with deployment(response) as fleet:
+        answers = [await fleet.router.post(b"q%d" % number) for number in (1, 2)]
+    assert [body_of(answer) for answer in answers] == [b"ok", b"ran q2"]
+    assert sorted(fleet.runs) == [b"q1", b"q2"]
+
+
 ODD_RESPONSES = {
     **{
         f"status {status}": b"HTTP/1.1 %d Odd\r\nContent-Length: 2\r\nRequest-Id: q1\r\n\r\nok" % status
--- a/tests/transport/test_worker_client.py
+++ b/tests/transport/test_worker_client.py
@@ -80,6 +80,18 @@
     assert b"Deadline-Ms: 250" in request and b"X-Timeout-Ms" not in request
 
 
+@pytest.mark.parametrize(
+    ("report", "in_flight"),
+    [(b"9999,0,8", 9_999), (b" 3 ,\t1", 4), (b"00,0,0", 0), (b"3", None), (b"", None), (b"-1,1,8", None),
+     (b"3,10000,8", None), (b"1.5,1,8", None), (b"\xd9\xa3,\xd9\xa1,8", None), (b"3,,8", None)],
+)  # fmt: skip
+async def test_load_report_counts_only_with_two_usable_numbers(worker, client, report, in_flight):
+    worker.responses = [OK.replace(b"3,1,8", report)]
+    response = await client.send(call_of(worker), lambda: 250_000)
+    assert response.reported_in_flight == in_flight
+    response.close()
+
+
 async def test_withdrawn_call_sends_nothing(worker, client):
     worker.responses = [OK]
     with pytest.raises(SendWithdrawnError):
