A success that claims not to be executed proves nothing: 502, and no second run

What callers saw: a worker answered 200 with its signature, and Not-Executed; the router believed the field and sent a request that must not be repeated to a second worker. It ran twice.

Cause: Not-Executed was read without regard to the status. Workers send it with failures alone (the protocol names 503, 429, 421 and 400); a success with it contradicts itself.

Fix: such a response is an unknown outcome, for prefill calls too: neither passed on nor taken for a rejection.

Evidence: 3 tests failed before (200, 204, 299), all pass.

--- a/hazelbend/transport/http/worker_client.py
+++ b/hazelbend/transport/http/worker_client.py
@@ -7,6 +7,7 @@
 import re
 import socket
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 import aiohttp
 from aiohttp.connector import AddrInfoType
@@ -68,7 +69,9 @@
             for name, value in response.headers.items()
             if name.lower() not in HOP_BY_HOP_HEADERS
         )
-        self.not_executed = response.status == 421 or "Not-Executed" in response.headers
+        self.not_executed = (
+            response.status == HTTPStatus.MISDIRECTED_REQUEST or "Not-Executed" in response.headers
+        )
         self.reported_in_flight = _requests_in_flight(response.headers.get("Server-Load"))
         self.body_bytes = response.content_length
 
@@ -139,7 +142,11 @@
             response.close()
             progress.discard_connection()
             raise InvalidResponseError("the response to another request")
-        return HttpWorkerResponse(response, _connection_use(progress))
+        worker_response = HttpWorkerResponse(response, _connection_use(progress))
+        if worker_response.not_executed and _is_success(response):
+            worker_response.close()
+            raise InvalidResponseError("a success that claims not to be executed")
+        return worker_response
 
     def _apply_keepalive(self, header: str | None) -> None:
         """Apply the shortest announced timeout to all workers: closing a connection early costs little."""
@@ -183,10 +190,14 @@
     """
     echoed_id = response.headers.get("Request-Id")
     if echoed_id is None:
-        return response.status >= 300 and not on_reused_connection
+        return response.status >= HTTPStatus.MULTIPLE_CHOICES and not on_reused_connection
     return echoed_id == request_id
 
 
+def _is_success(response: aiohttp.ClientResponse) -> bool:
+    return HTTPStatus.OK <= response.status < HTTPStatus.MULTIPLE_CHOICES
+
+
 def _connection_use(progress: RequestProgress) -> ConnectionUse:
     connection = progress.connection
     if connection is None:
--- a/tests/system/test_broken_responses.py
+++ b/tests/system/test_broken_responses.py
@@ -265,6 +265,21 @@
     assert requests == [b"1", b"1"] if is_broken_first else [b"1"]
 
 
+CONTRADICTORY_FIELDS = {
+    "a success that was not executed": b"Not-Executed: 1\r\n",
+}
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"204 No Content", b"299 Odd"])
+@pytest.mark.parametrize("fields", CONTRADICTORY_FIELDS.values(), ids=CONTRADICTORY_FIELDS.keys())
+async def test_success_that_contradicts_itself_proves_nothing(fields, status):
+    head = b"HTTP/1.1 %b\r\nConnection: close\r\nRequest-Id: q1\r\nServer-Signature: s\r\n" % status
+    async with deployment(head + fields + b"\r\n") as fleet:
+        answers = [await fleet.router.post(b"q%d" % number) for number in (1, 2)]
+    assert answers[0].startswith(b"HTTP/1.1 502 ") and body_of(answers[1]) == b"ran q2"
+    assert sorted(fleet.runs) == [b"q1", b"q2"]
+
+
 @pytest.mark.parametrize("digits", [5, 9, 10, 400, 5_000])
 async def test_load_report_that_no_worker_can_have_is_ignored(digits):
     response = b"HTTP/1.1 200 OK\r\nServer-Load: %b,1,8\r\n" % (b"9" * digits) + SIGNED
