A response that names two requests belongs to none of them

What callers saw: a worker's response with two different Request-Id fields, the first of which was the right one, was passed on, or believed as a rejection: a request that must not be repeated ran at two workers after such a 421.

Cause: only the first field was read. The id is what ties a response to a request; a head with two of them can be joined from two responses as well (RFC 9110, section 5.3: such a field occurs once).

Fix: all ids have to be the request's.

--- a/hazelbend/transport/http/worker_client.py
+++ b/hazelbend/transport/http/worker_client.py
@@ -183,15 +183,15 @@
 
 
 def _is_response_to(request_id: str, response: aiohttp.ClientResponse, *, on_reused_connection: bool) -> bool:
-    """Return whether this is the response to the request.
+    """Return whether this is the response to the request, and names no other one.
 
     A failure is accepted without an id, as a worker that cannot parse the request sends it, but not on a
     reused connection: there it may be a late response to the previous request.
     """
-    echoed_id = response.headers.get("Request-Id")
-    if echoed_id is None:
+    echoed_ids = response.headers.getall("Request-Id", [])
+    if not echoed_ids:
         return response.status >= HTTPStatus.MULTIPLE_CHOICES and not on_reused_connection
-    return echoed_id == request_id
+    return set(echoed_ids) == {request_id}
 
 
 def _is_success(response: aiohttp.ClientResponse) -> bool:
--- a/tests/system/test_broken_responses.py
+++ b/tests/system/test_broken_responses.py
@@ -267,6 +267,7 @@
 
 CONTRADICTORY_FIELDS = {
     "a success that was not executed": b"Not-Executed: 1\r\n",
+    "another request as well": b"Request-Id: q9\r\n",
 }
 
 
@@ -280,6 +281,13 @@
     assert sorted(fleet.runs) == [b"q1", b"q2"]
 
 
+async def test_rejection_that_names_another_request_as_well_proves_nothing():
+    rejection = b"HTTP/1.1 421 No\r\nRequest-Id: q1\r\nRequest-Id: q9\r\nContent-Length: 0\r\n\r\n"
+    async with deployment(rejection) as fleet:
+        assert (await fleet.router.post(b"q1")).startswith(b"HTTP/1.1 502 ")
+    assert fleet.runs == [b"q1"]
+
+
 @pytest.mark.parametrize("digits", [5, 9, 10, 400, 5_000])
 async def test_load_report_that_no_worker_can_have_is_ignored(digits):
     response = b"HTTP/1.1 200 OK\r\nServer-Load: %b,1,8\r\n" % (b"9" * digits) + SIGNED
