A handle that can't be sent to a worker counts as a failed prefill call

What callers saw: the handle in a prefill worker's answer went into a header and a path as it came. With a line end, a blank or a control byte in it the client library refused the decode call, which counted as one that may have run: 502 without any run. With slashes or a question mark, freeing it would have been a request for another path of the worker.

Cause: the answer's JSON was checked for its shape, not for what the handle may hold.

Fix: PrefillResult takes a handle of characters that a header and one segment of a path can hold, up to 256. Otherwise the prefill call has failed, and the decode worker prefills itself.

--- a/hazelbend/forwarding/prefill.py
+++ b/hazelbend/forwarding/prefill.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Annotated, TypeAlias
 
 import msgspec
 
@@ -22,10 +23,15 @@
 PRIORITY_BOUNDS_TOKENS = (1_000, 2_500, 6_000, 12_000, 25_000)
 
 
+# What can stand in a header and as a segment of a path (RFC 3986, section 3.3), with a bound on its length.
+HANDLE_PATTERN = r"^(?!\.)[A-Za-z0-9._~!$&'()*+,;=:@-]{1,256}\Z"
+KvHandleName: TypeAlias = Annotated[str, msgspec.Meta(pattern=HANDLE_PATTERN)]
+
+
 class PrefillResult(msgspec.Struct):
     """The body of a worker's response to a prefill call."""
 
-    handle: str = msgspec.field(name="kvHandle")
+    handle: KvHandleName = msgspec.field(name="kvHandle")
     tokens: int = 0
 
 
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 
 from hazelbend.control.configuration_reader import read_configuration
@@ -364,6 +365,19 @@
     assert [extra_headers(call).get("Phase") for call in harness.calls] == ["prefill", "prefill", None]
 
 
+@pytest.mark.parametrize(
+    "handle",
+    ["", "h 1", "h\r\nA: b", "h\n", "h/../../order", "..", "h?a", "h#a", "%68", "h\x00", "hö", "h" * 257],
+)
+def test_handle_that_cannot_be_sent_to_a_worker_counts_as_a_failed_prefill_call(handle):
+    harness = model_harness()
+    body = msgspec.json.encode({"kvHandle": handle, "tokens": 1})
+    failure = ScriptedResponse(200, [body])
+    reply = harness.serve(failure, failure, ScriptedResponse(parts=EVENTS), client_timeout_ms=6_000, **PROMPT)
+    assert reply.body == b"".join(EVENTS) and "Kv-From" not in extra_headers(harness.calls[-1])
+    assert harness.freed == []
+
+
 def test_without_retry_budget_no_prefill_call_is_sent():
     harness = model_harness()
     harness.forwarder.retry_policy.budgets["llm"] = RetryBudget(0.0, 0.0, S)
