A result of a prefill call that can't be read is a failed call, and is bounded

What callers saw: a prefill worker's answer with 30,000 nested brackets ended the client's request with the router's own 500, as the decoder raises RecursionError, which nothing took for an answer that can't be read. A result of any size was read into memory.

Cause: the decoder's documented error was expected alone, and the body was read whole before it was looked at.

Fix: the body is read up to 64 KiB; what is larger, or can't be decoded, is InvalidResponseError, an unknown outcome as before for other broken results.

Evidence: 2 of 3 tests failed before (deeply nested; 6.5 MB were taken), all pass; a body that is not UTF-8 was handled before.

--- a/hazelbend/forwarding/prefill.py
+++ b/hazelbend/forwarding/prefill.py
@@ -8,10 +8,10 @@
 
 import msgspec
 
-from hazelbend.forwarding.errors import NotSentError, OutcomeUnknownError
+from hazelbend.forwarding.errors import InvalidResponseError, NotSentError, OutcomeUnknownError
 from hazelbend.forwarding.first_byte_timeout import FirstByteTimeout, first_byte_timeout_us
 from hazelbend.forwarding.fleet_state import FleetState, outcome_of
-from hazelbend.forwarding.ports import WorkerClient
+from hazelbend.forwarding.ports import WorkerClient, WorkerResponse
 from hazelbend.forwarding.request_context import KvHandle, RequestContext
 from hazelbend.forwarding.retry_policy import MAX_ATTEMPTS, RetryPolicy
 from hazelbend.placement.choices import Choice, Stage
@@ -35,6 +35,8 @@
     tokens: int = 0
 
 
+MAX_RESULT_BYTES = 64 * 1024  # of the body of a worker's response to a prefill call
+
 _result_decoder = msgspec.json.Decoder(PrefillResult)
 
 
@@ -43,6 +45,24 @@
     return sum(tokens >= bound for bound in PRIORITY_BOUNDS_TOKENS)
 
 
+async def _read_result(response: WorkerResponse) -> PrefillResult:
+    """Return the result in the body of a response.
+
+    Raises:
+        InvalidResponseError: the body is too large, or not a result.
+        ResponseBrokenError: the body ended prematurely.
+    """
+    body = bytearray()
+    async for chunk in response.chunks():
+        body += chunk
+        if len(body) > MAX_RESULT_BYTES:
+            raise InvalidResponseError("the result of a prefill call is too large")
+    try:
+        return _result_decoder.decode(body)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise InvalidResponseError(str(error)) from None
+
+
 class PrefillStage:
     """Sends prefill calls, and frees KV caches that no worker has loaded. Times are in microseconds."""
 
@@ -109,7 +129,7 @@
                     outcome = outcome_of(response)
                     if response.status != 200:
                         return None
-                    result = _result_decoder.decode(await response.body())
+                    result = await _read_result(response)
                     placement.observe_prefill(attempt, self._clock())
                     return KvHandle(choice.worker.record, result.handle)
                 finally:
@@ -118,7 +138,7 @@
             context.prefill_sends = sends_before
             self._fleet.record_not_sent(choice, error, self._clock())
             return None
-        except (OutcomeUnknownError, msgspec.DecodeError):
+        except OutcomeUnknownError:
             outcome = AttemptOutcome.FAILED
             return None
         finally:
--- a/tests/forwarding/test_forwarding.py
+++ b/tests/forwarding/test_forwarding.py
@@ -378,6 +378,22 @@
     assert harness.freed == []
 
 
+DEEPLY_NESTED = b'{"kvHandle":"h1","a":' + b"[" * 30_000 + b"]" * 30_000 + b"}"
+MANY_PARTS = 100
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [[DEEPLY_NESTED], [b'{"kvHandle":"\xff"}'], [b'{"kvHandle":"h1"}', *[b" " * 65_536] * MANY_PARTS]],
+    ids=["deeply nested", "not UTF-8", "large"],
+)
+def test_prefill_call_has_failed_if_its_result_cannot_be_read(parts):
+    harness = model_harness()
+    results = [ScriptedResponse(200, list(parts)) for _ in range(2)]
+    reply = harness.serve(*results, ScriptedResponse(parts=EVENTS), client_timeout_ms=6_000, **PROMPT)
+    assert reply.body == b"".join(EVENTS) and "Kv-From" not in extra_headers(harness.calls[-1])
+
+
 def test_without_retry_budget_no_prefill_call_is_sent():
     harness = model_harness()
     harness.forwarder.retry_policy.budgets["llm"] = RetryBudget(0.0, 0.0, S)
