--- a/tests/transport/test_discovery_watch.py
+++ b/tests/transport/test_discovery_watch.py
@@ -135,6 +135,19 @@
         assert len(requests) == 2, "the watch does not retry by itself"
 
 
+@pytest.mark.parametrize(
+    "head", [b"HTTP/1.1 200 O\x01K\r\n", b"HTTP/1.1 200 OK\r\nA: \x7f\r\n", b"HTTP/1.1 200 OK\r\n A: b\r\n",
+             b"RTSP/1.0 200 OK\r\n", b"HTTP/1.1 000 OK\r\n", b"HTTP/1.1 404 \x01\r\n"]
+)  # fmt: skip
+def test_list_in_a_broken_response_is_not_believed(head):
+    # Nor is its status: the changes since the known version are asked for again.
+    answer = list_response(9, False, "s-9").replace(b"HTTP/1.1 200 OK\r\n", head)
+    updates, requests, _ = run_watch(answer, known_version=8)
+    assert [update.failed for update in updates] == [True] and len(requests) == 1
+    _, requests, _ = run_watch(answer, answer, known_version=8, resubscribe=True)
+    assert all("from=8&" in request for request in requests) and len(requests) == 2
+
+
 def test_start_continues_from_the_known_version():
     """Guards discovery, which serves a fleet's calls one after another and line by line: when 40 dispatchers
     requested 60 lines each, none got a response in time, repeatedly."""
