--- a/hazelbend/protocol/http_head_start.py
+++ b/hazelbend/protocol/http_head_start.py
@@ -1,4 +1,4 @@
-"""Checks how the heads of responses begin, in the bytes that are received: a parser doesn't hand that on.
+"""Checks how the heads of responses begin, in the bytes that are received: parsers don't return that.
 
 aiohttp's parser in C takes other protocols' status lines for HTTP's. It also skips one blank after the status
 line: a line that begins with it becomes a field, and a line of nothing else ends the head, so that the fields
--- a/hazelbend/protocol/http_response_head.py
+++ b/hazelbend/protocol/http_response_head.py
@@ -24,7 +24,7 @@
 
 
 class MalformedHeadError(ValueError):
-    """The head of a response is not valid. The text says why, without bytes of the head."""
+    """The head of a response is not valid. The text is the reason, without bytes of the head."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -41,7 +41,7 @@
 def check_head(head: ResponseHead) -> None:
     """Check that a head is a valid one, interim or final.
 
-    The request must not have asked for an upgrade, nor have offered other transfer codings than chunked.
+    It must answer a request without an upgrade, and without a TE field that offers other transfer codings.
 
     Raises:
         MalformedHeadError: it is not.
@@ -88,7 +88,7 @@
 
 
 def _check_codings(values: list[bytes], *, is_chunked: bool) -> None:
-    """Nobody decodes another coding than chunked, so that the body would not be the one that was sent."""
+    """Check that chunked is the only transfer coding: a body in another one would stay encoded."""
     elements = [element.strip(BLANKS).lower() for element in b",".join(values).split(b",")]
     if [element for element in elements if element] != [b"chunked"]:
         raise MalformedHeadError("another transfer coding than chunked")
