--- a/hazelbend/forwarding/prefill.py
+++ b/hazelbend/forwarding/prefill.py
@@ -21,8 +21,7 @@
 MAX_PREFILL_SENDS = 2  # prefill calls that may reach workers for one request
 # Each of these prompt sizes that is reached lowers the priority by one level.
 PRIORITY_BOUNDS_TOKENS = (1_000, 2_500, 6_000, 12_000, 25_000)
-
-
+MAX_RESULT_BYTES = 64 * 1024  # of the body of a worker's response to a prefill call
 # What can stand in a header and as a segment of a path (RFC 3986, section 3.3), with a bound on its length.
 HANDLE_PATTERN = r"^(?!\.)[A-Za-z0-9._~!$&'()*+,;=:@-]{1,256}\Z"
 KvHandleName: TypeAlias = Annotated[str, msgspec.Meta(pattern=HANDLE_PATTERN)]
@@ -35,8 +34,6 @@
     tokens: int = 0
 
 
-MAX_RESULT_BYTES = 64 * 1024  # of the body of a worker's response to a prefill call
-
 _result_decoder = msgspec.json.Decoder(PrefillResult)
 
 
--- a/hazelbend/protocol/http_head_start.py
+++ b/hazelbend/protocol/http_head_start.py
@@ -2,7 +2,7 @@
 
 aiohttp's parser in C takes other protocols' status lines for HTTP's. It also skips one blank after the status
 line: a line that begins with it becomes a field, and a line of nothing else ends the head, so that the fields
-become the body. RFC 9112 (section 2.2) allows to reject such a message, and not to process that line.
+become the body. Such a message has to be rejected, or that line skipped (RFC 9112, section 2.2).
 """
 
 from __future__ import annotations
@@ -42,28 +42,29 @@
         if self._is_done:
             return
         self._unchecked += data
-        while not self._is_done and self._skip_interim_head() and self._check_start():
-            pass
+        while not self._is_done:
+            can_go_on = self._skip_interim_head() if self._in_interim_head else self._check_start()
+            if not can_go_on:
+                return
 
     def _check_start(self) -> bool:
         """Check the status line and the first byte after it; return False if they are not complete."""
         received = self._unchecked = self._unchecked.lstrip(EMPTY_LINES)
         if received[: len(VERSION_START)] != VERSION_START[: len(received)]:
             raise MalformedHeadError("the status line is not one of HTTP/1")
-        status_line, line_end, rest = received.partition(LINE_END)
-        if not rest:
+        line_end = received.find(LINE_END)
+        next_byte = received[line_end + 1 : line_end + 2]
+        if line_end < 0 or not next_byte:
             return False
-        if rest[:1] in (b" ", b"\t"):
+        if next_byte in (b" ", b"\t"):
             raise MalformedHeadError("a blank before the first field")
-        self._in_interim_head = INTERIM_STATUS_LINE.match(status_line) is not None
+        self._in_interim_head = INTERIM_STATUS_LINE.match(received) is not None
         self._is_done = not self._in_interim_head
-        self._unchecked = line_end + rest if self._in_interim_head else b""
+        self._unchecked = received[line_end:] if self._in_interim_head else b""
         return True
 
     def _skip_interim_head(self) -> bool:
         """Drop what is left of an interim head; return False if its end was not received."""
-        if not self._in_interim_head:
-            return True
         end = END_OF_HEAD.search(self._unchecked)
         if end is None:
             self._unchecked = self._unchecked[-MAX_PARTIAL_END_BYTES:]
--- a/hazelbend/transport/http/worker_client.py
+++ b/hazelbend/transport/http/worker_client.py
@@ -38,7 +38,8 @@
 READ_BUFFER_BYTES = 16 * 1024  # of a response; reading pauses above twice that
 RECEIVE_BUFFER_BYTES = 32 * 1024  # in the kernel, while reading pauses
 FREE_HANDLE_TIMEOUT_S = 1.0
-REPORTED_COUNT = re.compile(r"[ \t]*([0-9]{1,4})[ \t]*")  # each request takes a connection of the worker
+# Running and queued requests, and the rest. Four digits: each request takes a connection of the worker.
+LOAD_REPORT = re.compile(r"[ \t]*([0-9]{1,4})[ \t]*,[ \t]*([0-9]{1,4})[ \t]*(?:,.*)?")
 DEADLINE_HEADER = "Deadline-Ms"
 # Not forwarded (RFC 9110, section 7.6.1); Content-Length is set again from the body.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -219,8 +220,5 @@
 
     A report without two usable numbers counts as none.
     """
-    counts = (server_load or "").split(",")
-    numbers = [REPORTED_COUNT.fullmatch(count) for count in counts[:2]]
-    if len(numbers) < 2 or None in numbers:
-        return None
-    return sum(int(number[1]) for number in numbers if number is not None)
+    report = LOAD_REPORT.fullmatch(server_load or "")
+    return int(report[1]) + int(report[2]) if report is not None else None
--- a/tests/support/router_kit.py
+++ b/tests/support/router_kit.py
@@ -56,14 +56,15 @@
 
     def __init__(self, **route: Any) -> None:
         self._writers: list[asyncio.StreamWriter] = []  # of clients
+        self._is_listening = False
         self._placement = PlacementEngine("z", 1)
         self._state = FleetState(self._placement)
         self._state.has_current_config = lambda: True
         document = {"version": 1, "routes": [ROUTE | route], "services": [{"name": SERVICE}]}
         self._state.apply_configuration(RouteTable(read_configuration(json.dumps(document).encode())))
-        self.client = HttpWorkerClient(10)
+        self._client = HttpWorkerClient(10)
         self._forwarder = Forwarder(
-            self._state, self.client, clock, lambda: RetryBudget(0.2, 100.0, 10 * SECOND_US), 1
+            self._state, self._client, clock, lambda: RetryBudget(0.2, 100.0, 10 * SECOND_US), 1
         )
         memory = ConnectionMemory(connection_limits(256))
         self._listener = RequestListener(self._forwarder.serve, clock, 100, memory)
@@ -81,10 +82,11 @@
 
     async def listen(self) -> None:
         await self._listener.listen(HOST, 0)
+        self._is_listening = True
 
-    async def post(self, request_id: bytes, until: bytes = b"") -> bytes:
+    async def post(self, request_id: bytes) -> bytes:
         """Send a request on a connection of its own; return the bytes that the client gets."""
-        return await exchange(self._listener.port, REQUEST % (request_id, DEADLINE_MS), until)
+        return await exchange(self._listener.port, REQUEST % (request_id, DEADLINE_MS))
 
     async def start_post(self, request_id: bytes, deadline_ms: int) -> asyncio.StreamReader:
         """Send a request on a connection of its own, which ends with the router; return what it receives."""
@@ -97,10 +99,9 @@
         for writer in self._writers:
             writer.close()
         await self._forwarder.close()
-        await self.client.close()
-
-    async def close_listener(self) -> None:
-        await self._listener.close()
+        await self._client.close()
+        if self._is_listening:
+            await self._listener.close()
 
 
 @asynccontextmanager
@@ -112,7 +113,6 @@
         yield router
     finally:
         await router.close()
-        await router.close_listener()
 
 
 class Runs:
--- a/tests/system/test_broken_responses.py
+++ b/tests/system/test_broken_responses.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from tests.support.race_kit import chunk
 from tests.support.router_kit import RouterUnderTest, Runs, header, listening_router, other_worker
 from tests.support.scripted_worker import Connection, ScriptedWorker, running_worker
 
@@ -133,12 +134,11 @@
 
 @pytest.mark.parametrize("head", BROKEN_HEADS.values(), ids=BROKEN_HEADS.keys())
 async def test_connection_of_a_broken_response_is_not_used_again(head):
-    broken = BrokenWorker(success(head))
-    async with running_worker(broken.script) as worker, listening_router() as router:
-        router.add_worker("i-1", worker)
-        assert (await router.post(b"q1")).startswith(b"HTTP/1.1 502 ")
-        assert body_of(await router.post(b"q2")) == b"ran q2"
-        assert worker.connections == 2
+    async with deployment(success(head)) as fleet:
+        fleet.broken.on_first_request = lambda: None  # the broken worker stays the only one
+        assert (await fleet.router.post(b"q1")).startswith(b"HTTP/1.1 502 ")
+        assert body_of(await fleet.router.post(b"q2")) == b"ran q2"
+        assert fleet.worker.connections == 2
 
 
 @pytest.mark.parametrize("head", BROKEN_HEADS.values(), ids=BROKEN_HEADS.keys())
@@ -207,10 +207,6 @@
 LONG_TIMEOUT_MS = 60_000  # more than a test may take
 
 
-def chunk(data: bytes) -> bytes:
-    return b"%x\r\n%b\r\n" % (len(data), data)
-
-
 @asynccontextmanager
 async def stream_that_breaks(
     **route: object,
@@ -262,7 +258,7 @@
         first_event_was_read.set()
         rest = await reader.readuntil(b"0\r\n\r\n")
     assert rest == b"\r\n" + chunk(SECOND_EVENT) + b"0\r\n\r\n"
-    assert requests == [b"1", b"1"] if is_broken_first else [b"1"]
+    assert requests == [b"1"] * (2 if is_broken_first else 1)
 
 
 CONTRADICTORY_FIELDS = {
--- a/tests/transport/test_worker_client_faults.py
+++ b/tests/transport/test_worker_client_faults.py
@@ -254,7 +254,8 @@
         head_was_read.set()
         with pytest.raises(ResponseBrokenError):
             if reads_chunks:
-                assert [chunk async for chunk in response.chunks()] == [b"a", b"ok"]
+                async for _ in response.chunks():
+                    pass
             else:
                 await response.body()
         response.close()
