The deadline of an attempt is kept by the attempt, not by its address in memory

Cause: the deadlines for an answer were keyed by id(attempt). Routers keep each attempt until it has ended, so only tests are known to be affected.

Fix: the attempt itself is the key, which compares by identity and is kept by it.

Evidence: the new test failed before (the deadline was gone after 400 attempts) and passes.

--- a/hazelbend/placement/engine.py
+++ b/hazelbend/placement/engine.py
@@ -238,7 +238,7 @@
         if takes_slot:
             worker.requests.add(1.0)
         allowance = round(self._policy.answer_overdue_factor * max(choice.cost, 0.0))
-        worker.answer_deadlines[id(attempt)] = now + self._policy.answer_overdue_us + allowance
+        worker.answer_deadlines[attempt] = now + self._policy.answer_overdue_us + allowance
         self.on_load_changed()
         return attempt
 
@@ -267,7 +267,7 @@
 
     def record_answer(self, attempt: Attempt, now: int) -> None:
         """Record that the worker has answered, with any status."""
-        attempt.worker.answer_deadlines.pop(id(attempt), None)
+        attempt.worker.answer_deadlines.pop(attempt, None)
         attempt.worker.record_answer(now)
 
     def record_outcome(self, attempt: Attempt, outcome: AttemptOutcome, now: int) -> None:
@@ -296,7 +296,7 @@
 
     def end_attempt(self, attempt: Attempt) -> None:
         """Remove the attempt from all counts."""
-        attempt.worker.answer_deadlines.pop(id(attempt), None)
+        attempt.worker.answer_deadlines.pop(attempt, None)
         self.end_prefill(attempt)
         if attempt.takes_slot:
             attempt.worker.requests.remove(1.0)
--- a/hazelbend/placement/estimates.py
+++ b/hazelbend/placement/estimates.py
@@ -82,7 +82,7 @@
     backoff_until: int = 0
     backoff: int = 0
     answered_at: int = 0  # time of the last answer to an own attempt
-    answer_deadlines: dict[int, int] = field(default_factory=dict)  # of own attempts that are not answered
+    answer_deadlines: dict[object, int] = field(default_factory=dict)  # by own attempt that is not answered
 
     @property
     def accepts_work(self) -> bool:
--- a/tests/forwarding/test_reliability.py
+++ b/tests/forwarding/test_reliability.py
@@ -271,6 +271,16 @@
     assert notified == [(instance, True), (instance, False)]
 
 
+def test_deadline_of_an_attempt_is_not_taken_over_by_later_attempts(placement):
+    # Nobody else refers to the first attempt, so that the memory of a forgotten one would be used again.
+    choice = placement.selector.choose("s", S, set())
+    placement.begin_attempt(choice, NO_PROMPT, S, takes_slot=True)
+    deadlines = list(choice.worker.answer_deadlines.values())
+    for _ in range(400):
+        placement.end_attempt(placement.begin_attempt(choice, NO_PROMPT, 2 * S, takes_slot=True))
+    assert list(choice.worker.answer_deadlines.values()) == deadlines
+
+
 def test_some_idempotent_requests_are_sent_to_failing_worker():
     harness = RouterHarness(kind="safe", retries=2)
     placement = harness.state.placement
